Set down the layout, the core types and the links

Cause: the shape comes before the system, so that every later part is built in it. Ruled out: structs of the codec library inside the decisions; they are kept to the border, and data classes are matched inside. Before: an empty repository.

--- /dev/null
+++ b/eelgrassworks/clock.py
@@ -0,0 +1,25 @@
+"""The clocks of a process.
+
+Decisions use the boot clock, which also runs while a machine is suspended:
+a lease must not outlive a pause of its holder.
+"""
+
+import random
+import time
+
+from eelgrassworks import replica
+
+
+def read_now() -> float:
+    """Return the seconds since boot, including suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_wall_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def read_moment(source: random.Random) -> replica.Moment:
+    """Return the time and a random number for one event."""
+    return replica.Moment(read_now(), read_wall_ms(), source.random())
--- /dev/null
+++ b/eelgrassworks/contracts/__init__.py
@@ -0,0 +1,72 @@
+"""What callers, operators and processes agree on.
+
+Submissions and their answers, claims on submission ids, team quotas and
+configuration revisions.  Every type here is a data class without behaviour
+that depends on a clock or on a connection.
+"""
+
+from eelgrassworks.contracts.claim import Claim
+from eelgrassworks.contracts.claim import ClaimConflict
+from eelgrassworks.contracts.claim import ClaimExpired
+from eelgrassworks.contracts.claim import ClaimFree
+from eelgrassworks.contracts.claim import ClaimFuture
+from eelgrassworks.contracts.claim import ClaimGranted
+from eelgrassworks.contracts.claim import ClaimSuperseded
+from eelgrassworks.contracts.claim import ClaimTaken
+from eelgrassworks.contracts.claim import ClaimVerdict
+from eelgrassworks.contracts.configuration import ApplySheet
+from eelgrassworks.contracts.configuration import Change
+from eelgrassworks.contracts.configuration import ChangeAccepted
+from eelgrassworks.contracts.configuration import ChangeConflict
+from eelgrassworks.contracts.configuration import ChangeInvalid
+from eelgrassworks.contracts.configuration import ChangeRequest
+from eelgrassworks.contracts.configuration import ChangeVerdict
+from eelgrassworks.contracts.configuration import CloseDomain
+from eelgrassworks.contracts.configuration import Configuration
+from eelgrassworks.contracts.configuration import DrainTarget
+from eelgrassworks.contracts.configuration import Kind
+from eelgrassworks.contracts.configuration import OpenDomain
+from eelgrassworks.contracts.configuration import Sheet
+from eelgrassworks.contracts.configuration import UndrainTarget
+from eelgrassworks.contracts.quota import Quota
+from eelgrassworks.contracts.submission import Answer
+from eelgrassworks.contracts.submission import Complete
+from eelgrassworks.contracts.submission import Failed
+from eelgrassworks.contracts.submission import MAX_TASKS
+from eelgrassworks.contracts.submission import NotRun
+from eelgrassworks.contracts.submission import Submission
+from eelgrassworks.contracts.submission import TaskKey
+
+__all__ = [
+    'Answer',
+    'ApplySheet',
+    'Change',
+    'ChangeAccepted',
+    'ChangeConflict',
+    'ChangeInvalid',
+    'ChangeRequest',
+    'ChangeVerdict',
+    'Claim',
+    'ClaimConflict',
+    'ClaimExpired',
+    'ClaimFree',
+    'ClaimFuture',
+    'ClaimGranted',
+    'ClaimSuperseded',
+    'ClaimTaken',
+    'ClaimVerdict',
+    'CloseDomain',
+    'Complete',
+    'Configuration',
+    'DrainTarget',
+    'Failed',
+    'Kind',
+    'MAX_TASKS',
+    'NotRun',
+    'OpenDomain',
+    'Quota',
+    'Sheet',
+    'Submission',
+    'TaskKey',
+    'UndrainTarget',
+]
--- /dev/null
+++ b/eelgrassworks/contracts/configuration.py
@@ -0,0 +1,119 @@
+"""Configuration revisions.
+
+The configuration is one value with one revision number.  Every accepted
+change raises the revision by one; a change names the revision it expects, so
+that of two racing operators exactly one is accepted.
+"""
+
+import dataclasses
+
+from eelgrassworks.contracts import quota
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request, and the failure domains that may serve it."""
+
+    name: str
+    failure_domains: frozenset[str]
+    repeatable: bool
+    time_limit_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sheet:
+    """The standing work of a day: kinds of request and team quotas."""
+
+    kinds: dict[str, Kind]
+    quotas: dict[str, quota.Quota]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Everything operators decide, at one revision."""
+
+    revision: int
+    sheet: Sheet
+    closed: frozenset[str]
+    draining: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplySheet:
+    """Replaces the sheet."""
+
+    sheet: Sheet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseDomain:
+    """Takes a failure domain out of service."""
+
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenDomain:
+    """Returns a failure domain to service."""
+
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainTarget:
+    """Stops new work for a target, also after it announces itself again."""
+
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UndrainTarget:
+    """Allows new work for a target again."""
+
+    target: str
+
+
+Change = ApplySheet | CloseDomain | OpenDomain | DrainTarget | UndrainTarget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """A change by an operator.
+
+    ``id`` identifies the change across resends; ``expected_revision`` is the
+    revision that the operator saw.
+    """
+
+    id: str
+    operator: str
+    expected_revision: int
+    change: Change
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeAccepted:
+    """The change is committed at ``revision``."""
+
+    id: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeConflict:
+    """Another change was accepted first; ``winner`` is its operator."""
+
+    id: str
+    revision: int
+    winner: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeInvalid:
+    """The change names something that does not exist."""
+
+    id: str
+    revision: int
+    reason: str
+
+
+ChangeVerdict = ChangeAccepted | ChangeConflict | ChangeInvalid
--- /dev/null
+++ b/eelgrassworks/links/bus.py
@@ -0,0 +1,74 @@
+"""Transport inside one process, for the embedded default and for tests.
+
+Frames pass through the codec as they do between processes; a handler is
+called in a later turn of the loop.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from eelgrassworks.links import codec
+from eelgrassworks.links import frame
+
+
+class Bus:
+    """Connects the transports of one process by name."""
+
+    def __init__(self) -> None:
+        self.transports: dict[str, BusTransport] = {}
+
+
+class BusTransport:
+    """One named end of a bus."""
+
+    def __init__(
+        self, bus: Bus, frame_codec: codec.Codec, sender: frame.Sender
+    ) -> None:
+        self.sender = sender
+        self.frames_sent = 0
+        self._bus = bus
+        self._codec = frame_codec
+        self._outbox: dict[str, list[object]] = {}
+        self._handler: Callable[[frame.Frame], None] | None = None
+        bus.transports[sender.name] = self
+
+    def start(self, handler: Callable[[frame.Frame], None]) -> None:
+        """Begin to deliver frames."""
+        self._handler = handler
+
+    def connect(self, peer: str, address: str) -> None:
+        """Do nothing; every name on the bus is reachable."""
+
+    def post(self, peer: str, message: object) -> None:
+        """Add a message to the frame that goes out this turn."""
+        if not self._outbox:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self._outbox.setdefault(peer, []).append(message)
+
+    def flush(self) -> None:
+        """Send one frame to each peer that messages wait for."""
+        outbox, self._outbox = self._outbox, {}
+        for peer, messages in outbox.items():
+            receiver = self._bus.transports.get(peer)
+            if receiver is None:
+                continue
+            self.frames_sent += 1
+            data = self._codec.encode_frame(self.sender, messages)
+            asyncio.get_running_loop().call_soon(receiver.take, data)
+
+    def take(self, data: bytes) -> None:
+        """Deliver one frame."""
+        if self._handler is not None:
+            self._handler(self._codec.decode_frame(data))
+
+    def tick(self, now_s: float) -> None:
+        """Do nothing; a bus cannot go silent."""
+
+    def close(self) -> None:
+        """Leave the bus."""
+        self._handler = None
+        self._bus.transports.pop(self.sender.name, None)
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {'frames_sent': self.frames_sent}
--- /dev/null
+++ b/eelgrassworks/links/codec.py
@@ -0,0 +1,114 @@
+"""Encoding of frames and of tagged values.
+
+A frame is MessagePack behind an authentication code.  Decoding validates
+every field, so that decision classes receive only well-typed messages.
+"""
+
+import dataclasses
+import hmac
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from eelgrassworks.links import frame
+
+PROTOCOL_VERSION: Final = 1
+MAC_BYTES: Final = 16
+MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+
+# A tag, which is the name of a registered data class, and its encoding.
+Variant = tuple[str, msgspec.Raw]
+
+
+class FrameRejected(Exception):
+    """A frame that is malformed, foreign or not authentic."""
+
+
+class FrameModel(msgspec.Struct, array_like=True, frozen=True):
+    """The border model of a frame."""
+
+    version: int
+    sender: str
+    incarnation: int
+    messages: list[Variant]
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_FRAME_DECODER: Final = msgspec.msgpack.Decoder(FrameModel)
+_DECODERS: Final[dict[str, msgspec.msgpack.Decoder[Any]]] = {}
+
+
+def register(*types: type) -> None:
+    """Allow data classes to travel as variants, under their names."""
+    for each in types:
+        if not dataclasses.is_dataclass(each):
+            raise TypeError(f'{each.__name__} is not a data class')
+        _DECODERS[each.__name__] = msgspec.msgpack.Decoder(each)
+
+
+def pack(value: object) -> Variant:
+    """Encode a registered data class with its tag."""
+    return type(value).__name__, msgspec.Raw(_ENCODER.encode(value))
+
+
+def unpack(variant: Variant) -> Any:
+    """Decode and validate a variant.
+
+    Raises FrameRejected when the tag is unknown or a field is not valid.
+    """
+    tag, raw = variant
+    decoder = _DECODERS.get(tag)
+    if decoder is None:
+        raise FrameRejected(f'unknown tag {tag!r}')
+    try:
+        return decoder.decode(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FrameRejected(f'{tag}: {error}') from error
+
+
+def encode(value: object) -> bytes:
+    """Encode a data class or a border model as MessagePack."""
+    return _ENCODER.encode(value)
+
+
+class Codec:
+    """Encodes and authenticates the frames of one process."""
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+
+    def encode_frame(
+        self, sender: frame.Sender, messages: list[object]
+    ) -> bytes:
+        """Return the bytes of one frame."""
+        model = FrameModel(
+            PROTOCOL_VERSION,
+            sender.name,
+            sender.incarnation,
+            [pack(message) for message in messages],
+        )
+        body = _ENCODER.encode(model)
+        return self._authenticate(body) + body
+
+    def decode_frame(self, data: bytes) -> frame.Frame:
+        """Return the frame in ``data``, or raise FrameRejected."""
+        if len(data) < MAC_BYTES:
+            raise FrameRejected('frame is too short')
+        if len(data) > MAX_FRAME_BYTES:
+            raise FrameRejected('frame is too long')
+        body = data[MAC_BYTES:]
+        if not hmac.compare_digest(data[:MAC_BYTES], self._authenticate(body)):
+            raise FrameRejected('frame is not authentic')
+        try:
+            model = _FRAME_DECODER.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise FrameRejected(str(error)) from error
+        if model.version != PROTOCOL_VERSION:
+            raise FrameRejected(f'protocol version {model.version}')
+        sender = frame.Sender(model.sender, model.incarnation)
+        messages = tuple(unpack(variant) for variant in model.messages)
+        return frame.Frame(sender, messages)
+
+    def _authenticate(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, body, 'sha256')[:MAC_BYTES]
--- /dev/null
+++ b/eelgrassworks/machines/__init__.py
@@ -0,0 +1,10 @@
+"""Machines: workers and VMs, and the targets and slots on them."""
+
+from eelgrassworks.machines.machine import Vm
+from eelgrassworks.machines.machine import Worker
+from eelgrassworks.machines.target import Slots
+from eelgrassworks.machines.target import Target
+from eelgrassworks.machines.view import Outstanding
+from eelgrassworks.machines.view import TargetView
+
+__all__ = ['Outstanding', 'Slots', 'Target', 'TargetView', 'Vm', 'Worker']
--- /dev/null
+++ b/eelgrassworks/machines/view.py
@@ -0,0 +1,96 @@
+"""A target as an entry sees it: an estimate that is always a little late.
+
+The agent reports free slots together with the number of starts that it has
+seen, so starts that are still on their way are counted exactly.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks.machines import target
+
+SPEED_SMOOTHING: Final = 0.1
+MIN_SPEED_SAMPLES: Final = 5
+
+
+@dataclasses.dataclass(slots=True)
+class SpeedEstimate:
+    """Smoothed run time of one target relative to all targets."""
+
+    ratio: float = 1.0
+    samples: int = 0
+
+    def note(self, ratio: float) -> None:
+        """Take one more observed ratio."""
+        self.samples += 1
+        weight = max(SPEED_SMOOTHING, 1.0 / self.samples)
+        self.ratio += weight * (ratio - self.ratio)
+
+
+@dataclasses.dataclass(slots=True)
+class Outstanding:
+    """A start that was sent and not answered.
+
+    ``stamp_ms`` is what the start carried; ``probed_s`` is when its fate was
+    last asked for.
+    """
+
+    team: str
+    kind: str
+    stamp_ms: int
+    limit_s: float
+    sent_s: float
+    probed_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class TargetView:
+    """One incarnation of a target and its agent.
+
+    ``suspect`` is set while the agent is silent.
+    """
+
+    target: target.Target
+    incarnation: int
+    stamp_ms: int = 0
+    heard_s: float = 0.0
+    accepting: bool = False
+    reported_free: int = 0
+    starts_sent: int = 0
+    starts_seen: int = 0
+    outstanding: dict[contracts.TaskKey, Outstanding] = dataclasses.field(
+        default_factory=dict
+    )
+    suspect: bool = False
+    speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
+
+    @property
+    def free(self) -> int:
+        """Estimate the free slots, less the starts still on their way."""
+        travelling = self.starts_sent - self.starts_seen
+        travelling = min(max(0, travelling), len(self.outstanding))
+        return self.reported_free - travelling
+
+    @property
+    def slowness(self) -> float:
+        """Return the run time relative to the mean; 1.0 while unknown."""
+        if self.speed.samples < MIN_SPEED_SAMPLES:
+            return 1.0
+        return self.speed.ratio
+
+    def report(self, free: int, starts_seen: int) -> None:
+        """Take the counts of a message of the agent."""
+        self.reported_free = free
+        self.starts_seen = starts_seen
+        if not self.outstanding:
+            self.starts_sent = starts_seen
+
+    def send(self, key: contracts.TaskKey, start: Outstanding) -> None:
+        """Record that a start was sent."""
+        self.outstanding[key] = start
+        self.starts_sent += 1
+
+    def settle(self, key: contracts.TaskKey) -> Outstanding | None:
+        """Forget an outstanding key; None when it was not outstanding."""
+        return self.outstanding.pop(key, None)
