--- /dev/null
+++ b/eelgrassworks/agent.py
@@ -0,0 +1,583 @@
+"""Decisions of the agent, the only process that starts tasks.
+
+Every fence ends here: the lease, the state of the failure domain, the drain
+of the target, the incarnation and the record of keys.  The class takes typed
+events and a monotonic time and returns effects; it holds no socket, no clock
+and no source of randomness.
+
+A start carries an echo of the agent's own clock.  A start whose echo is
+older than the start window is refused, so a key has to be remembered only
+for that window, however long a frame was buffered.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import machines
+from eelgrassworks import zones
+from eelgrassworks.links import messages
+
+RENEWAL_INTERVAL_S: Final = 0.5
+START_WINDOW_S: Final = 30.0
+KEPT_BODIES_BYTES: Final = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentOptions:
+    """Fixed facts about an agent.
+
+    ``incarnation`` tells this run of the agent from any other;
+    ``queue_limit`` bounds the starts that wait for a slot of the target.
+    """
+
+    target: machines.Target
+    incarnation: int
+    entries: tuple[str, ...]
+    queue_limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message arrived from an entry."""
+
+    peer: str
+    incarnation: int
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """The target ended a task; ``body`` is its result or the reason."""
+
+    key: contracts.TaskKey
+    succeeded: bool
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetChecked:
+    """The health check of the target ended."""
+
+    healthy: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAsked:
+    """A planned stop begins."""
+
+
+AgentEvent = Received | TaskEnded | TargetChecked | Ticked | StopAsked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyQueued:
+    """The start waits for a slot."""
+
+    entry: str
+    start: messages.TaskStart
+    arrived_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRunning:
+    """The task runs."""
+
+    entry: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyEnded:
+    """The task ended; ``finished`` is sent again when asked for."""
+
+    finished: messages.TaskFinished
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyForgotten:
+    """The task ended and its result was dropped to bound memory."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyFenced:
+    """The key was never started and never will be."""
+
+    reason: str
+
+
+KeyRecord = KeyQueued | KeyRunning | KeyEnded | KeyForgotten | KeyFenced
+
+
+@dataclasses.dataclass(slots=True)
+class EntryView:
+    """What the agent knows of one entry.
+
+    ``waiting`` is the number of tasks that the entry last said it cannot
+    place, less the slots offered since.
+    """
+
+    incarnation: int = 0
+    waiting: int = 0
+    starts_seen: int = 0
+    running: int = 0
+
+
+class Agent:
+    """The decision class of the agent."""
+
+    def __init__(self, options: AgentOptions) -> None:
+        self.options = options
+        self.slots = machines.Slots(options.target.slots)
+        self.lease = zones.Lease()
+        self.policy = zones.DomainPolicy(0, False, False, frozenset())
+        self.healthy = True
+        self.stopping = False
+        self.entries: dict[str, EntryView] = {}
+        self.records: dict[contracts.TaskKey, KeyRecord] = {}
+        self.cancelled: dict[str, float] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._queue: collections.deque[contracts.TaskKey] = collections.deque()
+        self._expiries: collections.deque[tuple[float, contracts.TaskKey]] = (
+            collections.deque()
+        )
+        self._kept: collections.deque[contracts.TaskKey] = collections.deque()
+        self._kept_bytes = 0
+        self._renewed_s = float('-inf')
+        self._left = False
+
+    def handle(self, event: AgentEvent, now_s: float) -> effects.Effects:
+        """Take one event and return the effects it has."""
+        match event:
+            case Received(peer, incarnation, message):
+                return self._receive(peer, incarnation, message, now_s)
+            case TaskEnded(key, succeeded, body):
+                return self._end_task(key, succeeded, body, now_s)
+            case TargetChecked(healthy):
+                return self._note_health(healthy, now_s)
+            case Ticked():
+                return self._tick(now_s)
+            case StopAsked():
+                return self._begin_stop(now_s)
+
+    # Messages of entries.
+
+    def _receive(
+        self, peer: str, incarnation: int, message: object, now_s: float
+    ) -> effects.Effects:
+        view = self.entries.setdefault(peer, EntryView())
+        if incarnation < view.incarnation:
+            self.counters['frames_superseded'] += 1
+            return []
+        if incarnation > view.incarnation:
+            running = view.running
+            view = EntryView(incarnation, running=running)
+            self.entries[peer] = view
+        match message:
+            case messages.TaskStart():
+                view.starts_seen += 1
+                view.waiting = message.waiting
+                return self._take_start(peer, message, now_s)
+            case messages.AgentTerms():
+                return self._take_terms(message, now_s)
+            case messages.TaskFence():
+                return self._fence(peer, message, now_s)
+            case messages.JobCancel(submissions):
+                return self._cancel(peer, submissions, now_s)
+            case messages.SlotsWanted(waiting):
+                view.waiting = waiting
+                return self._offer_slots(now_s)
+            case _:
+                self.counters['messages_unexpected'] += 1
+                return []
+
+    def _take_start(
+        self, peer: str, start: messages.TaskStart, now_s: float
+    ) -> effects.Effects:
+        key = contracts.TaskKey(start.submission, start.index)
+        record = self.records.get(key)
+        if record is not None:
+            self.counters['starts_repeated'] += 1
+            return self._tell_record(peer, key, record)
+        if self._is_stale(start.incarnation, start.stamp_ms, now_s):
+            self.counters['starts_stale'] += 1
+            return [effects.Send(peer, self._tell_unknown(key))]
+        objection = self._find_objection(start, now_s)
+        if objection:
+            return self._decline(peer, key, objection, now_s)
+        if self.slots.free > 0:
+            return self._run(peer, key, start, now_s)
+        if len(self._queue) >= self.options.queue_limit:
+            return self._decline(peer, key, 'busy', now_s)
+        self.records[key] = KeyQueued(peer, start, now_s)
+        self._queue.append(key)
+        return []
+
+    def _find_objection(self, start: messages.TaskStart, now_s: float) -> str:
+        """Return why the start must not happen; empty when it may."""
+        if self.stopping:
+            return 'stopping'
+        if not self.lease.is_valid(now_s):
+            return 'no-lease'
+        if not self.policy.open:
+            return 'closed'
+        if self.policy.draining:
+            return 'draining'
+        if not self.healthy:
+            return 'unhealthy'
+        if start.submission in self.cancelled:
+            return 'cancelled'
+        if start.kind not in self.policy.kinds:
+            return 'kind'
+        kinds = self.options.target.kinds
+        if kinds and start.kind not in kinds:
+            return 'kind'
+        return ''
+
+    def _take_terms(
+        self, terms: messages.AgentTerms, now_s: float
+    ) -> effects.Effects:
+        sent_s = terms.stamp_ms / 1000
+        if sent_s > now_s:
+            self.counters['terms_rejected'] += 1
+            return []
+        if not self.lease.extend(
+            terms.revision, sent_s, terms.remaining_ms / 1000
+        ):
+            self.counters['terms_outdated'] += 1
+            return []
+        if terms.revision > self.policy.revision:
+            self.policy = zones.DomainPolicy(
+                terms.revision,
+                terms.open,
+                terms.draining,
+                frozenset(terms.kinds),
+            )
+        return self._fill_slots(now_s)
+
+    def _fence(
+        self, peer: str, fence: messages.TaskFence, now_s: float
+    ) -> effects.Effects:
+        key = contracts.TaskKey(fence.submission, fence.index)
+        record = self.records.get(key)
+        match record:
+            case None:
+                if self._is_stale(fence.incarnation, fence.stamp_ms, now_s):
+                    return [effects.Send(peer, self._tell_unknown(key))]
+                return self._decline(peer, key, 'fenced', now_s)
+            case KeyQueued():
+                self._queue.remove(key)
+                return self._decline(peer, key, 'fenced', now_s)
+            case _:
+                return self._tell_record(peer, key, record)
+
+    def _cancel(
+        self, peer: str, submissions: tuple[str, ...], now_s: float
+    ) -> effects.Effects:
+        asked: effects.Effects = []
+        names = set(submissions)
+        for name in submissions:
+            self.cancelled[name] = now_s + START_WINDOW_S
+        for key in [each for each in self._queue if each.submission in names]:
+            self._queue.remove(key)
+            asked += self._decline(peer, key, 'cancelled', now_s)
+        for key in self.slots.occupants:
+            if key.submission in names:
+                asked.append(effects.StopTask(key))
+        return asked
+
+    # Tasks.
+
+    def _run(
+        self,
+        peer: str,
+        key: contracts.TaskKey,
+        start: messages.TaskStart,
+        now_s: float,
+    ) -> effects.Effects:
+        self.slots.occupy(key, peer, now_s)
+        self.entries[peer].running += 1
+        self.records[key] = KeyRunning(peer)
+        self.counters['tasks_started'] += 1
+        return [
+            effects.StartTask(
+                key, start.kind, start.payload, start.limit_ms / 1000
+            )
+        ]
+
+    def _end_task(
+        self,
+        key: contracts.TaskKey,
+        succeeded: bool,
+        body: bytes,
+        now_s: float,
+    ) -> effects.Effects:
+        occupant = self.slots.release(key)
+        if occupant is None:
+            self.counters['ends_unexpected'] += 1
+            return []
+        view = self.entries[occupant.entry]
+        view.running = max(0, view.running - 1)
+        self.counters['tasks_ended'] += 1
+        asked = self._fill_slots(now_s)
+        favoured = self._choose_waiting(occupant.entry)
+        to_owner = favoured in ('', occupant.entry)
+        finished = messages.TaskFinished(
+            key.submission,
+            key.index,
+            succeeded,
+            body,
+            round((now_s - occupant.started_s) * 1000),
+            self.slots.free if to_owner else 0,
+            view.starts_seen,
+        )
+        if favoured == occupant.entry:
+            view.waiting -= min(view.waiting, self.slots.free)
+        self._remember_end(key, finished, now_s)
+        asked.append(effects.Send(occupant.entry, finished))
+        if not to_owner:
+            asked += self._offer(favoured)
+        return asked + self._finish_stop()
+
+    def _fill_slots(self, now_s: float) -> effects.Effects:
+        """Start queued tasks while slots are free."""
+        asked: effects.Effects = []
+        while self._queue:
+            key = self._queue[0]
+            record = self.records[key]
+            if not isinstance(record, KeyQueued):
+                self._queue.popleft()
+                continue
+            objection = self._find_objection(record.start, now_s)
+            if not objection and self.slots.free <= 0:
+                return asked
+            self._queue.popleft()
+            if objection:
+                asked += self._decline(record.entry, key, objection, now_s)
+                continue
+            asked += self._run(record.entry, key, record.start, now_s)
+        return asked
+
+    def _decline(
+        self, peer: str, key: contracts.TaskKey, reason: str, now_s: float
+    ) -> effects.Effects:
+        """Fence a key that was not started and say so."""
+        self.records[key] = KeyFenced(reason)
+        self._expiries.append((now_s + START_WINDOW_S, key))
+        self.counters['starts_declined'] += 1
+        return [effects.Send(peer, self._tell_declined(peer, key, reason))]
+
+    def _remember_end(
+        self,
+        key: contracts.TaskKey,
+        finished: messages.TaskFinished,
+        now_s: float,
+    ) -> None:
+        self.records[key] = KeyEnded(finished)
+        self._expiries.append((now_s + START_WINDOW_S, key))
+        self._kept.append(key)
+        self._kept_bytes += len(finished.body)
+        while self._kept_bytes > KEPT_BODIES_BYTES:
+            self._drop_body(self._kept.popleft(), KeyForgotten())
+
+    def _drop_body(
+        self, key: contracts.TaskKey, replacement: KeyRecord | None
+    ) -> None:
+        record = self.records.get(key)
+        if not isinstance(record, KeyEnded):
+            return
+        self._kept_bytes -= len(record.finished.body)
+        if replacement is not None:
+            self.records[key] = replacement
+
+    # Answers.
+
+    def _tell_record(
+        self, peer: str, key: contracts.TaskKey, record: KeyRecord
+    ) -> effects.Effects:
+        match record:
+            case KeyQueued():
+                return []
+            case KeyRunning():
+                told: object = messages.TaskRunning(key.submission, key.index)
+            case KeyEnded(finished):
+                told = finished
+            case KeyForgotten():
+                told = self._tell_unknown(key)
+            case KeyFenced(reason):
+                told = self._tell_declined(peer, key, reason)
+        return [effects.Send(peer, told)]
+
+    def _tell_unknown(self, key: contracts.TaskKey) -> messages.TaskUnknown:
+        return messages.TaskUnknown(key.submission, key.index)
+
+    def _tell_declined(
+        self, peer: str, key: contracts.TaskKey, reason: str
+    ) -> messages.TaskDeclined:
+        free = self.slots.free if reason == 'busy' else 0
+        return messages.TaskDeclined(
+            key.submission,
+            key.index,
+            reason,
+            free,
+            self.entries[peer].starts_seen,
+        )
+
+    # Slots among entries.
+
+    def _choose_waiting(self, owner: str) -> str:
+        """Return the entry to offer a free slot to; empty for none.
+
+        The owner of the slot keeps it while it has tasks waiting, unless
+        another waiting entry runs fewer tasks here.
+        """
+        if self.slots.free <= 0 or self._queue or self._find_pause():
+            return ''
+        waiting = [
+            name for name, view in self.entries.items() if view.waiting > 0
+        ]
+        if not waiting:
+            return ''
+        least = min(waiting, key=lambda name: self.entries[name].running)
+        if owner not in waiting:
+            return least
+        if self.entries[least].running < self.entries[owner].running:
+            return least
+        return owner
+
+    def _find_pause(self) -> bool:
+        return (
+            self.stopping
+            or not self.policy.open
+            or self.policy.draining
+            or not self.healthy
+        )
+
+    def _offer(self, peer: str) -> effects.Effects:
+        view = self.entries[peer]
+        offered = min(self.slots.free, view.waiting)
+        view.waiting -= offered
+        self.counters['slots_offered'] += 1
+        return [
+            effects.Send(
+                peer, messages.SlotsOffered(offered, view.starts_seen)
+            )
+        ]
+
+    def _offer_slots(self, now_s: float) -> effects.Effects:
+        if not self.lease.is_valid(now_s):
+            return []
+        favoured = self._choose_waiting('')
+        if not favoured:
+            return []
+        return self._offer(favoured)
+
+    # Time and stopping.
+
+    def _tick(self, now_s: float) -> effects.Effects:
+        self._forget(now_s)
+        asked = self._fill_slots(now_s)
+        if now_s - self._renewed_s >= RENEWAL_INTERVAL_S:
+            asked += self._renew(now_s)
+        return asked + self._finish_stop()
+
+    def _renew(self, now_s: float) -> effects.Effects:
+        self._renewed_s = now_s
+        target = self.options.target
+        accepting = not self.stopping and self.healthy
+        return [
+            effects.Send(
+                entry,
+                messages.AgentRenewal(
+                    target.name,
+                    target.worker,
+                    target.failure_domain,
+                    tuple(sorted(target.kinds)),
+                    target.slots,
+                    self.slots.free,
+                    self._count_starts(entry),
+                    int(now_s * 1000),
+                    self.policy.revision,
+                    accepting,
+                ),
+            )
+            for entry in self.options.entries
+        ]
+
+    def _count_starts(self, entry: str) -> int:
+        view = self.entries.get(entry)
+        return 0 if view is None else view.starts_seen
+
+    def _forget(self, now_s: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now_s:
+            key = self._expiries.popleft()[1]
+            self._drop_body(key, None)
+            self.records.pop(key, None)
+        while self._kept and self._kept[0] not in self.records:
+            self._kept.popleft()
+        expired = [
+            name for name, end in self.cancelled.items() if end <= now_s
+        ]
+        for name in expired:
+            del self.cancelled[name]
+
+    def _is_stale(self, incarnation: int, stamp_ms: int, now_s: float) -> bool:
+        """Tell whether the record of a key may be missing here.
+
+        Beyond the start window a record may have been forgotten, and an
+        earlier incarnation kept its records to itself.
+        """
+        if incarnation != self.options.incarnation:
+            return True
+        age_s = now_s - stamp_ms / 1000
+        return age_s > START_WINDOW_S or age_s < 0
+
+    def _note_health(self, healthy: bool, now_s: float) -> effects.Effects:
+        changed = healthy != self.healthy
+        self.healthy = healthy
+        if not changed:
+            return []
+        return self._fill_slots(now_s) + self._renew(now_s)
+
+    def _begin_stop(self, now_s: float) -> effects.Effects:
+        self.stopping = True
+        asked = self._fill_slots(now_s) + self._renew(now_s)
+        return asked + self._finish_stop()
+
+    def _finish_stop(self) -> effects.Effects:
+        if not self.stopping or self._left or self.slots.occupants:
+            return []
+        self._left = True
+        return [effects.Leave()]
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            'target': self.options.target.name,
+            'failure_domain': self.options.target.failure_domain,
+            'revision': self.policy.revision,
+            'open': self.policy.open,
+            'draining': self.policy.draining,
+            'healthy': self.healthy,
+            'stopping': self.stopping,
+            'lease_remaining_s': round(self.lease.measure_remaining(now_s), 3),
+            'slots': self.slots.count,
+            'free': self.slots.free,
+            'queued': len(self._queue),
+            'records': len(self.records),
+            'entries': {
+                name: {
+                    'incarnation': view.incarnation,
+                    'waiting': view.waiting,
+                    'running': view.running,
+                }
+                for name, view in self.entries.items()
+            },
+            'counters': dict(self.counters),
+        }
--- /dev/null
+++ b/eelgrassworks/callers.py
@@ -0,0 +1,300 @@
+"""HTTP border towards callers.
+
+Bodies are validated into border models and turned into data classes before
+any decision is taken.  Whatever is wrong with a request is answered with a
+problem document and nothing of it runs.
+"""
+
+import asyncio
+import hashlib
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import expression
+import msgspec
+
+from eelgrassworks import clock
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import errors
+from eelgrassworks import ids
+from eelgrassworks import problems
+from eelgrassworks import settings
+from eelgrassworks import tokens
+
+if TYPE_CHECKING:
+    from eelgrassworks import entryprocess
+
+ID_HEADER: Final = 'Idempotency-Key'
+TEAM_HEADER: Final = 'Team'
+PREFER_HEADER: Final = 'Prefer'
+RESPOND_ASYNC: Final = 'respond-async'
+DEFAULT_TIME_LIMIT_S: Final = 30.0
+
+TimeLimit = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+
+
+class JobModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The border model of a job."""
+
+    kind: settings.Name
+    tasks: Annotated[
+        list[msgspec.Raw],
+        msgspec.Meta(min_length=1, max_length=contracts.MAX_TASKS),
+    ]
+    time_limit_ms: TimeLimit | None = None
+
+
+class TaskModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The border model of a single-task request."""
+
+    kind: settings.Name
+    task: msgspec.Raw
+    time_limit_ms: TimeLimit | None = None
+
+
+class CompleteModel(msgspec.Struct):
+    """The border model of a whole answer."""
+
+    id: str
+    status: str
+    results: list[msgspec.Raw]
+
+
+class AcceptedModel(msgspec.Struct):
+    """The border model of the answer to an asynchronous submission."""
+
+    id: str
+    status: str
+
+
+class Refused(Exception):
+    """A request that is refused at the border."""
+
+    def __init__(self, refusal: errors.Refusal) -> None:
+        super().__init__(errors.word(refusal))
+        self.refusal = refusal
+
+
+def parse_job(
+    data: bytes, single: bool
+) -> expression.Result[JobModel, errors.Refusal]:
+    """Validate the body of a submission."""
+    expected = 'task' if single else 'job'
+    try:
+        # Strict decoding refuses text that is not UTF-8 inside payloads.
+        data.decode('utf-8')
+        if single:
+            task = msgspec.json.decode(data, type=TaskModel)
+            return expression.Ok(
+                JobModel(task.kind, [task.task], task.time_limit_ms)
+            )
+        return expression.Ok(msgspec.json.decode(data, type=JobModel))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        return expression.Error(
+            errors.refuse(errors.Code.BAD_BODY, expected=expected, reason=e)
+        )
+
+
+def parse_id(text: str) -> expression.Result[str, errors.Refusal]:
+    """Validate a submission id."""
+    value = text.lower()
+    if ids.read_time_ms(value) is not None:
+        return expression.Ok(value)
+    return expression.Error(
+        errors.refuse(
+            errors.Code.BAD_HEADER,
+            header=ID_HEADER,
+            reason='it is not a UUID of version 7',
+        )
+    )
+
+
+def digest_job(team: str, model: JobModel) -> str:
+    """Return a digest that differs when team, kind or payloads differ."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (team.encode(), model.kind.encode()):
+        digest.update(len(part).to_bytes(4, 'big') + part)
+    for task in model.tasks:
+        payload = bytes(task)
+        digest.update(len(payload).to_bytes(4, 'big') + payload)
+    return digest.hexdigest()
+
+
+class Callers:
+    """Serves callers for one entry."""
+
+    def __init__(self, owner: 'entryprocess.EntryProcess') -> None:
+        self._owner = owner
+        self._anonymous = 0
+
+    def add_routes(self, application: web.Application) -> None:
+        """Add the routes to an application."""
+        router = application.router
+        router.add_post('/v1/jobs', self._submit_job)
+        router.add_post('/v1/tasks', self._submit_task)
+        router.add_get('/v1/jobs/{id}', self._show_job)
+        router.add_delete('/v1/jobs/{id}', self._cancel_job)
+
+    async def _submit_job(self, request: web.Request) -> web.Response:
+        return await self._guard(self._submit(request, single=False))
+
+    async def _submit_task(self, request: web.Request) -> web.Response:
+        return await self._guard(self._submit(request, single=True))
+
+    async def _show_job(self, request: web.Request) -> web.Response:
+        return await self._guard(self._show(request))
+
+    async def _cancel_job(self, request: web.Request) -> web.Response:
+        return await self._guard(self._cancel(request))
+
+    async def _guard(self, work: Any) -> web.Response:
+        """Answer a refusal at the border with its problem document."""
+        try:
+            response: web.Response = await work
+        except Refused as refused:
+            return problems.respond_problem(refused.refusal)
+        return response
+
+    async def _submit(
+        self, request: web.Request, single: bool
+    ) -> web.Response:
+        began_s = clock.read_now()
+        team = self._find_team(request)
+        given = request.headers.get(ID_HEADER)
+        submission_id = _take(parse_id(given)) if given is not None else ''
+        body = await self._read_body(request)
+        model = _take(parse_job(body, single))
+        submission = self._make_submission(team, submission_id, model)
+        number, future = self._owner.open_request()
+        self._owner.dispatch(entry.SubmitAsked(number, submission))
+        if self._answers_later(request, submission) and not future.done():
+            return _respond_accepted(submission.id)
+        answer = await self._owner.await_reply(number, future)
+        self._owner.measures.time('response', clock.read_now() - began_s)
+        return respond_answer(submission.id, answer)
+
+    def _answers_later(
+        self, request: web.Request, submission: contracts.Submission
+    ) -> bool:
+        wished = request.headers.get(PREFER_HEADER, '')
+        return submission.claimed and RESPOND_ASYNC in wished
+
+    def _make_submission(
+        self, team: str, submission_id: str, model: JobModel
+    ) -> contracts.Submission:
+        claimed = bool(submission_id)
+        if not claimed:
+            self._anonymous += 1
+            sender = self._owner.link.sender
+            submission_id = (
+                f'{sender.name}.{sender.incarnation:x}.{self._anonymous}'
+            )
+        return contracts.Submission(
+            submission_id,
+            digest_job(team, model),
+            team,
+            model.kind,
+            tuple(bytes(task) for task in model.tasks),
+            self._find_limit(model),
+            claimed,
+        )
+
+    def _find_limit(self, model: JobModel) -> float:
+        if model.time_limit_ms is not None:
+            return model.time_limit_ms / 1000
+        sheet = self._owner.entry.session.configuration.sheet
+        kind = sheet.kinds.get(model.kind)
+        return DEFAULT_TIME_LIMIT_S if kind is None else kind.time_limit_s
+
+    def _find_team(self, request: web.Request) -> str:
+        known = self._owner.model.tokens.callers
+        holder: str = _take(tokens.find_holder(request, known, 'this request'))
+        if holder:
+            return holder
+        team = request.headers.get(TEAM_HEADER, '')
+        if not team:
+            raise Refused(
+                errors.refuse(
+                    errors.Code.BAD_HEADER,
+                    header=TEAM_HEADER,
+                    reason='it is missing',
+                )
+            )
+        return team
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        model = self._owner.model
+        try:
+            async with asyncio.timeout(model.body_timeout_s):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise Refused(
+                errors.refuse(
+                    errors.Code.BODY_TOO_LARGE, limit=model.body_limit_bytes
+                )
+            ) from error
+        except TimeoutError as error:
+            raise Refused(
+                errors.refuse(
+                    errors.Code.BAD_BODY,
+                    expected='job',
+                    reason='it did not arrive in time',
+                )
+            ) from error
+
+    async def _show(self, request: web.Request) -> web.Response:
+        team = self._find_team(request)
+        submission = _take(parse_id(request.match_info['id']))
+        number, future = self._owner.open_request()
+        self._owner.dispatch(entry.AnswerAsked(number, submission, team))
+        answer = await self._owner.await_reply(number, future)
+        return respond_answer(submission, answer)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        team = self._find_team(request)
+        submission = _take(parse_id(request.match_info['id']))
+        number, future = self._owner.open_request()
+        self._owner.dispatch(entry.CancelAsked(number, submission, team))
+        taken = await self._owner.await_reply(number, future)
+        if taken.known:
+            return _respond_accepted(submission)
+        raise Refused(
+            errors.refuse(errors.Code.NOT_FOUND, what='job', name=submission)
+        )
+
+
+def _take(result: expression.Result[Any, errors.Refusal]) -> Any:
+    """Return the value of a result, or raise its refusal."""
+    match result:
+        case expression.Result(tag='error', error=refusal):
+            raise Refused(refusal)
+        case _:
+            return result.ok
+
+
+def _respond_accepted(submission: str) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(AcceptedModel(submission, 'accepted')),
+        status=202,
+        content_type='application/json',
+        headers={'Location': f'/v1/jobs/{submission}'},
+    )
+
+
+def respond_answer(submission: str, answer: contracts.Answer) -> web.Response:
+    """Return the HTTP response of a job's answer."""
+    match answer:
+        case contracts.Complete(results):
+            model = CompleteModel(
+                submission, 'complete', [msgspec.Raw(each) for each in results]
+            )
+            return web.Response(
+                body=msgspec.json.encode(model),
+                content_type='application/json',
+            )
+        case contracts.NotRun(refusal) | contracts.Failed(refusal):
+            return problems.respond_problem(refusal)
--- /dev/null
+++ b/eelgrassworks/client.py
@@ -0,0 +1,347 @@
+"""Command-line tool of operators and callers.
+
+Talks to one entry over HTTP, or to any process for a dump.  Exit status: 0
+done; 1 refused, and nothing ran; 2 wrong usage; 3 the server cannot be
+reached; 4 something may have run.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import sys
+from typing import Any
+from typing import Final
+from typing import NoReturn
+
+import aiohttp
+import expression
+import fire
+
+from eelgrassworks import clock
+from eelgrassworks import errors
+from eelgrassworks import ids
+from eelgrassworks import settings
+from eelgrassworks import sheet
+
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+EXIT_MAY_HAVE_RUN: Final = 4
+REQUEST_TIMEOUT_S: Final = 660.0
+DEFAULT_SERVER: Final = 'http://127.0.0.1:8100'
+
+
+class Client:
+    """Operates eelgrassworks through one entry.
+
+    Args:
+        server: URL of the entry, or of any process for a dump.
+        token: bearer token; EELGRASSWORKS_TOKEN by default.
+        team: team that submits, where no caller token is configured.
+        operator: name recorded with changes.
+        as_json: print machine-readable output.
+    """
+
+    def __init__(
+        self,
+        server: str = os.environ.get('EELGRASSWORKS_SERVER', DEFAULT_SERVER),
+        token: str = os.environ.get('EELGRASSWORKS_TOKEN', ''),
+        team: str = os.environ.get('EELGRASSWORKS_TEAM', ''),
+        operator: str = os.environ.get('USER', 'operator'),
+        as_json: bool = False,
+    ) -> None:
+        self._server = server
+        self._token = token
+        self._team = team
+        self._operator = operator
+        self._as_json = as_json
+
+    # Configuration.
+
+    def check(self, file: str) -> None:
+        """Check a settings file."""
+        match settings.read_settings(pathlib.Path(file)):
+            case expression.Result(tag='error', error=refusal):
+                _fail(EXIT_REFUSED, errors.word(refusal))
+            case result:
+                model = result.ok
+                role = model.__struct_config__.tag
+                self._print({'file': file, 'role': role, 'valid': True})
+
+    def check_sheet(self, file: str) -> None:
+        """Check a sheet without applying it."""
+        match sheet.parse_sheet(_read_file(file)):
+            case expression.Result(tag='error', error=refusal):
+                _fail(EXIT_REFUSED, errors.word(refusal))
+            case result:
+                kinds, quotas = result.ok.kinds, result.ok.quotas
+                self._print({'kinds': len(kinds), 'teams': len(quotas)})
+
+    def apply(
+        self, file: str, expect: int | None = None, change_id: str = ''
+    ) -> None:
+        """Apply a sheet and wait until it is in force.
+
+        Args:
+            file: the CSV export.
+            expect: revision to apply it against; the current one if omitted.
+            change_id: id of the change, to send the same change again.
+        """
+        data = _read_file(file)
+        self._print(
+            asyncio.run(
+                self._change('PUT', '/v1/sheet', data, expect, change_id)
+            )
+        )
+
+    def close(
+        self, domain: str, expect: int | None = None, change_id: str = ''
+    ) -> None:
+        """Take a failure domain out of service and wait until in force."""
+        self._change_name('close', domain, expect, change_id)
+
+    def open(
+        self, domain: str, expect: int | None = None, change_id: str = ''
+    ) -> None:
+        """Return a failure domain to service."""
+        self._change_name('open', domain, expect, change_id)
+
+    def drain(
+        self, target: str, expect: int | None = None, change_id: str = ''
+    ) -> None:
+        """Give a target no new work."""
+        self._change_name('drain', target, expect, change_id)
+
+    def undrain(
+        self, target: str, expect: int | None = None, change_id: str = ''
+    ) -> None:
+        """Give a target new work again."""
+        self._change_name('undrain', target, expect, change_id)
+
+    # State.
+
+    def show(self) -> None:
+        """Show the configuration and whether it is in force."""
+        self._print(asyncio.run(self._get('/v1/configuration')))
+
+    def targets(self) -> None:
+        """Show the targets that the entry knows."""
+        self._print_table(asyncio.run(self._get('/v1/targets')))
+
+    def jobs(self) -> None:
+        """Show the jobs that the entry owns."""
+        self._print_table(asyncio.run(self._get('/v1/jobs')))
+
+    def dump(self) -> None:
+        """Dump the state of the process behind --server."""
+        answer = asyncio.run(self._get('/v1/state'))
+        print(json.dumps(answer, indent=2, sort_keys=True))
+
+    # Jobs.
+
+    def submit(
+        self,
+        kind: str,
+        tasks: int = 1,
+        payload: Any = None,
+        file: str = '',
+        id: str = '',
+        limit_ms: int | None = None,
+    ) -> None:
+        """Submit a job and wait for its whole answer.
+
+        Args:
+            kind: kind of request.
+            tasks: number of tasks with the same payload.
+            payload: JSON payload of each task.
+            file: JSON file with a list of payloads, one for each task.
+            id: submission id; a new one if omitted.
+            limit_ms: time limit; the kind's limit if omitted.
+        """
+        payloads = [payload if payload is not None else {}] * tasks
+        if file:
+            payloads = json.loads(_read_file(file))
+        body: dict[str, Any] = {'kind': kind, 'tasks': payloads}
+        if limit_ms is not None:
+            body['time_limit_ms'] = limit_ms
+        submission = str(id) or ids.make_id(clock.read_wall_ms())
+        headers = {'Idempotency-Key': submission}
+        self._print(
+            asyncio.run(
+                self._call(
+                    'POST', '/v1/jobs', json.dumps(body).encode(), headers
+                )
+            )
+        )
+
+    def job(self, id: str) -> None:
+        """Wait for the answer of a job."""
+        self._print(asyncio.run(self._get(f'/v1/jobs/{id}')))
+
+    def cancel(self, id: str) -> None:
+        """Cancel a job."""
+        self._print(
+            asyncio.run(self._call('DELETE', f'/v1/jobs/{id}', b'', {}))
+        )
+
+    # Programs.
+
+    def demo(self, tasks: int = 1200, targets: int = 6) -> None:
+        """Run the embedded default: every role, one job, one summary."""
+        from eelgrassworks import embedded
+
+        summary = asyncio.run(
+            embedded.run_job(embedded.Plan(targets=targets, tasks=tasks))
+        )
+        self._print(
+            {
+                'complete': summary.complete,
+                'failed': summary.failed,
+                'refused': summary.refused,
+                'started': summary.started,
+                'started_twice': summary.started_twice,
+                'response_s': round(summary.response_s, 3),
+                'ideal_s': round(summary.ideal_s, 3),
+                'ratio': round(summary.response_s / summary.ideal_s, 3),
+            }
+        )
+        if summary.complete != tasks or summary.started_twice:
+            sys.exit(EXIT_REFUSED)
+
+    def standin(
+        self,
+        name: str,
+        port: int = 0,
+        host: str = '127.0.0.1',
+        slowness: float = 1.0,
+        stragglers: float = 0.0,
+        failures: float = 0.0,
+        hangs: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        """Run a stand-in target, for trials and tests."""
+        from eelgrassworks import standin
+
+        faults = standin.Faults(slowness, stragglers, failures, hangs)
+        asyncio.run(standin.serve(name, host, port, faults, seed))
+
+    # HTTP.
+
+    def _change_name(
+        self, action: str, name: str, expect: int | None, change_id: str
+    ) -> None:
+        change = {'action': action, 'name': name}
+        body = json.dumps({'change': change}).encode()
+        self._print(
+            asyncio.run(
+                self._change('POST', '/v1/changes', body, expect, change_id)
+            )
+        )
+
+    async def _change(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        expect: int | None,
+        change_id: str,
+    ) -> Any:
+        if expect is None:
+            shown = await self._get('/v1/configuration')
+            expect = shown['revision']
+        if method == 'POST':
+            fields = json.loads(body)
+            fields['expected_revision'] = expect
+            body = json.dumps(fields).encode()
+        else:
+            path = f'{path}?expected_revision={expect}'
+        headers = {
+            'Idempotency-Key': str(change_id)
+            or ids.make_id(clock.read_wall_ms()),
+            'Operator': self._operator,
+        }
+        return await self._call(method, path, body, headers)
+
+    async def _get(self, path: str) -> Any:
+        return await self._call('GET', path, b'', {})
+
+    async def _call(
+        self, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> Any:
+        if self._token:
+            headers['Authorization'] = f'Bearer {self._token}'
+        if self._team:
+            headers['Team'] = self._team
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method,
+                    self._server.rstrip('/') + path,
+                    data=body or None,
+                    headers=headers,
+                ) as response,
+            ):
+                answer = await response.json(content_type=None)
+                if response.status >= 400:
+                    _fail_problem(answer)
+                return answer
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            _fail(
+                EXIT_UNREACHABLE,
+                f'{self._server} cannot be reached: {error}; '
+                'check --server and that the entry runs',
+            )
+
+    # Output.
+
+    def _print(self, fields: dict[str, Any]) -> None:
+        if self._as_json:
+            print(json.dumps(fields))
+            return
+        for key, value in fields.items():
+            text = value if isinstance(value, str) else json.dumps(value)
+            print(f'{key}: {text}')
+
+    def _print_table(self, rows: dict[str, dict[str, Any]]) -> None:
+        if self._as_json:
+            print(json.dumps(rows))
+            return
+        if not rows:
+            print('none')
+            return
+        columns = ['name', *next(iter(rows.values()))]
+        lines = [columns] + [
+            [name, *map(str, row.values())] for name, row in rows.items()
+        ]
+        widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+        for line in lines:
+            cells = zip(line, widths, strict=True)
+            print('  '.join(cell.ljust(width) for cell, width in cells))
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        _fail(EXIT_USAGE, f'{path} cannot be read: {error.strerror}')
+
+
+def _fail_problem(problem: Any) -> NoReturn:
+    if not isinstance(problem, dict) or 'detail' not in problem:
+        _fail(EXIT_REFUSED, f'unexpected answer: {problem}')
+    ran = problem.get('ran', '')
+    status = EXIT_REFUSED if ran == errors.Ran.NOT_RUN else EXIT_MAY_HAVE_RUN
+    _fail(status, f'{problem["detail"]} ({ran}); {problem.get("remedy")}')
+
+
+def _fail(status: int, text: str) -> NoReturn:
+    sys.stderr.write(f'eelgrassworks: {text}\n')
+    sys.exit(status)
+
+
+def main() -> None:
+    """Run the command-line tool."""
+    fire.Fire(Client, name='eelgrassworks')
--- /dev/null
+++ b/eelgrassworks/control.py
@@ -0,0 +1,423 @@
+"""Decisions of a control replica.
+
+Joins the replicated log, the state machine and the leases.  Requests of
+entries are gathered while a write is under way and appended as one command,
+so that one sync serves all that waited.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+from typing import Final
+
+from eelgrassworks import commands
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import grants
+from eelgrassworks import ledger
+from eelgrassworks import replica
+from eelgrassworks.links import codec
+from eelgrassworks.links import messages
+
+ENTRY_TTL_S: Final = 5.0
+SNAPSHOT_INTERVAL: Final = 4096
+MAX_BATCH_CLAIMS: Final = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlOptions:
+    """Fixed facts about a control replica.
+
+    ``group_commit`` is off only to measure what it saves.
+    """
+
+    replica: replica.ReplicaOptions
+    group_commit: bool = True
+    snapshot_interval: int = SNAPSHOT_INTERVAL
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message arrived from another process."""
+
+    peer: str
+    incarnation: int
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Synced:
+    """Writes up to ``sequence`` are durable."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAsked:
+    """A planned stop begins."""
+
+
+ControlEvent = Received | Synced | Ticked | StopAsked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedClaims:
+    """Claims of an entry that wait to be appended or committed."""
+
+    peer: str
+    request: int
+    claims: tuple[contracts.Claim, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedChange:
+    """A change that waits to be committed."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedLookups:
+    """Lookups that wait until a quorum confirms the leader."""
+
+    peer: str
+    request: int
+    submissions: tuple[str, ...]
+    arrived_s: float
+
+
+class Control:
+    """The decision class of a control replica."""
+
+    def __init__(
+        self,
+        options: ControlOptions,
+        stored: replica.Stored,
+        snapshot: bytes,
+        moment: replica.Moment,
+    ) -> None:
+        self.options = options
+        self.ledger = ledger.Ledger()
+        self.replica = replica.Replica(options.replica, stored, moment)
+        if snapshot:
+            self.ledger.load(snapshot)
+            self.replica.snapshot = snapshot
+        self.grants = grants.Grants()
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.stopping = False
+        self._left = False
+        self._led = False
+        self._stop_s = 0.0
+        self._batch: list[AskedClaims] = []
+        self._committing: dict[int, list[AskedClaims] | AskedChange] = {}
+        self._lookups: collections.deque[AskedLookups] = collections.deque()
+        self._entry_heard: dict[str, float] = {}
+        self._registering: dict[str, int] = {}
+
+    def handle(
+        self, event: ControlEvent, moment: replica.Moment
+    ) -> effects.Effects:
+        """Take one event and return the effects it has."""
+        match event:
+            case Received(peer, _, message):
+                asked = self._receive(peer, message, moment)
+            case Synced(sequence):
+                asked = self.replica.note_synced(sequence, moment)
+            case Ticked():
+                asked = self.replica.tick(moment)
+                asked += self._end_silent_entries(moment)
+                self.grants.advance(moment.now_s)
+            case StopAsked():
+                self.stopping = True
+                self._stop_s = moment.now_s
+                asked = self.replica.transfer(moment)
+        asked += self._apply(moment)
+        asked += self._note_leadership(moment)
+        asked += self._append_batch(moment)
+        asked += self._answer_lookups(moment)
+        return asked + self._finish_stop(moment)
+
+    # Messages.
+
+    def _receive(
+        self, peer: str, message: object, moment: replica.Moment
+    ) -> effects.Effects:
+        match message:
+            case messages.EntryRenewal():
+                return self._take_renewal(peer, message, moment)
+            case messages.ClaimsAsked(request, claims):
+                if not self.replica.is_leader:
+                    return [self._tell_not_leader(peer)]
+                self._batch.append(AskedClaims(peer, request, claims))
+                return []
+            case messages.LookupsAsked(request, submissions):
+                if not self.replica.is_leader:
+                    return [self._tell_not_leader(peer)]
+                self._lookups.append(
+                    AskedLookups(peer, request, submissions, moment.now_s)
+                )
+                return self.replica.beat(moment)
+            case messages.ChangeAsked():
+                return self._take_change(peer, message, moment)
+            case _:
+                return self.replica.receive(peer, message, moment)
+
+    def _tell_not_leader(self, peer: str) -> effects.Send:
+        return effects.Send(peer, messages.NotLeader(self.replica.leader))
+
+    def _take_renewal(
+        self,
+        peer: str,
+        renewal: messages.EntryRenewal,
+        moment: replica.Moment,
+    ) -> effects.Effects:
+        if not self.replica.is_settled():
+            return [self._tell_not_leader(peer)]
+        self._entry_heard[renewal.name] = moment.now_s
+        record = self.ledger.entries.get(renewal.name)
+        if (
+            record is None
+            or record.nonce != renewal.nonce
+            or not record.alive
+            or record.address != renewal.address
+        ):
+            return self._register(renewal, moment)
+        return self._tell_terms(peer, renewal, record.incarnation, moment)
+
+    def _register(
+        self, renewal: messages.EntryRenewal, moment: replica.Moment
+    ) -> effects.Effects:
+        if self._registering.get(renewal.name) == renewal.nonce:
+            return []
+        command = commands.RegisterEntry(
+            renewal.name, renewal.address, renewal.nonce
+        )
+        index, sent = self.replica.propose([codec.pack(command)], moment)
+        if index:
+            self._registering[renewal.name] = renewal.nonce
+        return sent
+
+    def _tell_terms(
+        self,
+        peer: str,
+        renewal: messages.EntryRenewal,
+        incarnation: int,
+        moment: replica.Moment,
+    ) -> effects.Effects:
+        contact_s = self.replica.measure_contact(moment.now_s)
+        remaining_s = self.grants.measure_term(contact_s, moment.now_s)
+        configuration = self.ledger.configuration
+        asked: effects.Effects = []
+        if renewal.revision != configuration.revision:
+            told = messages.ConfigurationTold(configuration)
+            asked.append(effects.Send(peer, told))
+        terms = messages.EntryTerms(
+            renewal.sent_ms,
+            int(remaining_s * 1000),
+            configuration.revision,
+            self.grants.advance(moment.now_s),
+            incarnation,
+        )
+        asked.append(effects.Send(peer, terms))
+        return asked
+
+    def _take_change(
+        self,
+        peer: str,
+        asked: messages.ChangeAsked,
+        moment: replica.Moment,
+    ) -> effects.Effects:
+        known = self.ledger.changes.get(asked.id)
+        if known is not None and self.replica.is_settled():
+            told = messages.ChangeTold(codec.pack(known))
+            return [effects.Send(peer, told)]
+        command = commands.CommitChange(
+            asked.id, asked.operator, asked.expected_revision, asked.change
+        )
+        index, sent = self.replica.propose([codec.pack(command)], moment)
+        if not index:
+            return [self._tell_not_leader(peer)]
+        self._committing[index] = AskedChange(peer)
+        return sent
+
+    # Commits.
+
+    def _append_batch(self, moment: replica.Moment) -> effects.Effects:
+        """Append the gathered claims unless a write is under way."""
+        if not self._batch:
+            return []
+        if self.options.group_commit and self._has_commit_under_way():
+            return []
+        if not self.options.group_commit:
+            taken, self._batch = self._batch[:1], self._batch[1:]
+        else:
+            taken, self._batch = self._batch, []
+        claims = tuple(claim for asked in taken for claim in asked.claims)
+        command = commands.CommitClaims(claims, moment.wall_ms)
+        index, sent = self.replica.propose([codec.pack(command)], moment)
+        if not index:
+            return [self._tell_not_leader(asked.peer) for asked in taken]
+        self._committing[index] = taken
+        self.counters['claim_batches'] += 1
+        self.counters['claims'] += len(claims)
+        return sent
+
+    def _has_commit_under_way(self) -> bool:
+        return any(
+            isinstance(waiting, list) for waiting in self._committing.values()
+        )
+
+    def _apply(self, moment: replica.Moment) -> effects.Effects:
+        installed = self.replica.take_installed()
+        if installed is not None:
+            self.ledger.load(installed)
+        asked: effects.Effects = []
+        revision = self.ledger.configuration.revision
+        for entry in self.replica.take_committed():
+            command = codec.unpack(entry.command)
+            if isinstance(command, commands.RegisterEntry):
+                self._registering.pop(command.name, None)
+            verdicts = self.ledger.apply(entry.index, command)
+            waiting = self._committing.pop(entry.index, None)
+            asked += _tell_verdicts(waiting, verdicts)
+        if self.ledger.configuration.revision != revision:
+            self.grants.note_commit(
+                self.ledger.configuration.revision, moment.now_s
+            )
+        return asked + self._compact()
+
+    def _compact(self) -> effects.Effects:
+        held = len(self.replica.log.entries)
+        if held < self.options.snapshot_interval:
+            return []
+        members = self.replica.find_taken_members()
+        return self.replica.compact(self.ledger.dump(members))
+
+    def _note_leadership(self, moment: replica.Moment) -> effects.Effects:
+        settled = self.replica.is_settled()
+        if settled and not self._led:
+            self._led = True
+            self._registering = {}
+            self._entry_heard = dict.fromkeys(
+                self.ledger.entries, moment.now_s
+            )
+            self.grants.begin(self.ledger.configuration.revision, moment.now_s)
+            return [
+                effects.Log('leadership_began', {'term': self.replica.term})
+            ]
+        if self.replica.is_leader:
+            return []
+        if not (self._led or self._committing or self._lookups):
+            return []
+        self._led = False
+        return self._abandon()
+
+    def _abandon(self) -> effects.Effects:
+        """Send waiting entries on after leadership was lost."""
+        peers = {asked.peer for asked in self._batch}
+        peers |= {asked.peer for asked in self._lookups}
+        for waiting in self._committing.values():
+            match waiting:
+                case AskedChange(peer):
+                    peers.add(peer)
+                case list():
+                    peers |= {asked.peer for asked in waiting}
+        self._batch = []
+        self._committing = {}
+        self._lookups.clear()
+        return [self._tell_not_leader(peer) for peer in sorted(peers)]
+
+    # Lookups.
+
+    def _answer_lookups(self, moment: replica.Moment) -> effects.Effects:
+        """Answer lookups that came before a quorum's last confirmation."""
+        if not self._lookups or not self.replica.is_settled():
+            return []
+        contact_s = self.replica.measure_contact(moment.now_s)
+        asked: effects.Effects = []
+        while self._lookups and self._lookups[0].arrived_s <= contact_s:
+            waiting = self._lookups.popleft()
+            verdicts = [
+                self.ledger.look_up(each) for each in waiting.submissions
+            ]
+            asked.append(_tell_claims(waiting.peer, waiting.request, verdicts))
+        return asked
+
+    # Time.
+
+    def _end_silent_entries(self, moment: replica.Moment) -> effects.Effects:
+        if not self.replica.is_settled() or not self._led:
+            return []
+        proposed = []
+        for name, record in self.ledger.entries.items():
+            heard_s = self._entry_heard.setdefault(name, moment.now_s)
+            if record.alive and moment.now_s - heard_s > ENTRY_TTL_S:
+                # Repeats the proposal only after another such silence.
+                self._entry_heard[name] = moment.now_s
+                command = commands.EndEntry(name, record.incarnation)
+                proposed.append(codec.pack(command))
+        if not proposed:
+            return []
+        return self.replica.propose(proposed, moment)[1]
+
+    def _finish_stop(self, moment: replica.Moment) -> effects.Effects:
+        if not self.stopping or self._left:
+            return []
+        waited_s = moment.now_s - self._stop_s
+        if self.replica.is_leader and waited_s < (replica.TRANSFER_PATIENCE_S):
+            return []
+        self._left = True
+        return [effects.Leave()]
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            'replica': self.replica.describe(now_s),
+            'revision': self.ledger.configuration.revision,
+            'in_force_revision': self.grants.advance(now_s),
+            'claims': len(self.ledger.claims),
+            'entries': {
+                name: {
+                    'incarnation': record.incarnation,
+                    'alive': record.alive,
+                    'address': record.address,
+                }
+                for name, record in self.ledger.entries.items()
+            },
+            'stopping': self.stopping,
+            'counters': dict(self.counters),
+        }
+
+
+def _tell_claims(peer: str, request: int, verdicts: list[Any]) -> effects.Send:
+    packed = tuple(codec.pack(verdict) for verdict in verdicts)
+    return effects.Send(peer, messages.ClaimsTold(request, packed))
+
+
+def _tell_verdicts(
+    waiting: list[AskedClaims] | AskedChange | None, verdicts: list[Any]
+) -> effects.Effects:
+    """Answer the requests that a committed command came from."""
+    match waiting:
+        case AskedChange(peer):
+            told = messages.ChangeTold(codec.pack(verdicts[0]))
+            return [effects.Send(peer, told)]
+        case list():
+            asked: effects.Effects = []
+            position = 0
+            for each in waiting:
+                end = position + len(each.claims)
+                asked.append(
+                    _tell_claims(
+                        each.peer, each.request, verdicts[position:end]
+                    )
+                )
+                position = end
+            return asked
+        case None:
+            return []
--- /dev/null
+++ b/eelgrassworks/controlprocess.py
@@ -0,0 +1,203 @@
+"""The process of a control replica: its decisions, its disk and its links.
+
+Writes are gathered over one turn of the loop.  Frames of that turn go out
+first, so that followers write while the leader syncs, and one sync then
+serves every write of the turn.
+"""
+
+import asyncio
+import pathlib
+import random
+import secrets
+from typing import Any
+from typing import Final
+
+from aiohttp import web
+
+from eelgrassworks import admin
+from eelgrassworks import clock
+from eelgrassworks import control
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import journal
+from eelgrassworks import links
+from eelgrassworks import logs
+from eelgrassworks import metrics
+from eelgrassworks import process
+from eelgrassworks import replica
+from eelgrassworks import settings
+from eelgrassworks.links import transport
+
+DISK_ID_BYTES: Final = 8
+
+
+class ControlProcess(process.Process):
+    """One control replica."""
+
+    def __init__(
+        self,
+        model: settings.ControlSettings,
+        link: transport.Transport,
+        disk: journal.Disk,
+    ) -> None:
+        measures = metrics.Metrics(
+            model.statsd.host, model.statsd.port, f'control.{model.name}'
+        )
+        super().__init__('control', link, measures)
+        self.model = model
+        self.port = 0
+        self.stall_s = 0.0
+        self._random = random.Random(secrets.randbits(64))
+        self._journal = journal.Journal(pathlib.Path(model.data_folder), disk)
+        self._sequence = 0
+        self._sync_asked = False
+        self.control = self._recover()
+
+    def _recover(self) -> control.Control:
+        """Read the data folder; a new folder gets a new disk identity."""
+        model = self.model
+        if self._journal.is_new():
+            disk = f'{model.name}-{secrets.token_hex(DISK_ID_BYTES)}'
+            self._journal.format(journal.Identity('', model.name, disk, {}))
+            logs.log('folder_new', disk=disk)
+        recovered = self._journal.open(model.name)
+        logs.log(
+            'folder_read',
+            disk=recovered.identity.disk,
+            torn_bytes=recovered.torn_bytes,
+            last_index=recovered.stored.base_index
+            + len(recovered.stored.entries),
+        )
+        return control.Control(
+            control.ControlOptions(
+                replica.ReplicaOptions(
+                    model.name,
+                    recovered.identity.disk,
+                    tuple(model.replicas),
+                )
+            ),
+            recovered.stored,
+            recovered.snapshot,
+            clock.read_moment(self._random),
+        )
+
+    async def start(self) -> None:
+        """Connect to the other replicas and begin."""
+        await super().start()
+        for name, address in self.model.replicas.items():
+            # Of two replicas the one with the smaller name dials.
+            if self.model.name < name:
+                self.link.connect(name, address)
+        application = web.Application()
+        admin.Admin(self, self.model.tokens.operators).add_routes(application)
+        http = self.model.http
+        self.port = await self.serve(application, http.host, http.port)
+
+    def decide(self, event: Any, now_s: float) -> effects.Effects:
+        """Give an event to the decision class."""
+        return self.control.handle(event, clock.read_moment(self._random))
+
+    def perform(self, effect: effects.Effect) -> None:
+        """Write to the journal."""
+        match effect:
+            case effects.Write():
+                self._journal.append(effect)
+                self._ask_sync(effect.sequence)
+            case effects.SaveSnapshot():
+                self._save_snapshot(effect)
+            case _:
+                raise TypeError(f'unexpected effect {effect}')
+
+    def _ask_sync(self, sequence: int) -> None:
+        self._sequence = max(self._sequence, sequence)
+        if self._sync_asked:
+            return
+        self._sync_asked = True
+        asyncio.get_running_loop().call_soon(self._sync)
+
+    def _sync(self) -> None:
+        self._sync_asked = False
+        self.link.flush()
+        began_s = clock.read_now()
+        try:
+            self._journal.sync()
+        except errors.Fault as fault:
+            self.halt(fault.refusal)
+            return
+        self._note_stall(clock.read_now() - began_s)
+        self.dispatch(control.Synced(self._sequence))
+
+    def _save_snapshot(self, effect: effects.SaveSnapshot) -> None:
+        self.link.flush()
+        began_s = clock.read_now()
+        try:
+            self._journal.save_snapshot(effect)
+        except errors.Fault as fault:
+            self.halt(fault.refusal)
+            return
+        self._note_stall(clock.read_now() - began_s)
+        logs.log('snapshot_saved', last_index=effect.last_index)
+        self._ask_sync(effect.sequence)
+
+    def _note_stall(self, duration_s: float) -> None:
+        self.stall_s = max(self.stall_s, duration_s)
+        self.measures.time('sync', duration_s)
+
+    def make_tick(self) -> object:
+        """Return the event for the passing of time."""
+        return control.Ticked()
+
+    def make_stop(self) -> object:
+        """Return the event for the begin of a planned stop."""
+        return control.StopAsked()
+
+    def make_received(self, frame: links.Frame, message: object) -> object:
+        """Return the event for a message."""
+        sender = frame.sender
+        return control.Received(sender.name, sender.incarnation, message)
+
+    def is_ready(self) -> bool:
+        """Tell whether the replica follows or leads."""
+        decisions = self.control
+        return bool(decisions.replica.leader) and not decisions.stopping
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        state = self.control.describe(clock.read_now())
+        state['longest_stall_ms'] = round(self.stall_s * 1000, 2)
+        state['syncs'] = self._journal.syncs
+        state['written_bytes'] = self._journal.written_bytes
+        return state
+
+    def count(self) -> dict[str, int]:
+        """Return the counters."""
+        counters = dict(self.control.counters)
+        counters.update(self.control.replica.counters)
+        return counters
+
+    def gauge(self) -> dict[str, float]:
+        """Return the gauges."""
+        return {
+            'claims_held': len(self.control.ledger.claims),
+            'commit_index': self.control.replica.commit,
+            'revision': self.control.ledger.configuration.revision,
+        }
+
+    async def close(self) -> None:
+        """Close the journal."""
+        self._journal.close()
+
+
+def format_folder(model: settings.ControlSettings, cluster: str) -> None:
+    """Give the replica's new data folder its place in a new cluster.
+
+    Raises Fault when the folder is in use.  A folder that was lost must not
+    be formatted again: an empty one rejoins as a learner.
+    """
+    voters = {name: f'{cluster}-{name}' for name in model.replicas}
+    folder = journal.Journal(
+        pathlib.Path(model.data_folder), journal.SystemDisk()
+    )
+    folder.format(
+        journal.Identity(cluster, model.name, voters[model.name], voters)
+    )
--- /dev/null
+++ b/eelgrassworks/dispatcher.py
@@ -0,0 +1,500 @@
+"""Placement of tasks on targets by one entry.
+
+Holds the fair queue, the views of targets, their breakers and the learned
+run times.  It starts a task only while a slot is believed free and asks
+again only for starts that an agent has fenced.  What became of a task is
+reported as an outcome; the jobs themselves belong to the entry.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import health
+from eelgrassworks import jobs
+from eelgrassworks import machines
+from eelgrassworks import placement
+from eelgrassworks import queues
+from eelgrassworks import zones
+from eelgrassworks.links import messages
+
+AGENT_SILENCE_S: Final = 2.0
+AGENT_LOST_S: Final = 5.0
+PROBE_INTERVAL_S: Final = 1.0
+OVERDUE_MARGIN_S: Final = 1.0
+MAX_ATTEMPTS: Final = 16
+DEFAULT_RUN_S: Final = 0.3
+RUN_SMOOTHING: Final = 0.02
+WANTED_TARGETS: Final = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskDone:
+    """The task ran and succeeded."""
+
+    key: contracts.TaskKey
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskBroke:
+    """The task ran and failed."""
+
+    key: contracts.TaskKey
+    target: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskLost:
+    """The task may have run; nobody can tell any more."""
+
+    key: contracts.TaskKey
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStuck:
+    """The task was not run; too many targets declined it."""
+
+    key: contracts.TaskKey
+
+
+Outcome = TaskDone | TaskBroke | TaskLost | TaskStuck
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """What a message of an agent led to."""
+
+    effects: effects.Effects
+    outcomes: list[Outcome]
+
+
+class Dispatcher:
+    """Queue, views and placement of one entry."""
+
+    def __init__(self, policy: placement.Policy, table: jobs.JobTable) -> None:
+        self.policy = policy
+        self.queue = queues.FairQueue()
+        self.views: dict[str, machines.TargetView] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.run_s: dict[str, float] = {}
+        self._table = table
+        self._configuration: contracts.Configuration | None = None
+        self._breakers: dict[tuple[str, str], health.Breaker] = {}
+        self._cancels: dict[str, list[str]] = {}
+        self._wanted = 0
+
+    # Configuration and capacity.
+
+    def configure(self, configuration: contracts.Configuration) -> None:
+        """Take a configuration revision."""
+        self._configuration = configuration
+        for quota in configuration.sheet.quotas.values():
+            self.queue.set_quota(quota)
+
+    def list_serving(self, kind_name: str) -> list[machines.TargetView]:
+        """Return the views of targets that may serve a kind now."""
+        configuration = self._configuration
+        if configuration is None:
+            return []
+        kind = configuration.sheet.kinds.get(kind_name)
+        if kind is None:
+            return []
+        allowed = kind.failure_domains - configuration.closed
+        draining = configuration.draining
+        return [
+            view
+            for view in self.views.values()
+            if view.accepting
+            and not view.suspect
+            and view.target.failure_domain in allowed
+            and view.target.name not in draining
+            and (not view.target.kinds or kind_name in view.target.kinds)
+        ]
+
+    def estimate_run(self, kind: str) -> float:
+        """Return the smoothed run time of a kind in seconds."""
+        return self.run_s.get(kind, DEFAULT_RUN_S)
+
+    def estimate_wait(self, kind: str, count: int) -> float:
+        """Estimate when the last of ``count`` more tasks would end.
+
+        Slots that other entries hold are not counted.  The result is in
+        seconds, and infinite when no target serves the kind.
+        """
+        serving = self.list_serving(kind)
+        slots = sum(
+            len(view.outstanding) + max(0, view.free) for view in serving
+        )
+        if not serving:
+            return float('inf')
+        rounds = (self.queue.length + count) / max(1, slots)
+        return max(1.0, rounds) * self.estimate_run(kind)
+
+    # Jobs.
+
+    def add(self, job: jobs.Job) -> None:
+        """Queue every task of a job."""
+        submission = job.submission
+        self.queue.add(
+            submission.team,
+            submission.id,
+            submission.kind,
+            len(submission.payloads),
+        )
+
+    def remove(self, job: jobs.Job) -> None:
+        """Drop the waiting tasks of a job and cancel the sent ones."""
+        submission = job.submission
+        self.queue.remove(submission.team, submission.id)
+        for target in set(job.places.values()):
+            self._cancels.setdefault(target, []).append(submission.id)
+
+    def flush_cancels(self) -> effects.Effects:
+        """Send the gathered cancellations, one message a target."""
+        asked: effects.Effects = [
+            effects.Send(target, messages.JobCancel(tuple(submissions)))
+            for target, submissions in self._cancels.items()
+            if target in self.views
+        ]
+        self.counters['cancels_sent'] += len(asked)
+        self._cancels = {}
+        return asked
+
+    # Placement.
+
+    def place(self, now_s: float) -> effects.Effects:
+        """Start waiting tasks wherever the policy finds a target."""
+        asked: effects.Effects = []
+        blocked: set[str] = set()
+        serving: dict[str, list[machines.TargetView]] = {}
+        while self.queue.length:
+            picked = self.queue.pick(blocked)
+            if picked is None:
+                return asked
+            team, queued = picked
+            kind = queued.kind
+            if kind not in serving:
+                serving[kind] = self._list_usable(kind, now_s)
+            key = contracts.TaskKey(queued.submission, queued.indices[0])
+            view = placement.choose(self.policy, serving[kind], key)
+            if view is None:
+                blocked.add(kind)
+                continue
+            self.queue.take(team, queued)
+            asked.append(self._start(view, team, kind, key, now_s))
+            if not self._find_breaker(view, kind).allows(now_s):
+                serving[kind].remove(view)
+        return asked
+
+    def _list_usable(
+        self, kind: str, now_s: float
+    ) -> list[machines.TargetView]:
+        return [
+            view
+            for view in self.list_serving(kind)
+            if self._find_breaker(view, kind).allows(now_s)
+        ]
+
+    def _find_breaker(
+        self, view: machines.TargetView, kind: str
+    ) -> health.Breaker:
+        key = (view.target.name, kind)
+        breaker = self._breakers.get(key)
+        if breaker is None:
+            breaker = self._breakers[key] = health.Breaker()
+        return breaker
+
+    def _start(
+        self,
+        view: machines.TargetView,
+        team: str,
+        kind: str,
+        key: contracts.TaskKey,
+        now_s: float,
+    ) -> effects.Send:
+        job = self._table.jobs[key.submission]
+        job.note_sent(key.index, view.target.name)
+        limit_s = max(0.001, job.deadline_s - now_s)
+        view.send(
+            key,
+            machines.Outstanding(
+                team, kind, view.stamp_ms, limit_s, now_s, now_s
+            ),
+        )
+        self._find_breaker(view, kind).note_sent(now_s)
+        self.counters['starts_sent'] += 1
+        start = messages.TaskStart(
+            key.submission,
+            key.index,
+            view.incarnation,
+            kind,
+            job.submission.payloads[key.index],
+            max(1, int(limit_s * 1000)),
+            view.stamp_ms,
+            self.queue.length,
+        )
+        return effects.Send(view.target.name, start)
+
+    # Messages of agents.
+
+    def take_renewal(
+        self,
+        peer: str,
+        incarnation: int,
+        renewal: messages.AgentRenewal,
+        now_s: float,
+    ) -> Taken:
+        """Take the announcement of a target."""
+        outcomes: list[Outcome] = []
+        view = self.views.get(peer)
+        if view is not None and view.incarnation != incarnation:
+            outcomes = self._lose(peer)
+            view = None
+        if view is None:
+            view = machines.TargetView(
+                machines.Target(
+                    renewal.target,
+                    renewal.worker,
+                    renewal.failure_domain,
+                    renewal.slots,
+                    frozenset(renewal.kinds),
+                ),
+                incarnation,
+            )
+            self.views[peer] = view
+        view.heard_s = now_s
+        view.stamp_ms = max(view.stamp_ms, renewal.stamp_ms)
+        view.accepting = renewal.accepting
+        view.report(renewal.free, renewal.starts_seen)
+        asked: effects.Effects = []
+        if view.suspect:
+            view.suspect = False
+            asked = self._probe(view, now_s, float('inf'))
+        return Taken(asked, outcomes)
+
+    def tell_terms(
+        self,
+        peer: str,
+        renewal: messages.AgentRenewal,
+        lease: zones.Lease,
+        now_s: float,
+    ) -> effects.Effects:
+        """Hand on what remains of the entry's own lease."""
+        configuration = self._configuration
+        if configuration is None:
+            return []
+        policy = zones.project_policy(
+            configuration, renewal.failure_domain, renewal.target
+        )
+        known = renewal.revision == policy.revision
+        return [
+            effects.Send(
+                peer,
+                messages.AgentTerms(
+                    renewal.stamp_ms,
+                    int(lease.measure_remaining(now_s) * 1000),
+                    policy.revision,
+                    policy.open,
+                    policy.draining,
+                    () if known else tuple(sorted(policy.kinds)),
+                ),
+            )
+        ]
+
+    def take(
+        self, peer: str, incarnation: int, message: object, now_s: float
+    ) -> Taken:
+        """Take any other message of an agent."""
+        view = self.views.get(peer)
+        if view is None or view.incarnation != incarnation:
+            self.counters['agent_messages_foreign'] += 1
+            return Taken([], [])
+        view.heard_s = now_s
+        match message:
+            case messages.TaskFinished():
+                return self._take_finished(view, message, now_s)
+            case messages.TaskDeclined():
+                return self._take_declined(view, message, now_s)
+            case messages.TaskUnknown(submission, index):
+                key = contracts.TaskKey(submission, index)
+                if self._settle(view, key) is None:
+                    return Taken([], [])
+                return Taken([], [TaskLost(key, view.target.name)])
+            case messages.SlotsOffered(free, starts_seen):
+                self.counters['offers_received'] += 1
+                view.report(free, starts_seen)
+                return Taken([], [])
+            case _:
+                return Taken([], [])
+
+    def _take_finished(
+        self,
+        view: machines.TargetView,
+        finished: messages.TaskFinished,
+        now_s: float,
+    ) -> Taken:
+        view.report(finished.free, finished.starts_seen)
+        key = contracts.TaskKey(finished.submission, finished.index)
+        sent = self._settle(view, key)
+        if sent is None:
+            self.counters['results_repeated'] += 1
+            return Taken([], [])
+        self.counters['results_received'] += 1
+        breaker = self._find_breaker(view, sent.kind)
+        if breaker.note_outcome(finished.succeeded, now_s):
+            self.counters['breakers_opened'] += 1
+        if not finished.succeeded:
+            reason = finished.body.decode('utf-8', 'replace')
+            return Taken([], [TaskBroke(key, view.target.name, reason)])
+        self._learn(view, sent.kind, finished.run_ms / 1000)
+        return Taken([], [TaskDone(key, finished.body)])
+
+    def _take_declined(
+        self,
+        view: machines.TargetView,
+        declined: messages.TaskDeclined,
+        now_s: float,
+    ) -> Taken:
+        self.counters['starts_declined'] += 1
+        view.report(declined.free, declined.starts_seen)
+        if declined.reason != 'busy':
+            view.accepting = False
+        key = contracts.TaskKey(declined.submission, declined.index)
+        sent = self._settle(view, key)
+        if sent is None:
+            return Taken([], [])
+        self._find_breaker(view, sent.kind).note_unused(now_s)
+        job = self._table.find(key.submission)
+        if job is None or job.state != jobs.JobState.ACTIVE:
+            return Taken([], [])
+        job.note_unsent(key.index)
+        attempts = job.attempts.get(key.index, 0) + 1
+        job.attempts[key.index] = attempts
+        if attempts >= MAX_ATTEMPTS:
+            return Taken([], [TaskStuck(key)])
+        self.queue.put_back(sent.team, key.submission, sent.kind, key.index)
+        return Taken([], [])
+
+    def _settle(
+        self, view: machines.TargetView, key: contracts.TaskKey
+    ) -> machines.Outstanding | None:
+        sent = view.settle(key)
+        if sent is not None:
+            self.queue.end(sent.team)
+        return sent
+
+    def _learn(
+        self, view: machines.TargetView, kind: str, run_s: float
+    ) -> None:
+        mean_s = self.run_s.get(kind)
+        if mean_s is None:
+            self.run_s[kind] = run_s
+            return
+        view.speed.note(run_s / mean_s if mean_s > 0 else 1.0)
+        self.run_s[kind] = mean_s + RUN_SMOOTHING * (run_s - mean_s)
+
+    # Time.
+
+    def tick(self, now_s: float) -> Taken:
+        """Look for silent agents and for starts that are overdue."""
+        asked = self.flush_cancels()
+        outcomes: list[Outcome] = []
+        for peer, view in list(self.views.items()):
+            silence_s = now_s - view.heard_s
+            if silence_s > AGENT_LOST_S:
+                outcomes += self._lose(peer)
+            elif silence_s > AGENT_SILENCE_S:
+                view.suspect = True
+            else:
+                asked += self._probe(view, now_s, OVERDUE_MARGIN_S)
+        asked += self._want_slots()
+        return Taken(asked, outcomes)
+
+    def _probe(
+        self, view: machines.TargetView, now_s: float, margin_s: float
+    ) -> effects.Effects:
+        """Ask for the fate of starts.
+
+        With an infinite margin every start is asked for, otherwise those
+        that are overdue by ``margin_s`` seconds.
+        """
+        asked: effects.Effects = []
+        every = margin_s == float('inf')
+        for key, sent in view.outstanding.items():
+            overdue = now_s - sent.sent_s > sent.limit_s + margin_s
+            rested = now_s - sent.probed_s > PROBE_INTERVAL_S
+            if not every and not (overdue and rested):
+                continue
+            sent.probed_s = now_s
+            fence = messages.TaskFence(
+                key.submission, key.index, view.incarnation, sent.stamp_ms
+            )
+            asked.append(effects.Send(view.target.name, fence))
+        self.counters['fences_sent'] += len(asked)
+        return asked
+
+    def _lose(self, peer: str) -> list[Outcome]:
+        """Forget a target; what was sent to it may have run."""
+        view = self.views.pop(peer)
+        self.counters['targets_lost'] += 1
+        for breaker in [key for key in self._breakers if key[0] == peer]:
+            del self._breakers[breaker]
+        outcomes: list[Outcome] = []
+        for key in list(view.outstanding):
+            self._settle(view, key)
+            outcomes.append(TaskLost(key, view.target.name))
+        return outcomes
+
+    def _want_slots(self) -> effects.Effects:
+        """Tell a few targets without tasks of this entry that tasks wait."""
+        if not self.queue.length:
+            return []
+        idle = [
+            view
+            for view in self.views.values()
+            if view.accepting and not view.suspect and not view.outstanding
+        ]
+        if not idle:
+            return []
+        asked: effects.Effects = []
+        for _ in range(min(WANTED_TARGETS, len(idle))):
+            self._wanted += 1
+            view = idle[self._wanted % len(idle)]
+            wanted = messages.SlotsWanted(self.queue.length)
+            asked.append(effects.Send(view.target.name, wanted))
+        self.counters['wants_sent'] += len(asked)
+        return asked
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            'queued': self.queue.length,
+            'run_s': {
+                kind: round(run_s, 4) for kind, run_s in self.run_s.items()
+            },
+            'targets': {
+                name: {
+                    'worker': view.target.worker,
+                    'failure_domain': view.target.failure_domain,
+                    'slots': view.target.slots,
+                    'free': view.free,
+                    'outstanding': len(view.outstanding),
+                    'accepting': view.accepting,
+                    'suspect': view.suspect,
+                    'slowness': round(view.slowness, 3),
+                    'silent_s': round(now_s - view.heard_s, 3),
+                    'breakers': {
+                        kind: type(breaker.state).__name__.lower()
+                        for (target, kind), breaker in self._breakers.items()
+                        if target == name
+                    },
+                }
+                for name, view in sorted(self.views.items())
+            },
+            'counters': dict(self.counters),
+        }
--- /dev/null
+++ b/eelgrassworks/entry.py
@@ -0,0 +1,869 @@
+"""Decisions of an entry: admission, claims, gathering and answers.
+
+An entry owns the jobs whose claims it won.  It answers each job once, whole;
+a request that meets a job already known attaches to it, here or at the entry
+that owns it.  The class takes typed events and a monotonic time and returns
+effects.
+"""
+
+import collections
+import dataclasses
+import heapq
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import dispatcher
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import jobs
+from eelgrassworks import placement
+from eelgrassworks import session
+from eelgrassworks.links import codec
+from eelgrassworks.links import messages
+
+CLAIM_WAIT_S: Final = 3.0
+CHANGE_WAIT_S: Final = 10.0
+ATTACH_RESEND_S: Final = 1.0
+ATTACH_WAIT_S: Final = 15.0
+MAX_QUEUED_TASKS: Final = 50_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryOptions:
+    """Fixed facts and limits of an entry.
+
+    ``max_wait_s`` bounds the time that an admitted job is expected to need.
+    """
+
+    session: session.SessionOptions
+    policy: placement.Policy
+    max_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitAsked:
+    """A caller submits a job."""
+
+    request: int
+    submission: contracts.Submission
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerAsked:
+    """A caller asks for the answer of a job by its id."""
+
+    request: int
+    submission: str
+    team: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """A caller cancels a job by its id."""
+
+    request: int
+    submission: str
+    team: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLeft:
+    """The caller of a request went away; the job goes on."""
+
+    request: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeAsked:
+    """An operator asks for a change of the configuration."""
+
+    request: int
+    change: contracts.ChangeRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message arrived from another process."""
+
+    peer: str
+    incarnation: int
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAsked:
+    """A planned stop begins."""
+
+
+EntryEvent = (
+    SubmitAsked
+    | AnswerAsked
+    | CancelAsked
+    | RequestLeft
+    | ChangeAsked
+    | Received
+    | Ticked
+    | StopAsked
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelTaken:
+    """Response to a cancellation; ``known`` is False for an unknown id."""
+
+    known: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeMade:
+    """Response to a change.
+
+    ``in_force`` tells whether every node that can start work has it.
+    """
+
+    verdict: contracts.ChangeVerdict
+    in_force: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeUnknown:
+    """No verdict was received; the same change id may be sent again."""
+
+
+@dataclasses.dataclass(slots=True)
+class Inquiry:
+    """A request about an id that this entry does not own.
+
+    ``refusal`` answers a submission whose id turns out to be free; None
+    stands for a question about an existing job.  ``owner`` is set once the
+    request is attached to the job at its owner.
+    """
+
+    request: int
+    submission: str
+    digest: str
+    team: str
+    refusal: errors.Refusal | None
+    deadline_s: float
+    cancels: bool = False
+    owner: str = ''
+    asked_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class PendingChange:
+    """A change of an operator that is not yet in force everywhere."""
+
+    request: int
+    deadline_s: float
+    verdict: contracts.ChangeVerdict | None = None
+
+
+class Entry:
+    """The decision class of the entry."""
+
+    def __init__(self, options: EntryOptions) -> None:
+        self.options = options
+        self.session = session.Session(options.session)
+        self.table = jobs.JobTable()
+        self.dispatcher = dispatcher.Dispatcher(options.policy, self.table)
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.stopping = False
+        self._left = False
+        self._inquiries: dict[int, Inquiry] = {}
+        self._changes: dict[str, PendingChange] = {}
+        self._deadlines: list[tuple[float, str]] = []
+
+    def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
+        """Take one event and return the effects it has."""
+        match event:
+            case Received(peer, incarnation, message):
+                asked = self._receive(peer, incarnation, message, now_s)
+            case SubmitAsked(request, submission):
+                asked = self._submit(request, submission, now_s)
+            case AnswerAsked(request, submission, team):
+                asked = self._ask_answer(request, submission, team, now_s)
+            case CancelAsked(request, submission, team):
+                asked = self._cancel(request, submission, team, now_s)
+            case RequestLeft(request):
+                return self._drop_request(request)
+            case ChangeAsked(request, change):
+                return self._ask_change(request, change, now_s)
+            case Ticked():
+                asked = self._tick(now_s)
+            case StopAsked():
+                self.stopping = True
+                asked = []
+        return asked + self._place(now_s) + self._finish_stop()
+
+    # Requests of callers.
+
+    def _submit(
+        self, request: int, submission: contracts.Submission, now_s: float
+    ) -> effects.Effects:
+        self.counters['submissions'] += 1
+        job = self.table.find(submission.id)
+        if job is not None:
+            self.counters['resubmissions'] += 1
+            return self._attach_local(request, submission.digest, job)
+        refusal = self._find_refusal(submission)
+        if refusal is None:
+            return self._admit(request, submission, now_s)
+        self.counters[f'refused_{refusal.code}'] += 1
+        if not submission.claimed:
+            return [effects.Reply(request, contracts.NotRun(refusal))]
+        return self._inquire(
+            Inquiry(
+                request,
+                submission.id,
+                submission.digest,
+                submission.team,
+                refusal,
+                now_s + CLAIM_WAIT_S,
+            ),
+            now_s,
+        )
+
+    def _attach_local(
+        self, request: int, digest: str, job: jobs.Job
+    ) -> effects.Effects:
+        submission = job.submission
+        if digest != submission.digest:
+            refusal = errors.refuse(
+                errors.Code.ID_CONFLICT, submission=submission.id
+            )
+            return [effects.Reply(request, contracts.NotRun(refusal))]
+        if job.answer is not None:
+            return [effects.Reply(request, job.answer)]
+        job.waiters.append(request)
+        return []
+
+    def _find_refusal(
+        self, submission: contracts.Submission
+    ) -> errors.Refusal | None:
+        """Return why a job is not admitted; None when it is."""
+        configuration = self.session.configuration
+        sheet = configuration.sheet
+        count = len(submission.payloads)
+        if self.stopping:
+            return errors.refuse(errors.Code.STOPPING)
+        if not configuration.revision:
+            return errors.refuse(errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S)
+        kind = sheet.kinds.get(submission.kind)
+        if kind is None:
+            return errors.refuse(
+                errors.Code.UNKNOWN_KIND,
+                kind=submission.kind,
+                revision=configuration.revision,
+            )
+        quota = sheet.quotas.get(submission.team)
+        if quota is None:
+            return errors.refuse(
+                errors.Code.UNKNOWN_TEAM,
+                team=submission.team,
+                revision=configuration.revision,
+            )
+        if not kind.repeatable and not submission.claimed:
+            return errors.refuse(errors.Code.ID_REQUIRED, kind=kind.name)
+        queue = self.dispatcher.queue
+        if queue.count_waiting(quota.team) + count > quota.max_queued:
+            return errors.refuse(
+                errors.Code.QUOTA, team=quota.team, limit=quota.max_queued
+            )
+        return self._find_overload(submission, count)
+
+    def _find_overload(
+        self, submission: contracts.Submission, count: int
+    ) -> errors.Refusal | None:
+        wait_s = self.dispatcher.estimate_wait(submission.kind, count)
+        if wait_s == float('inf'):
+            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
+        limit_s = min(submission.time_limit_s, self.options.max_wait_s)
+        queued = self.dispatcher.queue.length
+        if wait_s > limit_s or queued + count > MAX_QUEUED_TASKS:
+            return errors.refuse(
+                errors.Code.OVERLOADED, queued=queued, limit_s=limit_s
+            )
+        return None
+
+    def _admit(
+        self, request: int, submission: contracts.Submission, now_s: float
+    ) -> effects.Effects:
+        deadline_s = now_s + submission.time_limit_s
+        job = jobs.Job(submission, now_s, deadline_s, waiters=[request])
+        self.table.add(job)
+        if not submission.claimed:
+            self._activate(job)
+            return []
+        claim = contracts.Claim(
+            submission.id,
+            submission.digest,
+            self.options.session.name,
+            self.session.incarnation,
+        )
+        wait_s = min(deadline_s, now_s + CLAIM_WAIT_S)
+        heapq.heappush(self._deadlines, (wait_s, submission.id))
+        return self.session.claim((claim,), now_s)
+
+    def _activate(self, job: jobs.Job) -> None:
+        job.activate()
+        self.dispatcher.add(job)
+        heapq.heappush(self._deadlines, (job.deadline_s, job.submission.id))
+
+    def _ask_answer(
+        self, request: int, submission: str, team: str, now_s: float
+    ) -> effects.Effects:
+        job = self.table.find(submission)
+        if job is None:
+            return self._inquire(
+                Inquiry(
+                    request, submission, '', team, None, now_s + ATTACH_WAIT_S
+                ),
+                now_s,
+            )
+        if team != job.submission.team:
+            return [effects.Reply(request, _refuse_team())]
+        return self._attach_local(request, job.submission.digest, job)
+
+    def _cancel(
+        self, request: int, submission: str, team: str, now_s: float
+    ) -> effects.Effects:
+        job = self.table.find(submission)
+        if job is not None:
+            asked = self._cancel_job(job, team, now_s)
+            return [*asked, effects.Reply(request, CancelTaken(True))]
+        inquiry = Inquiry(
+            request, submission, '', team, None, now_s + CLAIM_WAIT_S
+        )
+        inquiry.cancels = True
+        return self._inquire(inquiry, now_s)
+
+    def _cancel_job(
+        self, job: jobs.Job, team: str, now_s: float
+    ) -> effects.Effects:
+        if team != job.submission.team or job.answer is not None:
+            return []
+        self.counters['jobs_cancelled'] += 1
+        return self._break_job(job, errors.Code.CANCELLED, now_s)
+
+    def _drop_request(self, request: int) -> effects.Effects:
+        self._inquiries.pop(request, None)
+        for job in self.table.list_open():
+            if request in job.waiters:
+                job.waiters.remove(request)
+        return []
+
+    # Requests of operators.
+
+    def _ask_change(
+        self, request: int, change: contracts.ChangeRequest, now_s: float
+    ) -> effects.Effects:
+        self._changes[change.id] = PendingChange(
+            request, now_s + CHANGE_WAIT_S
+        )
+        return self.session.change(change, now_s)
+
+    def _settle_changes(self, now_s: float) -> effects.Effects:
+        """Answer the changes that are in force, refused or too late."""
+        asked: effects.Effects = []
+        for change_id, pending in list(self._changes.items()):
+            response = self._respond_change(pending, now_s)
+            if response is None:
+                continue
+            del self._changes[change_id]
+            self.session.abandon(change_id)
+            asked.append(effects.Reply(pending.request, response))
+        return asked
+
+    def _respond_change(
+        self, pending: PendingChange, now_s: float
+    ) -> ChangeMade | ChangeUnknown | None:
+        expired = now_s >= pending.deadline_s
+        match pending.verdict:
+            case None:
+                return ChangeUnknown() if expired else None
+            case contracts.ChangeAccepted(_, revision) as verdict:
+                in_force = self.session.in_force_revision >= revision
+                if in_force or expired:
+                    return ChangeMade(verdict, in_force)
+                return None
+            case verdict:
+                return ChangeMade(verdict, False)
+
+    # Inquiries about ids that other entries own.
+
+    def _inquire(self, inquiry: Inquiry, now_s: float) -> effects.Effects:
+        self._inquiries[inquiry.request] = inquiry
+        inquiry.asked_s = now_s
+        return self.session.look_up((inquiry.submission,), now_s)
+
+    def _take_lookup(
+        self, verdict: contracts.ClaimVerdict, now_s: float
+    ) -> effects.Effects:
+        asked: effects.Effects = []
+        for inquiry in list(self._inquiries.values()):
+            if inquiry.submission == verdict.submission:
+                asked += self._advance(inquiry, verdict, now_s)
+        return asked
+
+    def _advance(
+        self,
+        inquiry: Inquiry,
+        verdict: contracts.ClaimVerdict,
+        now_s: float,
+    ) -> effects.Effects:
+        """Take one inquiry a step further with the verdict on its id."""
+        submission = verdict.submission
+        match verdict:
+            case contracts.ClaimTaken(_, owner, _, address) if address:
+                if owner != self.options.session.name:
+                    return self._attach_remote(inquiry, owner, address, now_s)
+                return self._conclude(inquiry, _refuse_expired(submission))
+            case contracts.ClaimTaken(_, owner, _, _):
+                return self._conclude(
+                    inquiry, _refuse_owner_lost(owner, submission)
+                )
+            case contracts.ClaimFree() if inquiry.refusal is not None:
+                return self._conclude(
+                    inquiry, contracts.NotRun(inquiry.refusal)
+                )
+            case contracts.ClaimFree():
+                refusal = errors.refuse(
+                    errors.Code.NOT_FOUND, what='job', name=submission
+                )
+                return self._conclude(inquiry, contracts.NotRun(refusal))
+            case _:
+                return self._conclude(inquiry, _refuse_verdict(verdict))
+
+    def _attach_remote(
+        self, inquiry: Inquiry, owner: str, address: str, now_s: float
+    ) -> effects.Effects:
+        inquiry.asked_s = now_s
+        if not inquiry.owner:
+            inquiry.deadline_s = max(inquiry.deadline_s, now_s + ATTACH_WAIT_S)
+        inquiry.owner = owner
+        connect = effects.Connect(owner, address)
+        if inquiry.cancels:
+            cancel = messages.CancelAsked(inquiry.submission, inquiry.team)
+            del self._inquiries[inquiry.request]
+            return [
+                connect,
+                effects.Send(owner, cancel),
+                effects.Reply(inquiry.request, CancelTaken(True)),
+            ]
+        return [connect, self._ask_owner(inquiry)]
+
+    def _ask_owner(self, inquiry: Inquiry) -> effects.Send:
+        return effects.Send(
+            inquiry.owner,
+            messages.AttachAsked(
+                inquiry.request,
+                inquiry.submission,
+                inquiry.digest,
+                inquiry.team,
+            ),
+        )
+
+    def _conclude(
+        self, inquiry: Inquiry, answer: contracts.Answer
+    ) -> effects.Effects:
+        del self._inquiries[inquiry.request]
+        if inquiry.cancels:
+            return [effects.Reply(inquiry.request, CancelTaken(False))]
+        return [effects.Reply(inquiry.request, answer)]
+
+    def _take_attach(
+        self, peer: str, asked: messages.AttachAsked
+    ) -> effects.Effects:
+        """Answer another entry about a job that it believes is here."""
+        job = self.table.find(asked.submission)
+        if job is None:
+            answer: contracts.Answer = _refuse_expired(asked.submission)
+        elif asked.team != job.submission.team:
+            answer = _refuse_team()
+        elif asked.digest not in ('', job.submission.digest):
+            answer = _refuse_conflict(asked.submission)
+        elif job.answer is not None:
+            answer = job.answer
+        else:
+            attached = (peer, asked.request)
+            if attached not in job.remote:
+                job.remote.append(attached)
+            return []
+        return [_tell_attached(peer, asked.request, answer)]
+
+    def _take_attached(
+        self, peer: str, told: messages.AttachTold, answer: contracts.Answer
+    ) -> effects.Effects:
+        inquiry = self._inquiries.get(told.request)
+        if inquiry is None or inquiry.owner != peer:
+            self.counters['answers_unexpected'] += 1
+            return []
+        return self._conclude(inquiry, answer)
+
+    # Messages.
+
+    def _receive(
+        self, peer: str, incarnation: int, message: object, now_s: float
+    ) -> effects.Effects:
+        match message:
+            case messages.AgentRenewal():
+                return self._take_renewal(peer, incarnation, message, now_s)
+            case (
+                messages.TaskFinished()
+                | messages.TaskDeclined()
+                | messages.TaskUnknown()
+                | messages.TaskRunning()
+                | messages.SlotsOffered()
+            ):
+                return self._take_from_agent(
+                    self.dispatcher.take(peer, incarnation, message, now_s),
+                    now_s,
+                )
+            case messages.EntryTerms():
+                return self._take_terms(peer, message, now_s)
+            case messages.ConfigurationTold(configuration):
+                if self.session.take_configuration(configuration):
+                    self.dispatcher.configure(configuration)
+                return []
+            case messages.ClaimsTold():
+                return self._take_claims(message, now_s)
+            case messages.ChangeTold():
+                return self._take_change(message, now_s)
+            case messages.NotLeader(leader):
+                return self.session.follow(leader, now_s)
+            case messages.AttachAsked():
+                return self._take_attach(peer, message)
+            case messages.AttachTold():
+                answer = _unpack_answer(message)
+                return self._take_attached(peer, message, answer)
+            case messages.CancelAsked(submission, team):
+                job = self.table.find(submission)
+                if job is None:
+                    return []
+                return self._cancel_job(job, team, now_s)
+            case _:
+                self.counters['messages_unexpected'] += 1
+                return []
+
+    def _take_renewal(
+        self,
+        peer: str,
+        incarnation: int,
+        renewal: messages.AgentRenewal,
+        now_s: float,
+    ) -> effects.Effects:
+        taken = self.dispatcher.take_renewal(peer, incarnation, renewal, now_s)
+        asked = self._take_from_agent(taken, now_s)
+        if self.session.may_work(now_s):
+            asked += self.dispatcher.tell_terms(
+                peer, renewal, self.session.lease, now_s
+            )
+        return asked
+
+    def _take_from_agent(
+        self, taken: dispatcher.Taken, now_s: float
+    ) -> effects.Effects:
+        asked = list(taken.effects)
+        for outcome in taken.outcomes:
+            asked += self._take_outcome(outcome, now_s)
+        return asked
+
+    def _take_outcome(
+        self, outcome: dispatcher.Outcome, now_s: float
+    ) -> effects.Effects:
+        job = self.table.find(outcome.key.submission)
+        if job is None or job.state != jobs.JobState.ACTIVE:
+            return []
+        index = outcome.key.index
+        match outcome:
+            case dispatcher.TaskDone(_, body):
+                if not job.note_done(index, body):
+                    return []
+                self.counters['jobs_complete'] += 1
+                complete = contracts.Complete(tuple(job.results))
+                return self._end_job(job, complete, now_s)
+            case dispatcher.TaskBroke(_, target, reason):
+                return self._break_job(
+                    job,
+                    errors.Code.TASK_FAILED,
+                    now_s,
+                    index=index,
+                    target=target,
+                    reason=reason,
+                )
+            case dispatcher.TaskLost(_, target):
+                return self._break_job(
+                    job,
+                    errors.Code.TARGET_LOST,
+                    now_s,
+                    index=index,
+                    target=target,
+                )
+            case dispatcher.TaskStuck():
+                return self._break_job(
+                    job,
+                    errors.Code.NO_TARGET,
+                    now_s,
+                    kind=job.submission.kind,
+                )
+
+    def _take_terms(
+        self, peer: str, terms: messages.EntryTerms, now_s: float
+    ) -> effects.Effects:
+        if not self.session.take_terms(peer, terms, now_s):
+            return [effects.Halt(errors.refuse(errors.Code.STOPPING))]
+        return self._settle_changes(now_s)
+
+    def _take_claims(
+        self, told: messages.ClaimsTold, now_s: float
+    ) -> effects.Effects:
+        asked: effects.Effects = []
+        for verdict in self.session.take_claims(told):
+            job = self.table.find(verdict.submission)
+            if job is not None and job.state == jobs.JobState.CLAIMING:
+                asked += self._take_claim(job, verdict, now_s)
+            asked += self._take_lookup(verdict, now_s)
+        return asked
+
+    def _take_claim(
+        self, job: jobs.Job, verdict: contracts.ClaimVerdict, now_s: float
+    ) -> effects.Effects:
+        submission = job.submission
+        match verdict:
+            case contracts.ClaimGranted():
+                self._activate(job)
+                return []
+            case contracts.ClaimTaken():
+                self.table.drop(submission.id)
+                for request in job.waiters:
+                    self._inquiries[request] = Inquiry(
+                        request,
+                        submission.id,
+                        submission.digest,
+                        submission.team,
+                        None,
+                        job.deadline_s,
+                    )
+                return []
+            case contracts.ClaimSuperseded():
+                refusal = errors.refuse(errors.Code.STOPPING)
+                return [
+                    *self._drop_job(job, contracts.NotRun(refusal)),
+                    effects.Halt(refusal),
+                ]
+            case _:
+                return self._drop_job(job, _refuse_verdict(verdict))
+
+    def _take_change(
+        self, told: messages.ChangeTold, now_s: float
+    ) -> effects.Effects:
+        verdict = self.session.take_change(told)
+        pending = self._changes.get(verdict.id)
+        if pending is not None:
+            pending.verdict = verdict
+        return self._settle_changes(now_s)
+
+    # Ends of jobs.
+
+    def _end_job(
+        self, job: jobs.Job, answer: contracts.Answer, now_s: float
+    ) -> effects.Effects:
+        asked = _tell_waiters(job, answer)
+        self.table.end(job, answer, now_s)
+        return asked
+
+    def _drop_job(
+        self, job: jobs.Job, answer: contracts.Answer
+    ) -> effects.Effects:
+        """Answer a job of which nothing was sent, and forget it."""
+        self.table.drop(job.submission.id)
+        return _tell_waiters(job, answer)
+
+    def _break_job(
+        self,
+        job: jobs.Job,
+        code: errors.Code,
+        now_s: float,
+        **values: object,
+    ) -> effects.Effects:
+        """End a job without its full result, truthfully."""
+        values['submission'] = job.submission.id
+        started = job.may_have_run()
+        self.dispatcher.remove(job)
+        self.counters['jobs_failed' if started else 'jobs_not_run'] += 1
+        if started:
+            refusal = errors.refuse_started(code, **values)
+            return self._end_job(job, contracts.Failed(refusal), now_s)
+        refusal = errors.refuse(code, **values)
+        return self._end_job(job, contracts.NotRun(refusal), now_s)
+
+    # Time.
+
+    def _tick(self, now_s: float) -> effects.Effects:
+        asked = self.session.tick(now_s)
+        asked += self._take_from_agent(self.dispatcher.tick(now_s), now_s)
+        asked += self._expire_jobs(now_s)
+        asked += self._press_inquiries(now_s)
+        asked += self._settle_changes(now_s)
+        self.table.expire(now_s)
+        return asked
+
+    def _expire_jobs(self, now_s: float) -> effects.Effects:
+        asked: effects.Effects = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            submission = heapq.heappop(self._deadlines)[1]
+            job = self.table.find(submission)
+            if job is None:
+                continue
+            if job.state == jobs.JobState.CLAIMING:
+                refusal = errors.refuse_started(
+                    errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S
+                )
+                asked += self._drop_job(job, contracts.Failed(refusal))
+            elif job.answer is None and job.deadline_s <= now_s:
+                asked += self._break_job(
+                    job,
+                    errors.Code.DEADLINE,
+                    now_s,
+                    limit_s=job.submission.time_limit_s,
+                )
+        return asked
+
+    def _press_inquiries(self, now_s: float) -> effects.Effects:
+        asked: effects.Effects = []
+        for inquiry in list(self._inquiries.values()):
+            if now_s >= inquiry.deadline_s:
+                asked += self._conclude(inquiry, _refuse_silence(inquiry))
+            elif inquiry.owner and (
+                now_s - inquiry.asked_s >= ATTACH_RESEND_S
+            ):
+                inquiry.asked_s = now_s
+                asked.append(self._ask_owner(inquiry))
+                asked += self.session.look_up((inquiry.submission,), now_s)
+        return asked
+
+    def _place(self, now_s: float) -> effects.Effects:
+        if not self.dispatcher.queue.length:
+            return []
+        if not self.session.may_work(now_s):
+            return []
+        return self.dispatcher.place(now_s)
+
+    def _finish_stop(self) -> effects.Effects:
+        if not self.stopping or self._left:
+            return []
+        if self._inquiries or self._changes or self.table.list_open():
+            return []
+        self._left = True
+        return [effects.Leave()]
+
+    def is_ready(self, now_s: float) -> bool:
+        """Tell whether new jobs are taken."""
+        return not self.stopping and self.session.may_work(now_s)
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        control = self.session
+        return {
+            'incarnation': control.incarnation,
+            'leader': control.leader,
+            'revision': control.configuration.revision,
+            'in_force_revision': control.in_force_revision,
+            'lease_remaining_s': round(
+                control.lease.measure_remaining(now_s), 3
+            ),
+            'ready': self.is_ready(now_s),
+            'stopping': self.stopping,
+            'jobs': len(self.table.jobs),
+            'jobs_open': len(self.table.list_open()),
+            'inquiries': len(self._inquiries),
+            'counters': dict(self.counters),
+            'dispatcher': self.dispatcher.describe(now_s),
+        }
+
+
+def _tell_waiters(job: jobs.Job, answer: contracts.Answer) -> effects.Effects:
+    """Send an answer to every request that waits for the job."""
+    local: effects.Effects = [
+        effects.Reply(request, answer) for request in job.waiters
+    ]
+    remote = [
+        _tell_attached(peer, request, answer) for peer, request in job.remote
+    ]
+    job.waiters = []
+    job.remote = []
+    return local + remote
+
+
+def _tell_attached(
+    peer: str, request: int, answer: contracts.Answer
+) -> effects.Send:
+    return effects.Send(peer, messages.AttachTold(request, codec.pack(answer)))
+
+
+def _unpack_answer(told: messages.AttachTold) -> contracts.Answer:
+    answer: contracts.Answer = codec.unpack(told.answer)
+    return answer
+
+
+def _refuse_team() -> contracts.NotRun:
+    return contracts.NotRun(
+        errors.refuse(
+            errors.Code.NOT_PERMITTED, action='access to the job of a team'
+        )
+    )
+
+
+def _refuse_conflict(submission: str) -> contracts.NotRun:
+    return contracts.NotRun(
+        errors.refuse(errors.Code.ID_CONFLICT, submission=submission)
+    )
+
+
+def _refuse_expired(submission: str) -> contracts.Failed:
+    return contracts.Failed(
+        errors.refuse_started(errors.Code.ID_EXPIRED, submission=submission)
+    )
+
+
+def _refuse_owner_lost(owner: str, submission: str) -> contracts.Failed:
+    return contracts.Failed(
+        errors.refuse_started(
+            errors.Code.OWNER_LOST, owner=owner, submission=submission
+        )
+    )
+
+
+def _refuse_silence(inquiry: Inquiry) -> contracts.Failed:
+    if not inquiry.owner:
+        return contracts.Failed(
+            errors.refuse_started(
+                errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S
+            )
+        )
+    return contracts.Failed(
+        errors.refuse_started(
+            errors.Code.OWNER_UNREACHABLE,
+            owner=inquiry.owner,
+            submission=inquiry.submission,
+        )
+    )
+
+
+def _refuse_verdict(verdict: contracts.ClaimVerdict) -> contracts.Answer:
+    """Return the answer for a verdict that ends a submission."""
+    match verdict:
+        case contracts.ClaimConflict(submission):
+            return _refuse_conflict(submission)
+        case contracts.ClaimFuture(submission):
+            return contracts.NotRun(
+                errors.refuse(errors.Code.ID_FUTURE, submission=submission)
+            )
+        case _:
+            return _refuse_expired(verdict.submission)
--- /dev/null
+++ b/eelgrassworks/entryprocess.py
@@ -0,0 +1,131 @@
+"""The process of an entry: its decisions, its HTTP borders and its links."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from eelgrassworks import admin
+from eelgrassworks import callers
+from eelgrassworks import clock
+from eelgrassworks import effects
+from eelgrassworks import entry
+from eelgrassworks import links
+from eelgrassworks import metrics
+from eelgrassworks import operators
+from eelgrassworks import placement
+from eelgrassworks import process
+from eelgrassworks import session
+from eelgrassworks import settings
+from eelgrassworks.links import transport
+
+
+class EntryProcess(process.Process):
+    """One entry."""
+
+    def __init__(
+        self, model: settings.EntrySettings, link: transport.Transport
+    ) -> None:
+        measures = metrics.Metrics(
+            model.statsd.host, model.statsd.port, f'entry.{model.name}'
+        )
+        super().__init__('entry', link, measures)
+        self.model = model
+        self.port = 0
+        self.entry = entry.Entry(
+            entry.EntryOptions(
+                session.SessionOptions(
+                    model.name,
+                    model.listen,
+                    link.sender.incarnation,
+                    tuple(model.replicas),
+                ),
+                placement.make_policy(model.policy, model.learnt_speeds),
+                model.max_wait_s,
+            )
+        )
+        self._next_request = 0
+        self._requests: dict[int, asyncio.Future[Any]] = {}
+
+    async def start(self) -> None:
+        """Connect to control and begin to serve."""
+        await super().start()
+        for name, address in self.model.replicas.items():
+            self.link.connect(name, address)
+        application = web.Application(
+            client_max_size=self.model.body_limit_bytes
+        )
+        admin.Admin(self, self.model.tokens.operators).add_routes(application)
+        callers.Callers(self).add_routes(application)
+        operators.Operators(self).add_routes(application)
+        http = self.model.http
+        self.port = await self.serve(application, http.host, http.port)
+
+    def open_request(self) -> tuple[int, asyncio.Future[Any]]:
+        """Return the number of a new request and its future response."""
+        self._next_request += 1
+        future: asyncio.Future[Any] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._requests[self._next_request] = future
+        return self._next_request, future
+
+    async def await_reply(
+        self, request: int, future: asyncio.Future[Any]
+    ) -> Any:
+        """Wait for a response; tell the decisions if the caller leaves."""
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._requests.pop(request, None)
+            self.dispatch(entry.RequestLeft(request))
+            raise
+
+    def decide(self, event: Any, now_s: float) -> effects.Effects:
+        """Give an event to the decision class."""
+        return self.entry.handle(event, now_s)
+
+    def perform(self, effect: effects.Effect) -> None:
+        """Answer a request."""
+        match effect:
+            case effects.Reply(request, response):
+                future = self._requests.pop(request, None)
+                if future is not None and not future.done():
+                    future.set_result(response)
+            case _:
+                raise TypeError(f'unexpected effect {effect}')
+
+    def make_tick(self) -> object:
+        """Return the event for the passing of time."""
+        return entry.Ticked()
+
+    def make_stop(self) -> object:
+        """Return the event for the begin of a planned stop."""
+        return entry.StopAsked()
+
+    def make_received(self, frame: links.Frame, message: object) -> object:
+        """Return the event for a message."""
+        sender = frame.sender
+        return entry.Received(sender.name, sender.incarnation, message)
+
+    def is_ready(self) -> bool:
+        """Tell whether new jobs are taken."""
+        return self.entry.is_ready(clock.read_now())
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        return self.entry.describe(clock.read_now())
+
+    def count(self) -> dict[str, int]:
+        """Return the counters."""
+        counters = dict(self.entry.counters)
+        counters.update(self.entry.dispatcher.counters)
+        return counters
+
+    def gauge(self) -> dict[str, float]:
+        """Return the gauges."""
+        return {
+            'tasks_queued': self.entry.dispatcher.queue.length,
+            'jobs_open': len(self.entry.table.list_open()),
+            'targets': len(self.entry.dispatcher.views),
+        }
--- /dev/null
+++ b/eelgrassworks/grants.py
@@ -0,0 +1,46 @@
+"""When a configuration revision is in force at every node.
+
+Work starts only under a lease, and every lease ends within LEASE_TTL_S of a
+moment at which a quorum followed the granting leader.  A revision is in
+force once every lease that was granted before its commit has run out.
+"""
+
+import collections
+from typing import Final
+
+from eelgrassworks import zones
+
+IN_FORCE_DELAY_S: Final = zones.LEASE_TTL_S * (1 + zones.DRIFT_RATIO)
+
+
+class Grants:
+    """What the leader may grant, and which revision is in force."""
+
+    def __init__(self) -> None:
+        self.in_force_revision = 0
+        self._pending: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+
+    def begin(self, revision: int, now_s: float) -> None:
+        """Begin to lead: an earlier leader may have granted until now."""
+        self.in_force_revision = 0
+        self._pending.clear()
+        self.note_commit(revision, now_s)
+
+    def note_commit(self, revision: int, now_s: float) -> None:
+        """Record that a revision was committed."""
+        self._pending.append((now_s + IN_FORCE_DELAY_S, revision))
+
+    def advance(self, now_s: float) -> int:
+        """Return the revision that is in force everywhere."""
+        while self._pending and self._pending[0][0] <= now_s:
+            self.in_force_revision = self._pending.popleft()[1]
+        return self.in_force_revision
+
+    def measure_term(self, contact_s: float, now_s: float) -> float:
+        """Return the seconds that a lease granted now may last.
+
+        ``contact_s`` is when a quorum last followed this leader.
+        """
+        return max(0.0, contact_s + zones.LEASE_TTL_S - now_s)
--- /dev/null
+++ b/eelgrassworks/ids.py
@@ -0,0 +1,33 @@
+"""Submission ids: UUIDs of version 7 (RFC 9562).
+
+Such an id carries its own time.  A resubmission therefore always carries the
+time of the first submission, which gives the claim table an end.
+"""
+
+import secrets
+from typing import Final
+import uuid
+
+UUID_VERSION: Final = 7
+_VERSION_BITS: Final = UUID_VERSION << 76
+_VARIANT_BITS: Final = 0b10 << 62
+
+
+def read_time_ms(text: str) -> int | None:
+    """Return the Unix time in milliseconds inside an id.
+
+    None when the text is no UUID of version 7 in canonical form.
+    """
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        return None
+    if str(value) != text or value.version != UUID_VERSION:
+        return None
+    return value.int >> 80
+
+
+def make_id(time_ms: int) -> str:
+    """Return a new id with the given time."""
+    head = (time_ms << 80) | _VERSION_BITS | (secrets.randbits(12) << 64)
+    return str(uuid.UUID(int=head | _VARIANT_BITS | secrets.randbits(62)))
--- /dev/null
+++ b/eelgrassworks/journal.py
@@ -0,0 +1,377 @@
+"""Durable state of a control replica: one data folder.
+
+The folder holds three files.  ``identity`` names the cluster, the replica
+and the disk; a folder without it is new.  ``snapshot`` holds the state up to
+an index.  ``journal`` holds checksummed records; each batch of records is
+valid only once it is synced.  A file is replaced by writing a new one beside
+it, syncing it, renaming it and syncing the folder.
+
+What the start can find is told apart: a folder that is empty, that belongs
+to another replica, a torn last record (cut off, since its sync never ended),
+a damaged record with valid ones after it, a damaged snapshot, and a snapshot
+that was half written when the process died (its new file is ignored).
+
+A failed write or sync is never tried again: the state of the file is not
+known after it, so the process must end.
+"""
+
+import contextlib
+import dataclasses
+import enum
+import os
+import pathlib
+import struct
+from typing import Final
+from typing import Protocol
+
+import msgspec
+import xxhash
+
+from eelgrassworks import commands
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import ledger
+from eelgrassworks import replica
+from eelgrassworks.links import messages
+
+IDENTITY_NAME: Final = 'identity'
+SNAPSHOT_NAME: Final = 'snapshot'
+JOURNAL_NAME: Final = 'journal'
+FRESH_SUFFIX: Final = '.new'
+
+# Length of the body and its xxh3 checksum, big-endian.
+RECORD_HEADER: Final = struct.Struct('>IQ')
+MAX_RECORD_BYTES: Final = 256 * 1024 * 1024
+
+
+class Identity(msgspec.Struct):
+    """The border model of the identity file."""
+
+    cluster: str
+    name: str
+    disk: str
+    voters: dict[str, str]
+
+
+class JournalRecord(msgspec.Struct, array_like=True):
+    """The border model of one record."""
+
+    term: int
+    vote: str
+    keep: int
+    entries: tuple[messages.LogEntry, ...]
+
+
+class SnapshotRecord(msgspec.Struct, array_like=True):
+    """The border model of the snapshot file."""
+
+    last_index: int
+    last_term: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recovered:
+    """What the folder held; ``torn_bytes`` were cut off the journal."""
+
+    identity: Identity
+    stored: replica.Stored
+    snapshot: bytes
+    torn_bytes: int
+
+
+class Damage(enum.Enum):
+    """Why a record could not be read."""
+
+    SHORT = 'short'
+    CHECKSUM = 'checksum'
+
+
+class Disk(Protocol):
+    """The calls that reach the disk; a test puts its own in their place."""
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        """Write some of the data; return how much."""
+
+    def sync(self, descriptor: int) -> None:
+        """Make everything written to the descriptor durable."""
+
+
+class SystemDisk:
+    """The disk of the machine."""
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        """Write some of the data; return how much."""
+        return os.write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        """Make everything written to the descriptor durable."""
+        os.fsync(descriptor)
+
+
+class Journal:
+    """The open data folder of one replica."""
+
+    def __init__(self, folder: pathlib.Path, disk: Disk) -> None:
+        self.folder = folder
+        self.written_bytes = 0
+        self.syncs = 0
+        self._disk = disk
+        self._descriptor = -1
+        self._buffer: list[bytes] = []
+
+    # Start.
+
+    def is_new(self) -> bool:
+        """Tell whether the folder holds no identity."""
+        return not (self.folder / IDENTITY_NAME).exists()
+
+    def format(self, identity: Identity) -> None:
+        """Give a new folder its identity.
+
+        Raises Fault when the folder already has files of a replica.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for name in (IDENTITY_NAME, SNAPSHOT_NAME, JOURNAL_NAME):
+            if (self.folder / name).exists():
+                raise errors.Fault(
+                    self._refuse(
+                        f'it already holds {name}',
+                        'name an empty folder, or start the replica on this '
+                        'one without formatting it',
+                    )
+                )
+        data = msgspec.json.encode(identity)
+        self._replace(IDENTITY_NAME, _frame(data))
+
+    def open(self, name: str) -> Recovered:
+        """Read the folder and open the journal for appending.
+
+        Raises Fault with the safe action when the folder cannot be used.
+        """
+        identity = self._read_identity(name)
+        self._drop_fresh_files()
+        snapshot = self._read_snapshot()
+        stored = replica.Stored(
+            0, '', 0, 0, commands.SetMembers(identity.voters, {}), ()
+        )
+        data = b''
+        if snapshot is not None:
+            data = snapshot.data
+            stored = dataclasses.replace(
+                stored,
+                base_index=snapshot.last_index,
+                base_term=snapshot.last_term,
+                members=ledger.read_members(data),
+            )
+        records, torn_bytes = self._read_journal()
+        stored = _replay(stored, records)
+        return Recovered(identity, stored, data, torn_bytes)
+
+    def _read_identity(self, name: str) -> Identity:
+        try:
+            framed = (self.folder / IDENTITY_NAME).read_bytes()
+        except OSError as error:
+            raise errors.Fault(
+                self._refuse(
+                    f'the identity cannot be read: {error.strerror}',
+                    'check the permissions of the folder',
+                )
+            ) from error
+        body = _unframe(framed, 0)
+        if isinstance(body, Damage):
+            raise errors.Fault(self._refuse_damage(IDENTITY_NAME, 0))
+        identity = msgspec.json.decode(body, type=Identity)
+        if identity.name != name:
+            raise errors.Fault(
+                self._refuse(
+                    f'it belongs to replica {identity.name}, not {name}',
+                    'name the folder of this replica in the settings',
+                )
+            )
+        return identity
+
+    def _read_snapshot(self) -> SnapshotRecord | None:
+        path = self.folder / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        body = _unframe(path.read_bytes(), 0)
+        if isinstance(body, Damage):
+            raise errors.Fault(self._refuse_damage(SNAPSHOT_NAME, 0))
+        return msgspec.msgpack.decode(body, type=SnapshotRecord)
+
+    def _read_journal(self) -> tuple[list[JournalRecord], int]:
+        """Return the valid records and how many torn bytes were cut."""
+        path = self.folder / JOURNAL_NAME
+        path.touch()
+        content = path.read_bytes()
+        records: list[JournalRecord] = []
+        position = 0
+        while position < len(content):
+            body = _unframe(content, position)
+            if isinstance(body, Damage):
+                if _has_record_after(content, position):
+                    raise errors.Fault(
+                        self._refuse_damage(JOURNAL_NAME, position)
+                    )
+                break
+            records.append(msgspec.msgpack.decode(body, type=JournalRecord))
+            position += RECORD_HEADER.size + len(body)
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+        os.ftruncate(self._descriptor, position)
+        self._sync(self._descriptor)
+        self._sync_folder()
+        return records, len(content) - position
+
+    def _drop_fresh_files(self) -> None:
+        for path in self.folder.glob(f'*{FRESH_SUFFIX}'):
+            path.unlink()
+
+    # Writes.
+
+    def append(self, write: effects.Write) -> None:
+        """Add a record to the batch that the next sync makes durable."""
+        record = JournalRecord(
+            write.term, write.vote, write.keep, write.entries
+        )
+        self._buffer.append(_frame(msgspec.msgpack.encode(record)))
+
+    def sync(self) -> None:
+        """Write and sync the batch; raises Fault when that fails."""
+        if not self._buffer:
+            return
+        data = b''.join(self._buffer)
+        self._buffer = []
+        self._write(self._descriptor, data)
+        self._sync(self._descriptor)
+
+    def save_snapshot(self, save: effects.SaveSnapshot) -> None:
+        """Replace the snapshot, then the journal that follows it."""
+        self._buffer = []
+        record = SnapshotRecord(save.last_index, save.last_term, save.data)
+        self._replace(SNAPSHOT_NAME, _frame(msgspec.msgpack.encode(record)))
+        rest = JournalRecord(
+            save.term, save.vote, save.last_index, save.entries
+        )
+        self._replace(JOURNAL_NAME, _frame(msgspec.msgpack.encode(rest)))
+        self.close()
+        self._descriptor = os.open(
+            self.folder / JOURNAL_NAME, os.O_WRONLY | os.O_APPEND
+        )
+
+    def close(self) -> None:
+        """Close the journal file."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _replace(self, name: str, data: bytes) -> None:
+        fresh = self.folder / (name + FRESH_SUFFIX)
+        descriptor = os.open(
+            fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
+        )
+        with contextlib.closing(_Descriptor(descriptor)):
+            self._write(descriptor, data)
+            self._sync(descriptor)
+        fresh.rename(self.folder / name)
+        self._sync_folder()
+
+    def _write(self, descriptor: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            try:
+                count = self._disk.write(descriptor, bytes(view))
+            except OSError as error:
+                raise errors.Fault(self._refuse_write(error)) from error
+            view = view[count:]
+        self.written_bytes += len(data)
+
+    def _sync(self, descriptor: int) -> None:
+        try:
+            self._disk.sync(descriptor)
+        except OSError as error:
+            raise errors.Fault(self._refuse_write(error)) from error
+        self.syncs += 1
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self.folder, os.O_RDONLY)
+        with contextlib.closing(_Descriptor(descriptor)):
+            self._sync(descriptor)
+
+    # Refusals.
+
+    def _refuse(self, reason: str, remedy: str) -> errors.Refusal:
+        return errors.refuse(
+            errors.Code.DATA_FOLDER,
+            folder=self.folder,
+            reason=reason,
+            remedy=remedy,
+        )
+
+    def _refuse_damage(self, name: str, position: int) -> errors.Refusal:
+        return self._refuse(
+            f'file {name} is damaged at byte {position}',
+            'empty the folder and start the replica; it rejoins as a learner',
+        )
+
+    def _refuse_write(self, error: OSError) -> errors.Refusal:
+        return self._refuse(
+            f'a write failed: {error.strerror}',
+            'free or replace the disk, then start the replica again',
+        )
+
+
+class _Descriptor:
+    """A file descriptor that can be closed by a context manager."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def close(self) -> None:
+        """Close the descriptor."""
+        os.close(self._descriptor)
+
+
+def _frame(body: bytes) -> bytes:
+    checksum = xxhash.xxh3_64_intdigest(body)
+    return RECORD_HEADER.pack(len(body), checksum) + body
+
+
+def _unframe(content: bytes, position: int) -> bytes | Damage:
+    """Return the body of the record at a position, or what is wrong."""
+    end = position + RECORD_HEADER.size
+    if end > len(content):
+        return Damage.SHORT
+    length, checksum = RECORD_HEADER.unpack_from(content, position)
+    if length > MAX_RECORD_BYTES or end + length > len(content):
+        return Damage.SHORT
+    body = content[end : end + length]
+    if xxhash.xxh3_64_intdigest(body) != checksum:
+        return Damage.CHECKSUM
+    return body
+
+
+def _has_record_after(content: bytes, position: int) -> bool:
+    """Tell whether a valid record starts anywhere after a damaged one."""
+    last = len(content) - RECORD_HEADER.size
+    for start in range(position + 1, last):
+        body = _unframe(content, start)
+        if isinstance(body, bytes) and body:
+            return True
+    return False
+
+
+def _replay(
+    stored: replica.Stored, records: list[JournalRecord]
+) -> replica.Stored:
+    """Apply journal records to what the snapshot holds."""
+    entries: list[messages.LogEntry] = []
+    term, vote = stored.term, stored.vote
+    base = stored.base_index
+    for record in records:
+        term, vote = record.term, record.vote
+        entries = [entry for entry in entries if entry.index <= record.keep]
+        entries += [entry for entry in record.entries if entry.index > base]
+    return dataclasses.replace(
+        stored, term=term, vote=vote, entries=tuple(entries)
+    )
--- /dev/null
+++ b/eelgrassworks/ledger.py
@@ -0,0 +1,277 @@
+"""The replicated state machine: configuration, claims and entries.
+
+Every replica applies the same commands in the same order.  Nothing here
+reads a clock; time is part of the commands and never moves backwards.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from eelgrassworks import commands
+from eelgrassworks import contracts
+from eelgrassworks import ids
+from eelgrassworks.links import codec
+
+CLAIM_WINDOW_MS: Final = 900_000
+CLAIM_FUTURE_MS: Final = 60_000
+BUCKET_MS: Final = 10_000
+KEPT_CHANGES: Final = 10_000
+
+
+class ClaimRecord(msgspec.Struct, array_like=True):
+    """Owner and body digest of a claimed id."""
+
+    digest: str
+    owner: str
+    incarnation: int
+
+
+class EntryRecord(msgspec.Struct, array_like=True):
+    """The current run of an entry."""
+
+    address: str
+    nonce: int
+    incarnation: int
+    alive: bool
+
+
+class LedgerModel(msgspec.Struct):
+    """The border model of a snapshot."""
+
+    configuration: contracts.Configuration
+    claims: dict[str, ClaimRecord]
+    entries: dict[str, EntryRecord]
+    changes: list[tuple[str, codec.Variant]]
+    winners: dict[int, str]
+    time_ms: int
+    members: commands.SetMembers
+
+
+class Ledger:
+    """State that survives every process."""
+
+    def __init__(self) -> None:
+        self.configuration = contracts.Configuration(
+            0, contracts.Sheet({}, {}), frozenset(), frozenset()
+        )
+        self.claims: dict[str, ClaimRecord] = {}
+        self.entries: dict[str, EntryRecord] = {}
+        self.changes: collections.OrderedDict[str, Any] = (
+            collections.OrderedDict()
+        )
+        self.winners: dict[int, str] = {}
+        self.time_ms = 0
+        self._buckets: dict[int, list[str]] = {}
+
+    def apply(self, index: int, command: Any) -> list[Any]:
+        """Apply one command; return the verdicts it leads to."""
+        match command:
+            case commands.CommitClaims(claims, wall_ms):
+                self._advance_time(wall_ms)
+                return [self._claim(claim) for claim in claims]
+            case commands.CommitChange():
+                return [self._change(command)]
+            case commands.RegisterEntry():
+                self._register(index, command)
+                return []
+            case commands.EndEntry(name, incarnation):
+                record = self.entries.get(name)
+                if record is not None and record.incarnation == incarnation:
+                    record.alive = False
+                return []
+            case _:
+                return []
+
+    # Claims.
+
+    def look_up(self, submission: str) -> contracts.ClaimVerdict:
+        """Return who owns an id, without claiming it."""
+        objection = self._check_time(submission)
+        if objection is not None:
+            return objection
+        record = self.claims.get(submission)
+        if record is None:
+            return contracts.ClaimFree(submission)
+        return self._tell_taken(submission, record)
+
+    def _claim(self, claim: contracts.Claim) -> contracts.ClaimVerdict:
+        submission = claim.submission
+        objection = self._check_time(submission)
+        if objection is not None:
+            return objection
+        record = self.claims.get(submission)
+        if record is None:
+            return self._grant(claim)
+        if record.digest != claim.digest:
+            return contracts.ClaimConflict(submission)
+        if (record.owner, record.incarnation) == (
+            claim.owner,
+            claim.incarnation,
+        ):
+            return contracts.ClaimGranted(submission)
+        return self._tell_taken(submission, record)
+
+    def _grant(self, claim: contracts.Claim) -> contracts.ClaimVerdict:
+        entry = self.entries.get(claim.owner)
+        if entry is None or entry.incarnation != claim.incarnation:
+            return contracts.ClaimSuperseded(claim.submission)
+        self._remember(
+            claim.submission,
+            ClaimRecord(claim.digest, claim.owner, claim.incarnation),
+        )
+        return contracts.ClaimGranted(claim.submission)
+
+    def _remember(self, submission: str, record: ClaimRecord) -> None:
+        self.claims[submission] = record
+        id_ms = ids.read_time_ms(submission) or 0
+        self._buckets.setdefault(id_ms // BUCKET_MS, []).append(submission)
+
+    def _tell_taken(
+        self, submission: str, record: ClaimRecord
+    ) -> contracts.ClaimTaken:
+        entry = self.entries.get(record.owner)
+        current = (
+            entry is not None
+            and entry.alive
+            and entry.incarnation == record.incarnation
+        )
+        address = entry.address if entry is not None and current else ''
+        return contracts.ClaimTaken(
+            submission, record.owner, record.incarnation, address
+        )
+
+    def _check_time(self, submission: str) -> contracts.ClaimVerdict | None:
+        id_ms = ids.read_time_ms(submission)
+        if id_ms is None or id_ms < self.time_ms - CLAIM_WINDOW_MS:
+            return contracts.ClaimExpired(submission)
+        if id_ms > self.time_ms + CLAIM_FUTURE_MS:
+            return contracts.ClaimFuture(submission)
+        return None
+
+    def _advance_time(self, wall_ms: int) -> None:
+        self.time_ms = max(self.time_ms, wall_ms)
+        oldest = (self.time_ms - CLAIM_WINDOW_MS) // BUCKET_MS
+        for bucket in [each for each in self._buckets if each < oldest]:
+            for submission in self._buckets.pop(bucket):
+                self.claims.pop(submission, None)
+
+    # Configuration.
+
+    def _change(self, asked: commands.CommitChange) -> Any:
+        known = self.changes.get(asked.id)
+        if known is not None:
+            return known
+        verdict = self._decide(asked)
+        self.changes[asked.id] = verdict
+        while len(self.changes) > KEPT_CHANGES:
+            self.changes.popitem(last=False)
+        return verdict
+
+    def _decide(self, asked: commands.CommitChange) -> contracts.ChangeVerdict:
+        revision = self.configuration.revision
+        if asked.expected_revision != revision:
+            winner = self.winners.get(asked.expected_revision + 1, '')
+            return contracts.ChangeConflict(asked.id, revision, winner)
+        change = codec.unpack(asked.change)
+        reason = self._find_objection(change)
+        if reason:
+            return contracts.ChangeInvalid(asked.id, revision, reason)
+        self.configuration = _revise(self.configuration, change)
+        revision = self.configuration.revision
+        self.winners[revision] = asked.operator
+        self.winners.pop(revision - KEPT_CHANGES, None)
+        return contracts.ChangeAccepted(asked.id, revision)
+
+    def _find_objection(self, change: contracts.Change) -> str:
+        known = {
+            name
+            for kind in self.configuration.sheet.kinds.values()
+            for name in kind.failure_domains
+        }
+        match change:
+            case contracts.CloseDomain(name) | contracts.OpenDomain(name):
+                if name in known or name in self.configuration.closed:
+                    return ''
+                return f'failure domain {name} is not in the sheet'
+            case _:
+                return ''
+
+    # Entries.
+
+    def _register(self, index: int, asked: commands.RegisterEntry) -> None:
+        record = self.entries.get(asked.name)
+        if record is not None and record.nonce == asked.nonce:
+            record.alive = True
+            record.address = asked.address
+            return
+        self.entries[asked.name] = EntryRecord(
+            asked.address, asked.nonce, index, True
+        )
+
+    # Snapshots.
+
+    def dump(self, members: commands.SetMembers) -> bytes:
+        """Return the state and the members of the log as one snapshot."""
+        return codec.encode(
+            LedgerModel(
+                self.configuration,
+                self.claims,
+                self.entries,
+                [
+                    (key, codec.pack(each))
+                    for key, each in self.changes.items()
+                ],
+                self.winners,
+                self.time_ms,
+                members,
+            )
+        )
+
+    def load(self, data: bytes) -> commands.SetMembers:
+        """Replace the state by a snapshot; return the members in it."""
+        model = msgspec.msgpack.decode(data, type=LedgerModel)
+        self.configuration = model.configuration
+        self.entries = model.entries
+        self.changes = collections.OrderedDict(
+            (key, codec.unpack(variant)) for key, variant in model.changes
+        )
+        self.winners = model.winners
+        self.time_ms = model.time_ms
+        self.claims = {}
+        self._buckets = {}
+        for submission, record in model.claims.items():
+            self._remember(submission, record)
+        return model.members
+
+
+def _revise(
+    configuration: contracts.Configuration, change: contracts.Change
+) -> contracts.Configuration:
+    """Return the configuration that follows by one change."""
+    revised = dataclasses.replace(
+        configuration, revision=configuration.revision + 1
+    )
+    match change:
+        case contracts.ApplySheet(sheet):
+            return dataclasses.replace(revised, sheet=sheet)
+        case contracts.CloseDomain(name):
+            return dataclasses.replace(revised, closed=revised.closed | {name})
+        case contracts.OpenDomain(name):
+            return dataclasses.replace(revised, closed=revised.closed - {name})
+        case contracts.DrainTarget(name):
+            return dataclasses.replace(
+                revised, draining=revised.draining | {name}
+            )
+        case contracts.UndrainTarget(name):
+            return dataclasses.replace(
+                revised, draining=revised.draining - {name}
+            )
+
+
+def read_members(snapshot: bytes) -> commands.SetMembers:
+    """Return the members of the log that a snapshot records."""
+    return msgspec.msgpack.decode(snapshot, type=LedgerModel).members
--- /dev/null
+++ b/eelgrassworks/main.py
@@ -0,0 +1,126 @@
+"""Command line of the daemon.
+
+``eelgrassworksd entry|control|agent --settings FILE`` runs one role in this
+process; ``eelgrassworksd format`` prepares the data folder of a replica of a
+new cluster.
+"""
+
+import asyncio
+import pathlib
+import secrets
+import sys
+from typing import Final
+from typing import NoReturn
+
+import expression
+import fire
+import pynng
+
+from eelgrassworks import errors
+from eelgrassworks import links
+from eelgrassworks import logs
+from eelgrassworks import process
+from eelgrassworks import settings
+from eelgrassworks.links import transport
+from eelgrassworks.settings import ControlSettings
+
+EXIT_FAULT: Final = 1
+EXIT_USAGE: Final = 2
+RUN_BITS: Final = 63
+
+
+class Daemon:
+    """Runs one role of eelgrassworks in this process."""
+
+    def entry(self, settings: str) -> None:
+        """Run an entry."""
+        _run_role('entry', settings)
+
+    def control(self, settings: str) -> None:
+        """Run a control replica."""
+        _run_role('control', settings)
+
+    def agent(self, settings: str) -> None:
+        """Run an agent."""
+        _run_role('agent', settings)
+
+    def format(self, settings: str, cluster: str) -> None:
+        """Prepare the new data folder of a replica of a new cluster."""
+        model = load_settings(settings)
+        if not isinstance(model, ControlSettings):
+            _exit_usage('only a control replica has a data folder')
+        from eelgrassworks import controlprocess
+
+        try:
+            controlprocess.format_folder(model, str(cluster))
+        except errors.Fault as fault:
+            sys.stderr.write(f'eelgrassworksd: {fault}\n')
+            sys.exit(EXIT_FAULT)
+
+
+def load_settings(path: str) -> settings.Settings:
+    """Return the validated settings, or exit with the reason."""
+    match settings.read_settings(pathlib.Path(path)):
+        case expression.Result(tag='error', error=refusal):
+            _exit_usage(errors.word(refusal))
+        case result:
+            model = result.ok
+    return model
+
+
+def _exit_usage(text: str) -> NoReturn:
+    sys.stderr.write(f'eelgrassworksd: {text}\n')
+    sys.exit(EXIT_USAGE)
+
+
+def make_process(model: settings.Settings) -> process.Process:
+    """Return the process of a role with its sockets, not yet started.
+
+    Modules are imported for the role alone, since an agent must stay small.
+    """
+    sender = links.Sender(model.name, secrets.randbits(RUN_BITS))
+    codec = links.Codec(model.key.encode())
+    match model:
+        case settings.ControlSettings():
+            from eelgrassworks import controlprocess
+            from eelgrassworks import journal
+
+            link = transport.SocketTransport(codec, sender, model.listen)
+            return controlprocess.ControlProcess(
+                model, link, journal.SystemDisk()
+            )
+        case settings.EntrySettings():
+            from eelgrassworks import entryprocess
+
+            link = transport.SocketTransport(codec, sender, model.listen)
+            return entryprocess.EntryProcess(model, link)
+        case settings.AgentSettings():
+            from eelgrassworks import agentprocess
+
+            link = transport.SocketTransport(codec, sender)
+            return agentprocess.AgentProcess(model, link)
+
+
+def _run_role(role: str, path: str) -> None:
+    model = load_settings(path)
+    if model.__struct_config__.tag != role:
+        _exit_usage(f'{path} holds settings of another role')
+    logs.start_logging(role=role, name=model.name)
+    sys.exit(asyncio.run(_run(model)))
+
+
+async def _run(model: settings.Settings) -> int:
+    try:
+        running = make_process(model)
+        running.watch_signals()
+        return await running.run()
+    except errors.Fault as fault:
+        logs.log('fault', reason=str(fault))
+    except (OSError, pynng.NNGException) as error:
+        logs.log('fault', reason=f'{error}; check the addresses')
+    return EXIT_FAULT
+
+
+def main() -> None:
+    """Run the daemon's command line."""
+    fire.Fire(Daemon, name='eelgrassworksd')
--- /dev/null
+++ b/eelgrassworks/operators.py
@@ -0,0 +1,266 @@
+"""HTTP border towards operators: configuration, targets and jobs."""
+
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import expression
+import msgspec
+
+from eelgrassworks import clock
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import errors
+from eelgrassworks import problems
+from eelgrassworks import settings
+from eelgrassworks import sheet
+from eelgrassworks import tokens
+
+if TYPE_CHECKING:
+    from eelgrassworks import entryprocess
+
+CHANGE_ID_HEADER: Final = 'Idempotency-Key'
+MAX_CHANGE_ID: Final = 100
+MAX_LISTED_JOBS: Final = 1000
+
+
+class DomainChangeModel(
+    msgspec.Struct, forbid_unknown_fields=True, tag_field='action'
+):
+    """Base of the changes that name one thing."""
+
+    name: settings.Name
+
+
+class CloseModel(DomainChangeModel, tag='close'):
+    """Closes a failure domain."""
+
+
+class OpenModel(DomainChangeModel, tag='open'):
+    """Opens a failure domain."""
+
+
+class DrainModel(DomainChangeModel, tag='drain'):
+    """Drains a target."""
+
+
+class UndrainModel(DomainChangeModel, tag='undrain'):
+    """Ends the drain of a target."""
+
+
+ChangeModel = CloseModel | OpenModel | DrainModel | UndrainModel
+Revision = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The border model of a change."""
+
+    expected_revision: Revision
+    change: ChangeModel
+
+
+class ChangeAnswer(msgspec.Struct):
+    """The border model of the answer to an accepted change."""
+
+    id: str
+    revision: int
+    in_force: bool
+
+
+def make_change(model: ChangeModel) -> contracts.Change:
+    """Return the data class of a validated change."""
+    match model:
+        case CloseModel(name=name):
+            return contracts.CloseDomain(name)
+        case OpenModel(name=name):
+            return contracts.OpenDomain(name)
+        case DrainModel(name=name):
+            return contracts.DrainTarget(name)
+        case UndrainModel(name=name):
+            return contracts.UndrainTarget(name)
+
+
+def parse_change(
+    data: bytes,
+) -> expression.Result[ChangeBody, errors.Refusal]:
+    """Validate the body of a change."""
+    try:
+        return expression.Ok(msgspec.json.decode(data, type=ChangeBody))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return expression.Error(
+            errors.refuse(
+                errors.Code.BAD_BODY, expected='change', reason=error
+            )
+        )
+
+
+class Operators:
+    """Serves operators for one entry."""
+
+    def __init__(self, owner: 'entryprocess.EntryProcess') -> None:
+        self._owner = owner
+
+    def add_routes(self, application: web.Application) -> None:
+        """Add the routes to an application."""
+        router = application.router
+        router.add_get('/v1/configuration', self._show_configuration)
+        router.add_get('/v1/targets', self._show_targets)
+        router.add_get('/v1/jobs', self._show_jobs)
+        router.add_post('/v1/changes', self._change)
+        router.add_put('/v1/sheet', self._apply_sheet)
+
+    def _find_operator(
+        self, request: web.Request
+    ) -> expression.Result[str, errors.Refusal]:
+        known = self._owner.model.tokens.operators
+        return tokens.find_holder(request, known, 'an operator request')
+
+    async def _show_configuration(self, request: web.Request) -> web.Response:
+        session = self._owner.entry.session
+        configuration = session.configuration
+        return self._respond(
+            request,
+            {
+                'revision': configuration.revision,
+                'in_force_revision': session.in_force_revision,
+                'confirmed': session.may_work(clock.read_now()),
+                'closed': sorted(configuration.closed),
+                'draining': sorted(configuration.draining),
+                'kinds': {
+                    kind.name: {
+                        'failure_domains': sorted(kind.failure_domains),
+                        'repeatable': kind.repeatable,
+                        'time_limit_s': kind.time_limit_s,
+                    }
+                    for kind in configuration.sheet.kinds.values()
+                },
+                'teams': {
+                    quota.team: {
+                        'share': quota.share,
+                        'max_queued': quota.max_queued,
+                        'max_running': quota.max_running,
+                    }
+                    for quota in configuration.sheet.quotas.values()
+                },
+            },
+        )
+
+    async def _show_targets(self, request: web.Request) -> web.Response:
+        described = self._owner.entry.dispatcher.describe(clock.read_now())
+        return self._respond(request, described['targets'])
+
+    async def _show_jobs(self, request: web.Request) -> web.Response:
+        now_s = clock.read_now()
+        jobs = list(self._owner.entry.table.jobs.values())[-MAX_LISTED_JOBS:]
+        return self._respond(
+            request,
+            {
+                job.submission.id: {
+                    'team': job.submission.team,
+                    'kind': job.submission.kind,
+                    'state': job.state.value,
+                    'tasks': len(job.tasks),
+                    'remaining': job.remaining,
+                    'age_s': round(now_s - job.arrived_s, 3),
+                }
+                for job in jobs
+            },
+        )
+
+    def _respond(self, request: web.Request, body: Any) -> web.Response:
+        match self._find_operator(request):
+            case expression.Result(tag='error', error=refusal):
+                return problems.respond_problem(refusal)
+            case _:
+                return web.json_response(body)
+
+    async def _change(self, request: web.Request) -> web.Response:
+        match parse_change(await request.read()):
+            case expression.Result(tag='error', error=refusal):
+                return problems.respond_problem(refusal)
+            case result:
+                body = result.ok
+        return await self._make(
+            request, body.expected_revision, make_change(body.change)
+        )
+
+    async def _apply_sheet(self, request: web.Request) -> web.Response:
+        try:
+            expected = int(request.query.get('expected_revision', ''))
+        except ValueError:
+            return problems.respond_problem(
+                errors.refuse(
+                    errors.Code.BAD_HEADER,
+                    header='expected_revision',
+                    reason='it is not a number',
+                )
+            )
+        match sheet.parse_sheet(await request.read()):
+            case expression.Result(tag='error', error=refusal):
+                return problems.respond_problem(refusal)
+            case result:
+                change = contracts.ApplySheet(result.ok)
+        return await self._make(request, expected, change)
+
+    async def _make(
+        self, request: web.Request, expected: int, change: contracts.Change
+    ) -> web.Response:
+        """Commit a change and wait until it is in force."""
+        match self._find_operator(request):
+            case expression.Result(tag='error', error=refusal):
+                return problems.respond_problem(refusal)
+            case result:
+                operator = result.ok
+        change_id = request.headers.get(CHANGE_ID_HEADER, '')
+        if not 0 < len(change_id) <= MAX_CHANGE_ID:
+            return problems.respond_problem(
+                errors.refuse(
+                    errors.Code.BAD_HEADER,
+                    header=CHANGE_ID_HEADER,
+                    reason=f'it needs 1 to {MAX_CHANGE_ID} characters',
+                )
+            )
+        number, future = self._owner.open_request()
+        asked = contracts.ChangeRequest(
+            change_id,
+            operator or request.headers.get('Operator', 'unnamed'),
+            expected,
+            change,
+        )
+        self._owner.dispatch(entry.ChangeAsked(number, asked))
+        response = await self._owner.await_reply(number, future)
+        return respond_change(change_id, response)
+
+
+def respond_change(
+    change_id: str, response: entry.ChangeMade | entry.ChangeUnknown
+) -> web.Response:
+    """Return the HTTP response of a change."""
+    match response:
+        case entry.ChangeMade(contracts.ChangeAccepted(_, revision), force):
+            return web.Response(
+                body=msgspec.json.encode(
+                    ChangeAnswer(change_id, revision, force)
+                ),
+                status=200 if force else 202,
+                content_type='application/json',
+            )
+        case entry.ChangeMade(
+            contracts.ChangeConflict(_, revision, winner), _
+        ):
+            refusal = errors.refuse(
+                errors.Code.CONFIGURATION_CONFLICT,
+                revision=revision,
+                winner=winner or 'an unknown operator',
+            )
+        case entry.ChangeMade(contracts.ChangeInvalid(_, _, reason), _):
+            refusal = errors.refuse(
+                errors.Code.CONFIGURATION_INVALID, reason=reason
+            )
+        case entry.ChangeUnknown():
+            refusal = errors.refuse_started(
+                errors.Code.UNAVAILABLE, limit_s=entry.CHANGE_WAIT_S
+            )
+    return problems.respond_problem(refusal)
--- /dev/null
+++ b/eelgrassworks/placement.py
@@ -0,0 +1,123 @@
+"""Choice of a target for the next task.
+
+The policies are data classes; ``choose`` branches on them.  The late-binding
+policy is the product's; the others are named baselines, kept so that every
+measurement can compare against them.  Randomness comes from a hash of the
+task key, so a choice can be repeated exactly.
+"""
+
+import dataclasses
+from typing import Final
+from typing import Literal
+
+import xxhash
+
+from eelgrassworks import contracts
+from eelgrassworks import machines
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Random:
+    """Any target, without regard to load."""
+
+    learnt: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TwoChoices:
+    """The less loaded of two targets."""
+
+    learnt: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastOutstanding:
+    """The target with the fewest tasks of this entry for each slot."""
+
+    learnt: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LateBinding:
+    """A target with a free slot, or none yet."""
+
+    learnt: bool = True
+
+
+Policy = Random | TwoChoices | LeastOutstanding | LateBinding
+
+PolicyName = Literal[
+    'random', 'two-choices', 'least-outstanding', 'late-binding'
+]
+
+POLICIES: Final[dict[str, type[Policy]]] = {
+    'random': Random,
+    'two-choices': TwoChoices,
+    'least-outstanding': LeastOutstanding,
+    'late-binding': LateBinding,
+}
+
+
+def make_policy(name: str, learnt: bool) -> Policy:
+    """Return the policy of a name; raises KeyError when unknown."""
+    return POLICIES[name](learnt)
+
+
+def choose(
+    policy: Policy,
+    views: list[machines.TargetView],
+    key: contracts.TaskKey,
+) -> machines.TargetView | None:
+    """Return the target to send a task to, or None to let it wait."""
+    if not views:
+        return None
+    match policy:
+        case Random(learnt):
+            return _draw_weighted(views, key, learnt)
+        case TwoChoices(learnt):
+            first = views[_draw(key, 0) % len(views)]
+            second = views[_draw(key, 1) % len(views)]
+            return min(
+                first, second, key=lambda view: _weigh_load(view, learnt)
+            )
+        case LeastOutstanding(learnt):
+            return min(views, key=lambda view: _weigh_load(view, learnt))
+        case LateBinding(learnt):
+            return _choose_free(views, key, learnt)
+
+
+def _choose_free(
+    views: list[machines.TargetView], key: contracts.TaskKey, learnt: bool
+) -> machines.TargetView | None:
+    free = [view for view in views if view.free > 0]
+    if not free:
+        return None
+    if learnt:
+        return min(free, key=lambda view: (view.slowness, -view.free))
+    return max(free, key=lambda view: view.free)
+
+
+def _weigh_load(view: machines.TargetView, learnt: bool) -> float:
+    load = (len(view.outstanding) + 1) / view.target.slots
+    return load * view.slowness if learnt else load
+
+
+def _draw(key: contracts.TaskKey, salt: int) -> int:
+    return xxhash.xxh64_intdigest(
+        f'{key.submission}/{key.index}'.encode(), salt
+    )
+
+
+def _draw_weighted(
+    views: list[machines.TargetView], key: contracts.TaskKey, learnt: bool
+) -> machines.TargetView:
+    draw = _draw(key, 0)
+    if not learnt:
+        return views[draw % len(views)]
+    weights = [view.target.slots / view.slowness for view in views]
+    point = draw / 2**64 * sum(weights)
+    for view, weight in zip(views, weights, strict=True):
+        point -= weight
+        if point <= 0:
+            return view
+    return views[-1]
--- /dev/null
+++ b/eelgrassworks/process.py
@@ -0,0 +1,218 @@
+"""The frame that every role shares: loop, ticks, effects, stop and dumps.
+
+A role puts its decision class behind ``decide`` and its own effects behind
+``perform``; everything else is here.
+"""
+
+import asyncio
+import signal
+from typing import Any
+from typing import Final
+
+from aiohttp import web
+
+from eelgrassworks import clock
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import links
+from eelgrassworks import logs
+from eelgrassworks import metrics
+from eelgrassworks.links import messages
+from eelgrassworks.links import transport
+
+TICK_INTERVAL_S: Final = 0.05
+LINGER_S: Final = 0.2
+STOP_PATIENCE_S: Final = 30.0
+# Bounds on what a caller may put into one request's head, in bytes.
+MAX_LINE_BYTES: Final = 8190
+MAX_FIELD_BYTES: Final = 8190
+
+
+class Process:
+    """One process of the system, on one loop in one thread."""
+
+    def __init__(
+        self,
+        role: str,
+        link: transport.Transport,
+        measures: metrics.Metrics,
+    ) -> None:
+        self.role = role
+        self.link = link
+        self.measures = measures
+        self.ended = asyncio.Event()
+        self.fault: errors.Refusal | None = None
+        self._tick_handle: asyncio.TimerHandle | None = None
+        self._flushed_s = 0.0
+        self._runners: list[web.AppRunner] = []
+
+    # For the roles.
+
+    def decide(self, event: Any, now_s: float) -> effects.Effects:
+        """Give an event to the decision class."""
+        raise NotImplementedError
+
+    def perform(self, effect: effects.Effect) -> None:
+        """Carry out an effect that only this role has."""
+        raise NotImplementedError
+
+    def make_tick(self) -> object:
+        """Return the role's event for the passing of time."""
+        raise NotImplementedError
+
+    def make_stop(self) -> object:
+        """Return the role's event for the begin of a planned stop."""
+        raise NotImplementedError
+
+    def make_received(self, frame: links.Frame, message: object) -> object:
+        """Return the role's event for a message."""
+        raise NotImplementedError
+
+    def describe(self) -> dict[str, object]:
+        """Return the state of the decision class for a dump."""
+        raise NotImplementedError
+
+    def is_ready(self) -> bool:
+        """Tell whether the process takes new work."""
+        raise NotImplementedError
+
+    def count(self) -> dict[str, int]:
+        """Return the counters that go out as metrics."""
+        raise NotImplementedError
+
+    def gauge(self) -> dict[str, float]:
+        """Return the gauges that go out as metrics."""
+        return {}
+
+    async def close(self) -> None:
+        """Close what the role itself opened."""
+
+    # Events and effects.
+
+    def dispatch(self, event: object) -> None:
+        """Give an event to the decision class and carry out its effects."""
+        self.carry_out(self.decide(event, clock.read_now()))
+
+    def carry_out(self, asked: effects.Effects) -> None:
+        """Carry out effects in their order."""
+        for effect in asked:
+            match effect:
+                case effects.Send(peer, message):
+                    self.link.post(peer, message)
+                case effects.Connect(peer, address):
+                    self.link.connect(peer, address)
+                case effects.Log(event, fields):
+                    logs.log(event, **fields)
+                case effects.Leave():
+                    logs.log('left')
+                    self.ended.set()
+                case effects.Halt(refusal):
+                    self.halt(refusal)
+                case _:
+                    self.perform(effect)
+
+    def halt(self, refusal: errors.Refusal) -> None:
+        """End the process at once because of a fault."""
+        logs.log('halted', reason=errors.word(refusal))
+        self.fault = refusal
+        self.ended.set()
+
+    def receive(self, frame: links.Frame) -> None:
+        """Take a frame from the transport."""
+        for message in frame.messages:
+            if isinstance(message, messages.Heartbeat):
+                continue
+            self.dispatch(self.make_received(frame, message))
+
+    # Life.
+
+    async def start(self) -> None:
+        """Begin to receive and to tick."""
+        self.link.start(self.receive)
+        self._tick()
+        logs.log('started')
+
+    def _tick(self) -> None:
+        if self.ended.is_set():
+            return
+        loop = asyncio.get_running_loop()
+        self._tick_handle = loop.call_later(TICK_INTERVAL_S, self._tick)
+        now_s = clock.read_now()
+        self.dispatch(self.make_tick())
+        self.link.tick(now_s)
+        if now_s - self._flushed_s >= metrics.FLUSH_INTERVAL_S:
+            self._flushed_s = now_s
+            self.measures.flush(self.count(), self.gauge())
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop."""
+        logs.log('stopping')
+        self.dispatch(self.make_stop())
+
+    def watch_signals(self) -> None:
+        """Stop on SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.begin_stop)
+
+    async def run(self) -> int:
+        """Run until the process ends; return its exit status."""
+        await self.start()
+        await self.ended.wait()
+        await self.finish()
+        return 0 if self.fault is None else 1
+
+    async def finish(self) -> None:
+        """Send what is posted, then close everything."""
+        if self._tick_handle is not None:
+            self._tick_handle.cancel()
+        self.link.flush()
+        await self.close()
+        if self.fault is None:
+            # Lets the sockets hand over the last frames.
+            await asyncio.sleep(LINGER_S)
+        for runner in self._runners:
+            await runner.cleanup()
+        self.link.close()
+        self.measures.flush(self.count(), self.gauge())
+        logs.log('ended')
+
+    # HTTP.
+
+    async def serve(
+        self, application: web.Application, host: str, port: int
+    ) -> int:
+        """Serve an application; return the port that it listens on."""
+        application.router.add_get('/live', self._show_live)
+        application.router.add_get('/ready', self._show_ready)
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            shutdown_timeout=STOP_PATIENCE_S,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        self._runners.append(runner)
+        bound: int = runner.addresses[0][1]
+        return bound
+
+    async def _show_live(self, _: web.Request) -> web.Response:
+        return web.json_response({'live': True})
+
+    async def _show_ready(self, _: web.Request) -> web.Response:
+        ready = self.is_ready()
+        return web.json_response(
+            {'ready': ready}, status=200 if ready else 503
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return the whole state of the process."""
+        return {
+            'role': self.role,
+            'name': self.link.sender.name,
+            'run': self.link.sender.incarnation,
+            'state': self.describe(),
+            'link': self.link.describe(),
+        }
--- /dev/null
+++ b/eelgrassworks/queues.py
@@ -0,0 +1,141 @@
+"""Fair queue of tasks between teams.
+
+Start-time fair queueing: each team has a virtual time that advances by the
+inverse of its share with every task taken; the team with the least virtual
+time goes next.  Within a team jobs keep their order of arrival, so that a
+job finishes whole before the next one spreads out.
+"""
+
+import collections
+import dataclasses
+
+from eelgrassworks import contracts
+
+
+@dataclasses.dataclass(slots=True)
+class QueuedJob:
+    """The tasks of one job that wait, in the order of their indices."""
+
+    submission: str
+    kind: str
+    indices: collections.deque[int]
+
+
+@dataclasses.dataclass(slots=True)
+class TeamQueue:
+    """Waiting jobs of one team."""
+
+    share: float
+    virtual_s: float
+    waiting: int = 0
+    running: int = 0
+    max_running: int = 0
+    jobs: dict[str, QueuedJob] = dataclasses.field(default_factory=dict)
+
+
+class FairQueue:
+    """Tasks that wait for a target, over all teams."""
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamQueue] = {}
+        self.length = 0
+        self._active: dict[str, None] = {}
+        self._virtual_s = 0.0
+
+    def set_quota(self, quota: contracts.Quota) -> None:
+        """Take the share and the limit of a team."""
+        team = self._find_team(quota.team)
+        team.share = quota.share
+        team.max_running = quota.max_running
+
+    def count_waiting(self, team: str) -> int:
+        """Return the number of waiting tasks of a team."""
+        queue = self.teams.get(team)
+        return 0 if queue is None else queue.waiting
+
+    def add(
+        self, team_name: str, submission: str, kind: str, count: int
+    ) -> None:
+        """Queue all tasks of a job behind the other jobs of its team."""
+        team = self._wake(team_name)
+        team.jobs[submission] = QueuedJob(
+            submission, kind, collections.deque(range(count))
+        )
+        team.waiting += count
+        self.length += count
+
+    def put_back(
+        self, team_name: str, submission: str, kind: str, index: int
+    ) -> None:
+        """Return a task that was not started to the front of its team."""
+        team = self._wake(team_name)
+        job = team.jobs.get(submission)
+        if job is None:
+            job = QueuedJob(submission, kind, collections.deque())
+            team.jobs = {submission: job, **team.jobs}
+        job.indices.appendleft(index)
+        team.waiting += 1
+        self.length += 1
+
+    def pick(self, blocked: set[str]) -> tuple[str, QueuedJob] | None:
+        """Return the team and job whose task goes next, without taking it.
+
+        Jobs whose kind is in ``blocked`` are passed over.
+        """
+        best: tuple[str, QueuedJob] | None = None
+        best_s = float('inf')
+        for name in self._active:
+            team = self.teams[name]
+            if team.virtual_s >= best_s:
+                continue
+            if team.max_running and team.running >= team.max_running:
+                continue
+            for job in team.jobs.values():
+                if job.kind not in blocked:
+                    best = (name, job)
+                    best_s = team.virtual_s
+                    break
+        return best
+
+    def take(self, team_name: str, job: QueuedJob) -> int:
+        """Remove and return the next task index of a job."""
+        team = self.teams[team_name]
+        index = job.indices.popleft()
+        if not job.indices:
+            del team.jobs[job.submission]
+        self._virtual_s = max(self._virtual_s, team.virtual_s)
+        team.virtual_s += 1.0 / team.share
+        self._shrink(team_name, team, 1)
+        team.running += 1
+        return index
+
+    def end(self, team_name: str) -> None:
+        """Record that a taken task no longer runs."""
+        team = self._find_team(team_name)
+        team.running = max(0, team.running - 1)
+
+    def remove(self, team_name: str, submission: str) -> int:
+        """Drop the waiting tasks of a job; return how many there were."""
+        team = self._find_team(team_name)
+        job = team.jobs.pop(submission, None)
+        if job is None:
+            return 0
+        self._shrink(team_name, team, len(job.indices))
+        return len(job.indices)
+
+    def _find_team(self, name: str) -> TeamQueue:
+        return self.teams.setdefault(name, TeamQueue(1.0, self._virtual_s))
+
+    def _wake(self, name: str) -> TeamQueue:
+        team = self._find_team(name)
+        # An idle team must not save up virtual time to spend at once.
+        if not team.waiting:
+            team.virtual_s = max(team.virtual_s, self._virtual_s)
+        self._active[name] = None
+        return team
+
+    def _shrink(self, name: str, team: TeamQueue, count: int) -> None:
+        team.waiting -= count
+        self.length -= count
+        if not team.waiting:
+            self._active.pop(name, None)
