--- /dev/null
+++ b/eelgrassworks/replica.py
@@ -0,0 +1,941 @@
+"""One replica of the replicated log.
+
+The protocol is Raft's: terms, votes, a trial vote before an election, a
+commit index that only counts entries of the leader's own term, membership
+that changes by one voter at a time, snapshots and leadership transfer.  Two
+things differ, because disks can be lost.  A member is a name together with
+the identity of its data folder, so an emptied folder never votes for what it
+has forgotten; and a restarted replica neither votes nor stands until a
+majority has said that it never saw more from this folder than it holds.
+
+The class takes messages and moments and returns effects.  Whatever depends
+on durability is held back until the process reports the write as synced.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import commands
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import ledger
+from eelgrassworks import replicatedlog
+from eelgrassworks.links import codec
+from eelgrassworks.links import messages
+
+ELECTION_S: Final = 0.6
+HEARTBEAT_S: Final = 0.15
+QUORUM_PATIENCE_S: Final = 1.5
+ASK_INTERVAL_S: Final = 0.3
+TRANSFER_PATIENCE_S: Final = 1.0
+SNAPSHOT_PART_BYTES: Final = 256 * 1024
+PROMOTION_LAG: Final = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """What the process around gives with each event.
+
+    Monotonic time, Unix time in milliseconds, and a random number in the
+    range 0 to 1.
+    """
+
+    now_s: float
+    wall_ms: int
+    entropy: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaOptions:
+    """Identity of a replica and the names of all replicas."""
+
+    name: str
+    disk: str
+    names: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """What the data folder held at the start."""
+
+    term: int
+    vote: str
+    base_index: int
+    base_term: int
+    members: commands.SetMembers
+    entries: tuple[messages.LogEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follower:
+    """Follows ``leader``, or nobody yet."""
+
+    leader: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Asks for votes; with ``trial`` only whether they would be given."""
+
+    trial: bool
+    votes: set[str]
+    transfer: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What the leader knows of one other member.
+
+    ``contact_s`` is the sending time of the latest append it answered.
+    """
+
+    following: int
+    match: int = 0
+    contact_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    offset: int = 0
+    part_sent_s: float = float('-inf')
+
+
+@dataclasses.dataclass(slots=True)
+class Leader:
+    """Leads since ``since_s``; ``opening`` is its first entry's index."""
+
+    progress: dict[str, Progress]
+    opening: int
+    since_s: float
+    heartbeat_s: float = float('-inf')
+    transferring_s: float | None = None
+
+
+Role = Follower | Candidate | Leader
+
+
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """A snapshot that arrives in parts."""
+
+    last_index: int
+    last_term: int
+    data: bytearray
+
+
+class Replica:
+    """The decision class of the replicated log."""
+
+    def __init__(
+        self, options: ReplicaOptions, stored: Stored, moment: Moment
+    ) -> None:
+        self.options = options
+        self.term = stored.term
+        self.vote = stored.vote
+        self.log = replicatedlog.ReplicatedLog(
+            stored.base_index, stored.base_term
+        )
+        self.commit = stored.base_index
+        self.role: Role = Follower('')
+        self.snapshot = b''
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._members: list[tuple[int, commands.SetMembers]] = [
+            (stored.base_index, stored.members)
+        ]
+        self._append_to_log(stored.entries)
+        self._taken = stored.base_index
+        self._sequence = 0
+        self._synced = 0
+        self._durable_index = self.log.last_index
+        self._writes: collections.deque[tuple[int, int]] = collections.deque()
+        self._held: collections.deque[tuple[int, int, effects.Effects]] = (
+            collections.deque()
+        )
+        self._incoming: Incoming | None = None
+        self._heard_s = float('-inf')
+        self._asked_s = float('-inf')
+        self._seen: dict[str, tuple[int, int]] = {}
+        self._standing: set[str] = set()
+        self._election_s = 0.0
+        self._set_election(moment)
+
+    # Membership.
+
+    @property
+    def members(self) -> commands.SetMembers:
+        """Return the latest members in the log, committed or not."""
+        return self._members[-1][1]
+
+    def find_taken_members(self) -> commands.SetMembers:
+        """Return the members as of the last taken entry."""
+        return [
+            members for index, members in self._members if index <= self._taken
+        ][-1]
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return isinstance(self.role, Leader)
+
+    @property
+    def leader(self) -> str:
+        """Return the leader's name; empty when it is not known."""
+        match self.role:
+            case Follower(leader):
+                return leader
+            case Leader():
+                return self.options.name
+            case Candidate():
+                return ''
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this replica and this disk are a voter."""
+        voters = self.members.voters
+        return voters.get(self.options.name) == self.options.disk
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether this replica and this disk are a member."""
+        learners = self.members.learners
+        return (
+            self.is_voter
+            or learners.get(self.options.name) == self.options.disk
+        )
+
+    @property
+    def has_standing(self) -> bool:
+        """Tell whether a majority vouched for this data folder."""
+        voters = set(self.members.voters)
+        vouching = (self._standing & voters) | {self.options.name}
+        return len(vouching) >= self._majority()
+
+    def _majority(self) -> int:
+        return len(self.members.voters) // 2 + 1
+
+    def _others(self) -> list[str]:
+        return [
+            name for name in self.options.names if name != self.options.name
+        ]
+
+    # Events.
+
+    def tick(self, moment: Moment) -> effects.Effects:
+        """Let time pass."""
+        match self.role:
+            case Leader() as leader:
+                return self._tick_leader(leader, moment)
+            case _:
+                asked = self._ask_standing(moment)
+                if moment.now_s >= self._election_s:
+                    asked += self._stand(moment, trial=True, transfer=False)
+                return asked
+
+    def receive(
+        self, peer: str, message: object, moment: Moment
+    ) -> effects.Effects:
+        """Take a message of another replica."""
+        match message:
+            case messages.AppendAsked():
+                return self._take_append(peer, message, moment)
+            case messages.AppendTold():
+                return self._take_appended(peer, message, moment)
+            case messages.VoteAsked():
+                return self._take_vote_asked(peer, message, moment)
+            case messages.VoteTold():
+                return self._take_vote(peer, message, moment)
+            case messages.SnapshotPart():
+                return self._take_part(peer, message, moment)
+            case messages.SnapshotPartTold():
+                return self._take_part_told(peer, message, moment)
+            case messages.LeadershipOffered(term):
+                if term != self.term or not self._may_stand():
+                    return []
+                return self._stand(moment, trial=False, transfer=True)
+            case messages.StandingAsked(disk):
+                seen_index, seen_term = self._seen.get(disk, (0, 0))
+                told = messages.StandingTold(disk, seen_index, seen_term)
+                return [effects.Send(peer, told)]
+            case messages.StandingTold():
+                return self._take_standing(peer, message)
+            case messages.AdmissionAsked(disk):
+                return self._take_admission(peer, disk, moment)
+            case _:
+                return []
+
+    def note_synced(self, sequence: int, moment: Moment) -> effects.Effects:
+        """Take the report that writes up to ``sequence`` are durable."""
+        self._synced = max(self._synced, sequence)
+        while self._writes and self._writes[0][0] <= self._synced:
+            self._durable_index = self._writes.popleft()[1]
+        asked: effects.Effects = []
+        while self._held and self._held[0][0] <= self._synced:
+            _, term, held = self._held.popleft()
+            # A promise made in an earlier term must not leave any more.
+            if term == self.term:
+                asked += held
+        match self.role:
+            case Leader() as leader:
+                self._advance_commit(leader)
+            case Candidate(False) if self._synced >= self._sequence:
+                asked += self._count_votes(moment)
+            case _:
+                pass
+        return asked
+
+    def propose(
+        self, proposed: list[codec.Variant], moment: Moment
+    ) -> tuple[int, effects.Effects]:
+        """Append commands as the leader.
+
+        Return the index of the first one, or 0 when this replica does not
+        lead or hands leadership over.
+        """
+        role = self.role
+        if not isinstance(role, Leader) or role.transferring_s is not None:
+            return 0, []
+        first = self.log.last_index + 1
+        entries = tuple(
+            messages.LogEntry(first + offset, self.term, command)
+            for offset, command in enumerate(proposed)
+        )
+        keep = self.log.last_index
+        self._append_to_log(entries)
+        asked = self._broadcast(role, moment)
+        return first, asked + [self._write(keep, entries)]
+
+    def take_committed(self) -> list[messages.LogEntry]:
+        """Return the newly committed entries, each once, in order."""
+        first = max(self._taken, self.log.base_index)
+        entries = self.log.list_after(first, self.commit - first)
+        self._taken = self.commit
+        return list(entries)
+
+    def measure_contact(self, now_s: float) -> float:
+        """Return when, at the latest, a quorum followed this leader.
+
+        The result is the sending time of appends that a majority of voters
+        answered; minus infinity when this replica does not lead.
+        """
+        role = self.role
+        if not isinstance(role, Leader):
+            return float('-inf')
+        times = [
+            now_s
+            if name == self.options.name
+            else role.progress[name].contact_s
+            for name in self.members.voters
+        ]
+        times.sort(reverse=True)
+        if len(times) < self._majority():
+            return float('-inf')
+        return times[self._majority() - 1]
+
+    def is_settled(self) -> bool:
+        """Tell whether the leader has committed an entry of its term."""
+        role = self.role
+        return isinstance(role, Leader) and self.commit >= role.opening
+
+    def compact(self, data: bytes) -> effects.Effects:
+        """Take a snapshot of the state after every taken entry."""
+        index = self._taken
+        term = self.log.find_term(index)
+        if term is None or index == self.log.base_index:
+            return []
+        self._trim_members(index)
+        self.log.compact(index, term)
+        self.snapshot = data
+        return [self._save_snapshot(data)]
+
+    def transfer(self, moment: Moment) -> effects.Effects:
+        """Hand leadership to the voter that is furthest ahead."""
+        role = self.role
+        if not isinstance(role, Leader):
+            return []
+        candidates = [
+            (progress.match, name)
+            for name, progress in role.progress.items()
+            if name in self.members.voters
+            and moment.now_s - progress.contact_s < ELECTION_S
+        ]
+        if not candidates:
+            return []
+        match, name = max(candidates)
+        role.transferring_s = moment.now_s
+        if match < self.log.last_index:
+            return self._send_append(role, name, moment)
+        return [effects.Send(name, messages.LeadershipOffered(self.term))]
+
+    # Elections.
+
+    def _set_election(self, moment: Moment) -> None:
+        self._election_s = moment.now_s + ELECTION_S * (1 + moment.entropy)
+
+    def _may_stand(self) -> bool:
+        return self.is_voter and self.has_standing
+
+    def _stand(
+        self, moment: Moment, trial: bool, transfer: bool
+    ) -> effects.Effects:
+        self._set_election(moment)
+        if not self._may_stand():
+            return []
+        name = self.options.name
+        self.role = Candidate(trial, {name}, transfer)
+        if trial:
+            asked = self._ask_votes(self.term + 1, True, transfer)
+            return asked + self._count_votes(moment)
+        self.counters['elections'] += 1
+        self.term += 1
+        self.vote = name
+        write = self._write(self.log.last_index, ())
+        self._hold(self._ask_votes(self.term, False, transfer))
+        return [write]
+
+    def _ask_votes(
+        self, term: int, trial: bool, transfer: bool
+    ) -> effects.Effects:
+        asked = messages.VoteAsked(
+            term,
+            trial,
+            self.log.last_index,
+            self.log.last_term,
+            transfer,
+            self.options.disk,
+        )
+        return [
+            effects.Send(name, asked)
+            for name in self.members.voters
+            if name != self.options.name
+        ]
+
+    def _take_vote_asked(
+        self, peer: str, asked: messages.VoteAsked, moment: Moment
+    ) -> effects.Effects:
+        granted = self._judge_candidate(peer, asked, moment)
+        if granted and not asked.trial:
+            return self._grant_vote(peer, asked, moment)
+        told = messages.VoteTold(
+            asked.term if granted else self.term,
+            asked.trial,
+            granted,
+            self.options.disk,
+        )
+        return [effects.Send(peer, told)]
+
+    def _judge_candidate(
+        self, peer: str, asked: messages.VoteAsked, moment: Moment
+    ) -> bool:
+        """Tell whether this replica would vote for the candidate."""
+        if not self._may_stand():
+            return False
+        if self.members.voters.get(peer) != asked.disk:
+            return False
+        if asked.term < self.term:
+            return False
+        if self._has_leader(moment) and not asked.transfer:
+            return False
+        ours = (self.log.last_term, self.log.last_index)
+        if (asked.last_term, asked.last_index) < ours:
+            return False
+        if asked.trial:
+            return asked.term > self.term
+        return asked.term > self.term or self.vote in ('', peer)
+
+    def _has_leader(self, moment: Moment) -> bool:
+        """Tell whether a leader was heard within the election time."""
+        if isinstance(self.role, Leader):
+            contact_s = self.measure_contact(moment.now_s)
+            return moment.now_s - contact_s < ELECTION_S
+        return moment.now_s - self._heard_s < ELECTION_S
+
+    def _grant_vote(
+        self, peer: str, asked: messages.VoteAsked, moment: Moment
+    ) -> effects.Effects:
+        self._adopt_term(asked.term)
+        self.vote = peer
+        self._set_election(moment)
+        write = self._write(self.log.last_index, ())
+        told = messages.VoteTold(self.term, False, True, self.options.disk)
+        self._hold([effects.Send(peer, told)])
+        return [write]
+
+    def _take_vote(
+        self, peer: str, told: messages.VoteTold, moment: Moment
+    ) -> effects.Effects:
+        self._note_seen(told.disk, 0, told.term)
+        role = self.role
+        if not isinstance(role, Candidate) or told.trial != role.trial:
+            return []
+        if self.members.voters.get(peer) != told.disk:
+            return []
+        if not told.granted:
+            if told.term > self.term:
+                return self._follow_term(told.term, moment)
+            return []
+        expected = self.term + 1 if role.trial else self.term
+        if told.term != expected:
+            return []
+        role.votes.add(peer)
+        return self._count_votes(moment)
+
+    def _count_votes(self, moment: Moment) -> effects.Effects:
+        role = self.role
+        if not isinstance(role, Candidate):
+            return []
+        if len(role.votes & set(self.members.voters)) < self._majority():
+            return []
+        if role.trial:
+            return self._stand(moment, trial=False, transfer=role.transfer)
+        return self._lead(moment)
+
+    def _lead(self, moment: Moment) -> effects.Effects:
+        self.counters['leaderships'] += 1
+        following = self.log.last_index + 1
+        progress = {name: Progress(following) for name in self._others()}
+        role = Leader(progress, following, moment.now_s)
+        self.role = role
+        return self.propose([codec.pack(commands.NoOp())], moment)[1]
+
+    def _adopt_term(self, term: int) -> None:
+        if term > self.term:
+            self.term = term
+            self.vote = ''
+        self.role = Follower('')
+
+    def _follow_term(self, term: int, moment: Moment) -> effects.Effects:
+        if self.is_leader:
+            self._set_election(moment)
+        self._adopt_term(term)
+        return [self._write(self.log.last_index, ())]
+
+    # The leader.
+
+    def _tick_leader(self, role: Leader, moment: Moment) -> effects.Effects:
+        contact_s = max(self.measure_contact(moment.now_s), role.since_s)
+        if moment.now_s - contact_s > QUORUM_PATIENCE_S:
+            self.role = Follower('')
+            self._set_election(moment)
+            self.counters['stepped_down'] += 1
+            return []
+        transfer_s = role.transferring_s
+        if (
+            transfer_s is not None
+            and moment.now_s - transfer_s > TRANSFER_PATIENCE_S
+        ):
+            role.transferring_s = None
+        if moment.now_s - role.heartbeat_s >= HEARTBEAT_S:
+            return self.beat(moment) + self._promote(role, moment)
+        return []
+
+    def beat(self, moment: Moment) -> effects.Effects:
+        """Send an append to every member, also without entries."""
+        role = self.role
+        if not isinstance(role, Leader):
+            return []
+        role.heartbeat_s = moment.now_s
+        return self._broadcast(role, moment)
+
+    def _list_followers(self) -> list[str]:
+        members = self.members
+        return [
+            name
+            for name in (*members.voters, *members.learners)
+            if name != self.options.name
+        ]
+
+    def _broadcast(self, role: Leader, moment: Moment) -> effects.Effects:
+        asked: effects.Effects = []
+        for name in self._list_followers():
+            asked += self._send_append(role, name, moment)
+        return asked
+
+    def _send_append(
+        self, role: Leader, name: str, moment: Moment
+    ) -> effects.Effects:
+        progress = role.progress.setdefault(
+            name, Progress(self.log.last_index + 1)
+        )
+        previous = progress.following - 1
+        previous_term = self.log.find_term(previous)
+        if previous_term is None:
+            return self._send_part(progress, name, moment)
+        entries = self.log.list_after(previous)
+        progress.following = previous + len(entries) + 1
+        asked = messages.AppendAsked(
+            self.term,
+            previous,
+            previous_term,
+            entries,
+            self.commit,
+            moment.now_s,
+        )
+        return [effects.Send(name, asked)]
+
+    def _take_appended(
+        self, peer: str, told: messages.AppendTold, moment: Moment
+    ) -> effects.Effects:
+        if told.term > self.term:
+            return self._follow_term(told.term, moment)
+        role = self.role
+        if not isinstance(role, Leader) or told.term < self.term:
+            return []
+        progress = role.progress.get(peer)
+        if progress is None or not self._is_disk_of(peer, told.disk):
+            return []
+        progress.contact_s = max(progress.contact_s, told.sent_s)
+        if not told.accepted:
+            if told.match < progress.match:
+                self.counters['regressions'] += 1
+            progress.following = min(
+                max(told.match, 0) + 1, self.log.last_index + 1
+            )
+            return self._send_append(role, peer, moment)
+        self._note_seen(told.disk, told.match, told.term)
+        progress.match = max(progress.match, told.match)
+        progress.following = max(progress.following, progress.match + 1)
+        progress.offset = 0
+        self._advance_commit(role)
+        asked: effects.Effects = []
+        if progress.following <= self.log.last_index:
+            asked += self._send_append(role, peer, moment)
+        if role.transferring_s is not None:
+            asked += self._finish_transfer(role, peer, progress)
+        return asked
+
+    def _finish_transfer(
+        self, role: Leader, peer: str, progress: Progress
+    ) -> effects.Effects:
+        if progress.match < self.log.last_index:
+            return []
+        if peer not in self.members.voters:
+            return []
+        return [effects.Send(peer, messages.LeadershipOffered(self.term))]
+
+    def _is_disk_of(self, name: str, disk: str) -> bool:
+        members = self.members
+        known = members.voters.get(name) or members.learners.get(name)
+        return known == disk
+
+    def _advance_commit(self, role: Leader) -> None:
+        """Commit what a majority of voters holds durably."""
+        matches = [
+            self._durable_index
+            if name == self.options.name
+            else role.progress[name].match
+            for name in self.members.voters
+        ]
+        matches.sort(reverse=True)
+        index = matches[self._majority() - 1]
+        if index <= self.commit or self.log.find_term(index) != self.term:
+            return
+        self.commit = index
+
+    # Membership changes.
+
+    def _take_admission(
+        self, peer: str, disk: str, moment: Moment
+    ) -> effects.Effects:
+        """Replace the lost disk of a named replica by a learner."""
+        if not self.is_settled() or not self._members_committed():
+            return []
+        if peer not in self.options.names or self._is_disk_of(peer, disk):
+            return []
+        members = self.members
+        voters = {n: d for n, d in members.voters.items() if n != peer}
+        learners = {**members.learners, peer: disk}
+        if not voters:
+            return []
+        role = self.role
+        if isinstance(role, Leader):
+            role.progress[peer] = Progress(self.log.last_index + 1)
+        self.counters['admissions'] += 1
+        change = commands.SetMembers(voters, learners)
+        return self.propose([codec.pack(change)], moment)[1]
+
+    def _members_committed(self) -> bool:
+        return self._members[-1][0] <= self.commit
+
+    def _promote(self, role: Leader, moment: Moment) -> effects.Effects:
+        """Make one caught-up learner a voter."""
+        if not self.is_settled() or not self._members_committed():
+            return []
+        members = self.members
+        for name, disk in members.learners.items():
+            progress = role.progress.get(name)
+            if progress is None:
+                continue
+            if progress.match + PROMOTION_LAG < self.log.last_index:
+                continue
+            if moment.now_s - progress.contact_s > ELECTION_S:
+                continue
+            learners = {n: d for n, d in members.learners.items() if n != name}
+            voters = {**members.voters, name: disk}
+            self.counters['promotions'] += 1
+            change = commands.SetMembers(voters, learners)
+            return self.propose([codec.pack(change)], moment)[1]
+        return []
+
+    # Followers.
+
+    def _take_append(
+        self, peer: str, asked: messages.AppendAsked, moment: Moment
+    ) -> effects.Effects:
+        if asked.term < self.term:
+            told = self._tell_append(False, 0, asked.sent_s)
+            return [effects.Send(peer, told)]
+        writes = self._follow(peer, asked.term, moment)
+        previous = asked.previous_index
+        held = self.log.find_term(previous)
+        if previous > self.log.last_index or (
+            held is not None and held != asked.previous_term
+        ):
+            retry = min(self.log.last_index, previous - 1)
+            told = self._tell_append(False, retry, asked.sent_s)
+            return writes + self._send_durably(peer, told)
+        writes += self._merge(asked.entries)
+        match = previous + len(asked.entries)
+        self.commit = max(
+            self.commit, min(asked.commit, match, self.log.last_index)
+        )
+        told = self._tell_append(True, match, asked.sent_s)
+        return writes + self._send_durably(peer, told)
+
+    def _follow(
+        self, leader: str, term: int, moment: Moment
+    ) -> effects.Effects:
+        writes: effects.Effects = []
+        if term > self.term:
+            writes = self._follow_term(term, moment)
+        self.role = Follower(leader)
+        self._heard_s = moment.now_s
+        self._set_election(moment)
+        return writes
+
+    def _merge(
+        self, entries: tuple[messages.LogEntry, ...]
+    ) -> effects.Effects:
+        """Add what is new and replace what conflicts."""
+        for position, entry in enumerate(entries):
+            if entry.index <= self.log.base_index:
+                continue
+            if self.log.find_term(entry.index) == entry.term:
+                continue
+            keep = entry.index - 1
+            if keep < self.log.last_index:
+                self._truncate(keep)
+            fresh = entries[position:]
+            self._append_to_log(fresh)
+            return [self._write(keep, fresh)]
+        return []
+
+    def _tell_append(
+        self, accepted: bool, match: int, sent_s: float
+    ) -> messages.AppendTold:
+        return messages.AppendTold(
+            self.term, accepted, match, sent_s, self.options.disk
+        )
+
+    # Standing of this data folder.
+
+    def _ask_standing(self, moment: Moment) -> effects.Effects:
+        """Ask for admission, or for a majority to vouch for the folder."""
+        if moment.now_s - self._asked_s < ASK_INTERVAL_S:
+            return []
+        self._asked_s = moment.now_s
+        disk = self.options.disk
+        if not self.is_member:
+            asked: object = messages.AdmissionAsked(disk)
+        elif not self.has_standing:
+            asked = messages.StandingAsked(disk)
+        else:
+            return []
+        return [effects.Send(name, asked) for name in self._others()]
+
+    def _take_standing(
+        self, peer: str, told: messages.StandingTold
+    ) -> effects.Effects:
+        if told.disk != self.options.disk or self.has_standing:
+            return []
+        if told.seen_index > self.log.last_index or told.seen_term > self.term:
+            return [effects.Halt(_refuse_regression(told.disk))]
+        self._standing.add(peer)
+        return []
+
+    def _note_seen(self, disk: str, index: int, term: int) -> None:
+        seen_index, seen_term = self._seen.get(disk, (0, 0))
+        self._seen[disk] = (max(seen_index, index), max(seen_term, term))
+
+    # Snapshots.
+
+    def _send_part(
+        self, progress: Progress, name: str, moment: Moment
+    ) -> effects.Effects:
+        if moment.now_s - progress.part_sent_s < ASK_INTERVAL_S:
+            return []
+        progress.part_sent_s = moment.now_s
+        start = progress.offset
+        data = self.snapshot[start : start + SNAPSHOT_PART_BYTES]
+        part = messages.SnapshotPart(
+            self.term,
+            self.log.base_index,
+            self.log.base_term,
+            start,
+            data,
+            start + len(data) >= len(self.snapshot),
+            moment.now_s,
+        )
+        return [effects.Send(name, part)]
+
+    def _take_part(
+        self, peer: str, part: messages.SnapshotPart, moment: Moment
+    ) -> effects.Effects:
+        if part.term < self.term:
+            return []
+        asked = self._follow(peer, part.term, moment)
+        if part.last_index <= self.commit:
+            told = self._tell_append(True, self.commit, part.sent_s)
+            return asked + self._send_durably(peer, told)
+        incoming = self._incoming
+        if incoming is None or incoming.last_index != part.last_index:
+            incoming = Incoming(part.last_index, part.last_term, bytearray())
+            self._incoming = incoming
+        in_order = part.offset == len(incoming.data)
+        if in_order:
+            incoming.data += part.data
+        if not part.final or not in_order:
+            return asked + [self._tell_part(peer, part, len(incoming.data))]
+        self._incoming = None
+        return asked + self._install(peer, incoming, part.sent_s)
+
+    def _tell_part(
+        self, peer: str, part: messages.SnapshotPart, offset: int
+    ) -> effects.Send:
+        told = messages.SnapshotPartTold(
+            self.term, part.last_index, offset, part.sent_s
+        )
+        return effects.Send(peer, told)
+
+    def _take_part_told(
+        self, peer: str, told: messages.SnapshotPartTold, moment: Moment
+    ) -> effects.Effects:
+        role = self.role
+        if not isinstance(role, Leader) or told.term != self.term:
+            return []
+        progress = role.progress.get(peer)
+        if progress is None or told.last_index != self.log.base_index:
+            return []
+        progress.contact_s = max(progress.contact_s, told.sent_s)
+        progress.offset = told.offset
+        progress.part_sent_s = float('-inf')
+        return self._send_part(progress, peer, moment)
+
+    def _install(
+        self, peer: str, incoming: Incoming, sent_s: float
+    ) -> effects.Effects:
+        data = bytes(incoming.data)
+        members = ledger.read_members(data)
+        self.log.compact(incoming.last_index, incoming.last_term)
+        self._members = [(incoming.last_index, members)]
+        self._collect_members(self.log.entries)
+        self.commit = max(self.commit, incoming.last_index)
+        self.snapshot = data
+        self.counters['snapshots_installed'] += 1
+        save = self._save_snapshot(data)
+        told = self._tell_append(True, incoming.last_index, sent_s)
+        return [save, *self._send_durably(peer, told)]
+
+    def take_installed(self) -> bytes | None:
+        """Return a snapshot that replaces the state, if one arrived."""
+        if self._taken >= self.log.base_index:
+            return None
+        self._taken = self.log.base_index
+        return self.snapshot
+
+    # Log and disk.
+
+    def _append_to_log(self, entries: tuple[messages.LogEntry, ...]) -> None:
+        self.log.append(entries)
+        self._collect_members(entries)
+
+    def _collect_members(
+        self, entries: tuple[messages.LogEntry, ...] | list[messages.LogEntry]
+    ) -> None:
+        for entry in entries:
+            if entry.command[0] == commands.SetMembers.__name__:
+                change = codec.unpack(entry.command)
+                self._members.append((entry.index, change))
+
+    def _truncate(self, keep: int) -> None:
+        self.log.truncate(keep)
+        self._durable_index = min(self._durable_index, keep)
+        self._writes = collections.deque(
+            (sequence, min(last, keep)) for sequence, last in self._writes
+        )
+        while len(self._members) > 1 and self._members[-1][0] > keep:
+            self._members.pop()
+
+    def _trim_members(self, index: int) -> None:
+        while len(self._members) > 1 and self._members[1][0] <= index:
+            self._members.pop(0)
+
+    def _write(
+        self, keep: int, entries: tuple[messages.LogEntry, ...]
+    ) -> effects.Write:
+        self._sequence += 1
+        self._writes.append((self._sequence, self.log.last_index))
+        return effects.Write(
+            self._sequence, self.term, self.vote, keep, entries
+        )
+
+    def _save_snapshot(self, data: bytes) -> effects.SaveSnapshot:
+        self._sequence += 1
+        self._writes.append((self._sequence, self.log.last_index))
+        return effects.SaveSnapshot(
+            self._sequence,
+            self.log.base_index,
+            self.log.base_term,
+            data,
+            self.term,
+            self.vote,
+            tuple(self.log.entries),
+        )
+
+    def _hold(self, asked: effects.Effects) -> None:
+        """Keep effects back until the last write is durable."""
+        self._held.append((self._sequence, self.term, asked))
+
+    def _send_durably(self, peer: str, message: object) -> effects.Effects:
+        asked: effects.Effects = [effects.Send(peer, message)]
+        if self._synced >= self._sequence:
+            return asked
+        self._hold(asked)
+        return []
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        contact_s = self.measure_contact(now_s)
+        return {
+            'role': type(self.role).__name__.lower(),
+            'leader': self.leader,
+            'term': self.term,
+            'commit': self.commit,
+            'last_index': self.log.last_index,
+            'base_index': self.log.base_index,
+            'disk': self.options.disk,
+            'voters': dict(self.members.voters),
+            'learners': dict(self.members.learners),
+            'standing': self.has_standing,
+            'quorum_contact_s': (
+                round(now_s - contact_s, 3) if self.is_leader else None
+            ),
+            'counters': dict(self.counters),
+        }
+
+
+def _refuse_regression(disk: str) -> errors.Refusal:
+    return errors.refuse(
+        errors.Code.DATA_FOLDER,
+        folder=disk,
+        reason='it is older than the state it once acknowledged',
+        remedy='empty the folder and start the replica; it rejoins as a '
+        'learner',
+    )
--- /dev/null
+++ b/eelgrassworks/replicatedlog.py
@@ -0,0 +1,73 @@
+"""The part of the replicated log that a replica holds in memory.
+
+Entries up to the base are covered by the snapshot and are gone.
+"""
+
+from typing import Final
+
+from eelgrassworks.links import messages
+
+MAX_APPEND_ENTRIES: Final = 256
+
+
+class ReplicatedLog:
+    """Entries after a snapshot at ``base_index``."""
+
+    def __init__(self, base_index: int = 0, base_term: int = 0) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries: list[messages.LogEntry] = []
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def find_term(self, index: int) -> int | None:
+        """Return the term at an index; None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def get(self, index: int) -> messages.LogEntry:
+        """Return the entry at an index above the base."""
+        return self.entries[index - self.base_index - 1]
+
+    def list_after(
+        self, index: int, limit: int = MAX_APPEND_ENTRIES
+    ) -> tuple[messages.LogEntry, ...]:
+        """Return up to ``limit`` entries that follow an index."""
+        start = index - self.base_index
+        return tuple(self.entries[start : start + limit])
+
+    def append(self, entries: tuple[messages.LogEntry, ...]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise ValueError(
+                    f'entry {entry.index} does not follow {self.last_index}'
+                )
+            self.entries.append(entry)
+
+    def truncate(self, keep: int) -> None:
+        """Drop the entries after ``keep``."""
+        if keep < self.base_index:
+            raise ValueError(f'entry {keep} is below the snapshot')
+        del self.entries[keep - self.base_index :]
+
+    def compact(self, index: int, term: int) -> None:
+        """Drop the entries up to ``index``, which a snapshot covers."""
+        held = self.find_term(index)
+        if held == term:
+            del self.entries[: index - self.base_index]
+        else:
+            self.entries = []
+        self.base_index = index
+        self.base_term = term
--- /dev/null
+++ b/eelgrassworks/session.py
@@ -0,0 +1,210 @@
+"""An entry's dealings with the control replicas.
+
+Finds the leader, keeps the entry's lease and configuration, and carries
+requests to the leader until they are answered.  Every request may be sent
+again: a claim by the same owner and a change with the same id get the same
+verdict, and a lookup changes nothing.
+"""
+
+import dataclasses
+from typing import Any
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import links
+from eelgrassworks import zones
+from eelgrassworks.links import messages
+
+RENEWAL_INTERVAL_S: Final = 0.4
+LEADER_PATIENCE_S: Final = 0.6
+RESEND_INTERVAL_S: Final = 0.3
+REQUEST_LIFE_S: Final = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionOptions:
+    """Fixed facts about the entry towards control.
+
+    ``nonce`` tells this run of the entry from any other.
+    """
+
+    name: str
+    address: str
+    nonce: int
+    replicas: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request that the leader has not answered."""
+
+    message: Any
+    sent_s: float
+    expires_s: float
+
+
+class Session:
+    """The entry's end of its session with control."""
+
+    def __init__(self, options: SessionOptions) -> None:
+        self.options = options
+        self.incarnation = 0
+        self.lease = zones.Lease()
+        self.configuration = contracts.Configuration(
+            0, contracts.Sheet({}, {}), frozenset(), frozenset()
+        )
+        self.in_force_revision = 0
+        self.leader = options.replicas[0]
+        self._leader_heard_s = float('-inf')
+        self._renewed_s = float('-inf')
+        self._next_request = 0
+        self._pending: dict[int | str, Pending] = {}
+
+    def may_work(self, now_s: float) -> bool:
+        """Tell whether the lease confirms the configuration held here."""
+        return (
+            self.lease.is_valid(now_s)
+            and self.lease.revision == self.configuration.revision
+        )
+
+    def claim(
+        self, claims: tuple[contracts.Claim, ...], now_s: float
+    ) -> effects.Effects:
+        """Ask the leader to commit claims."""
+        self._next_request += 1
+        return self._ask(
+            self._next_request,
+            messages.ClaimsAsked(self._next_request, claims),
+            now_s,
+            now_s + REQUEST_LIFE_S,
+        )
+
+    def look_up(
+        self, submissions: tuple[str, ...], now_s: float
+    ) -> effects.Effects:
+        """Ask the leader who owns ids."""
+        self._next_request += 1
+        return self._ask(
+            self._next_request,
+            messages.LookupsAsked(self._next_request, submissions),
+            now_s,
+            now_s + REQUEST_LIFE_S,
+        )
+
+    def change(
+        self, asked: contracts.ChangeRequest, now_s: float
+    ) -> effects.Effects:
+        """Ask the leader to commit a change of the configuration."""
+        return self._ask(
+            asked.id,
+            messages.ChangeAsked(
+                asked.id,
+                asked.operator,
+                asked.expected_revision,
+                links.pack(asked.change),
+            ),
+            now_s,
+            float('inf'),
+        )
+
+    def abandon(self, request: int | str) -> None:
+        """Stop sending a request again."""
+        self._pending.pop(request, None)
+
+    def take_terms(
+        self, peer: str, terms: messages.EntryTerms, now_s: float
+    ) -> bool:
+        """Take a renewed lease; False when another run holds the name."""
+        self.leader = peer
+        self._leader_heard_s = now_s
+        if self.incarnation and terms.incarnation != self.incarnation:
+            return False
+        self.incarnation = terms.incarnation
+        sent_s = terms.sent_ms / 1000
+        if sent_s <= now_s and self.lease.extend(
+            terms.revision, sent_s, terms.remaining_ms / 1000
+        ):
+            self.in_force_revision = max(
+                self.in_force_revision, terms.in_force_revision
+            )
+        return True
+
+    def take_configuration(
+        self, configuration: contracts.Configuration
+    ) -> bool:
+        """Take a newer configuration; False when it is not newer."""
+        if configuration.revision <= self.configuration.revision:
+            return False
+        self.configuration = configuration
+        return True
+
+    def take_claims(self, told: messages.ClaimsTold) -> list[Any]:
+        """Return the verdicts, or none when the request is settled."""
+        if self._pending.pop(told.request, None) is None:
+            return []
+        return [links.unpack(variant) for variant in told.verdicts]
+
+    def take_change(self, told: messages.ChangeTold) -> Any:
+        """Return the verdict on a change."""
+        verdict = links.unpack(told.verdict)
+        self._pending.pop(verdict.id, None)
+        return verdict
+
+    def follow(self, leader: str, now_s: float) -> effects.Effects:
+        """Turn to the leader that a replica named."""
+        if not leader or leader == self.leader:
+            return []
+        if leader not in self.options.replicas:
+            return []
+        self.leader = leader
+        self._leader_heard_s = now_s
+        return self._renew(now_s) + self._resend(now_s, 0.0)
+
+    def tick(self, now_s: float) -> effects.Effects:
+        """Renew the lease, look for a leader and resend requests."""
+        asked: effects.Effects = []
+        if now_s - self._leader_heard_s > LEADER_PATIENCE_S:
+            self._try_next_replica()
+            self._leader_heard_s = now_s
+            asked += self._renew(now_s)
+        elif now_s - self._renewed_s >= RENEWAL_INTERVAL_S:
+            asked += self._renew(now_s)
+        return asked + self._resend(now_s, RESEND_INTERVAL_S)
+
+    def _ask(
+        self,
+        request: int | str,
+        message: object,
+        now_s: float,
+        expires_s: float,
+    ) -> effects.Effects:
+        self._pending[request] = Pending(message, now_s, expires_s)
+        return [effects.Send(self.leader, message)]
+
+    def _renew(self, now_s: float) -> effects.Effects:
+        self._renewed_s = now_s
+        renewal = messages.EntryRenewal(
+            self.options.name,
+            self.options.address,
+            self.options.nonce,
+            int(now_s * 1000),
+            self.configuration.revision,
+        )
+        return [effects.Send(self.leader, renewal)]
+
+    def _resend(self, now_s: float, age_s: float) -> effects.Effects:
+        asked: effects.Effects = []
+        for request, pending in list(self._pending.items()):
+            if now_s >= pending.expires_s:
+                del self._pending[request]
+                continue
+            if now_s - pending.sent_s >= age_s:
+                pending.sent_s = now_s
+                asked.append(effects.Send(self.leader, pending.message))
+        return asked
+
+    def _try_next_replica(self) -> None:
+        replicas = self.options.replicas
+        position = replicas.index(self.leader)
+        self.leader = replicas[(position + 1) % len(replicas)]
--- /dev/null
+++ b/eelgrassworks/settings.py
@@ -0,0 +1,221 @@
+"""Settings of the processes: JSON files, validated once.
+
+Each role has one model.  An unknown key, a missing key or a value out of
+range is refused with the name of the key.
+"""
+
+import pathlib
+import re
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import TypeVar
+
+import expression
+import msgspec
+
+from eelgrassworks import errors
+from eelgrassworks import machines
+
+Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r'^tcp://[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$')
+]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Key = Annotated[str, msgspec.Meta(min_length=16)]
+
+DEFAULT_BODY_LIMIT_BYTES: Final = 8 * 1024 * 1024
+
+
+class VmModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The VM that an entry or control process runs on."""
+
+    name: Name
+    failure_domain: Name
+    region: Name
+
+
+class WorkerModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The worker that an agent runs on."""
+
+    name: Name
+    failure_domain: Name
+    rack: str = ''
+    cores: Positive = 1
+    memory_mib: Positive = 1024
+
+
+class HttpModel(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the HTTP server of a process listens."""
+
+    host: str
+    port: Port
+
+
+class StatsdModel(msgspec.Struct, forbid_unknown_fields=True):
+    """Where metrics go; an empty host turns them off."""
+
+    host: str = ''
+    port: Port = 8125
+
+
+class TokensModel(msgspec.Struct, forbid_unknown_fields=True):
+    """Bearer tokens; no tokens means that none are required.
+
+    ``callers`` maps a token to the team that it speaks for.
+    """
+
+    callers: dict[str, Name] = {}
+    operators: dict[str, Name] = {}
+
+
+class TargetModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The target beside an agent."""
+
+    url: Annotated[str, msgspec.Meta(pattern=r'^http://')]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=4096)]
+    kinds: list[Name] = []
+
+
+class ControlSettings(
+    msgspec.Struct, forbid_unknown_fields=True, tag_field='role', tag='control'
+):
+    """Settings of a control replica."""
+
+    name: Name
+    vm: VmModel
+    listen: Address
+    http: HttpModel
+    key: Key
+    data_folder: str
+    replicas: dict[Name, Address]
+    tokens: TokensModel = msgspec.field(default_factory=TokensModel)
+    statsd: StatsdModel = msgspec.field(default_factory=StatsdModel)
+
+
+class EntrySettings(
+    msgspec.Struct, forbid_unknown_fields=True, tag_field='role', tag='entry'
+):
+    """Settings of an entry."""
+
+    name: Name
+    vm: VmModel
+    listen: Address
+    http: HttpModel
+    key: Key
+    replicas: dict[Name, Address]
+    tokens: TokensModel = msgspec.field(default_factory=TokensModel)
+    statsd: StatsdModel = msgspec.field(default_factory=StatsdModel)
+    policy: str = 'late-binding'
+    learnt_speeds: bool = True
+    max_wait_s: Seconds = 10.0
+    body_limit_bytes: Positive = DEFAULT_BODY_LIMIT_BYTES
+    body_timeout_s: Seconds = 10.0
+
+
+class AgentSettings(
+    msgspec.Struct, forbid_unknown_fields=True, tag_field='role', tag='agent'
+):
+    """Settings of an agent; its name is the name of its target."""
+
+    name: Name
+    worker: WorkerModel
+    target: TargetModel
+    http: HttpModel
+    key: Key
+    entries: dict[Name, Address]
+    tokens: TokensModel = msgspec.field(default_factory=TokensModel)
+    statsd: StatsdModel = msgspec.field(default_factory=StatsdModel)
+    queue_limit: Annotated[int, msgspec.Meta(ge=0, le=4096)] = 2
+
+
+Settings = ControlSettings | EntrySettings | AgentSettings
+
+_KEY_IN_ERROR: Final = re.compile(r'^(.*?)(?: - at `\$\.?(.*)`)?$', re.DOTALL)
+
+Model = TypeVar('Model', bound=Settings)
+
+
+def read_settings(
+    path: pathlib.Path,
+) -> expression.Result[Settings, errors.Refusal]:
+    """Read and validate a settings file of any role."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        return expression.Error(_refuse(str(path), error.strerror or ''))
+    return parse_settings(data)
+
+
+def parse_settings(
+    data: bytes,
+) -> expression.Result[Settings, errors.Refusal]:
+    """Validate settings of any role."""
+    try:
+        parsed: Any = msgspec.json.decode(data, type=Settings)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return expression.Error(_refuse_model(str(error)))
+    return _check(parsed)
+
+
+def _check(
+    parsed: Settings,
+) -> expression.Result[Settings, errors.Refusal]:
+    """Check what concerns more than one key."""
+    match parsed:
+        case ControlSettings(name=name, replicas=replicas):
+            if name not in replicas:
+                return expression.Error(
+                    _refuse('replicas', f'replica {name} itself is missing')
+                )
+            if len(replicas) not in (1, 3, 5):
+                return expression.Error(
+                    _refuse('replicas', 'their number must be 1, 3 or 5')
+                )
+        case EntrySettings(replicas=replicas) if not replicas:
+            return expression.Error(_refuse('replicas', 'none is named'))
+        case AgentSettings(entries=entries) if not entries:
+            return expression.Error(_refuse('entries', 'none is named'))
+        case _:
+            pass
+    return expression.Ok(parsed)
+
+
+def make_target(settings: AgentSettings) -> machines.Target:
+    """Return the target that the settings describe."""
+    return machines.Target(
+        settings.name,
+        settings.worker.name,
+        settings.worker.failure_domain,
+        settings.target.slots,
+        frozenset(settings.target.kinds),
+    )
+
+
+def make_worker(model: WorkerModel) -> machines.Worker:
+    """Return the worker that the settings describe."""
+    return machines.Worker(
+        model.name,
+        model.failure_domain,
+        model.rack,
+        model.cores,
+        model.memory_mib,
+    )
+
+
+def make_vm(model: VmModel) -> machines.Vm:
+    """Return the VM that the settings describe."""
+    return machines.Vm(model.name, model.failure_domain, model.region)
+
+
+def _refuse(key: str, reason: str) -> errors.Refusal:
+    return errors.refuse(errors.Code.BAD_SETTING, key=key, reason=reason)
+
+
+def _refuse_model(text: str) -> errors.Refusal:
+    found = _KEY_IN_ERROR.match(text)
+    if found is None:
+        return _refuse('(file)', text)
+    return _refuse(found.group(2) or '(file)', found.group(1))
--- /dev/null
+++ b/eelgrassworks/tokens.py
@@ -0,0 +1,37 @@
+"""Bearer tokens of callers and operators.
+
+Where no token is configured for a side, everybody is admitted on it; a
+caller then names its team in the body.
+"""
+
+import hmac
+
+from aiohttp import web
+import expression
+
+from eelgrassworks import errors
+
+PREFIX = 'Bearer '
+
+
+def find_holder(
+    request: web.Request, tokens: dict[str, str], action: str
+) -> expression.Result[str, errors.Refusal]:
+    """Return who the request's token belongs to.
+
+    The result is empty when no tokens are configured.
+    """
+    if not tokens:
+        return expression.Ok('')
+    header = request.headers.get('Authorization', '')
+    given = header.removeprefix(PREFIX).encode('utf-8', 'surrogateescape')
+    holder = ''
+    for token, name in tokens.items():
+        # Compares every token, so that time tells nothing about them.
+        if hmac.compare_digest(given, token.encode()):
+            holder = name
+    if not header.startswith(PREFIX) or not holder:
+        return expression.Error(
+            errors.refuse(errors.Code.NOT_PERMITTED, action=action)
+        )
+    return expression.Ok(holder)
