--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -172,10 +172,7 @@
         self, peer: str, incarnation: int, message: object, now_s: float
     ) -> effects.Effects:
         view = self.entries.setdefault(peer, EntryView())
-        if incarnation < view.incarnation:
-            self.counters['frames_superseded'] += 1
-            return []
-        if incarnation > view.incarnation:
+        if incarnation != view.incarnation:
             running = view.running
             view = EntryView(incarnation, running=running)
             self.entries[peer] = view
--- a/eelgrassworks/clock.py
+++ b/eelgrassworks/clock.py
@@ -7,7 +7,7 @@
 import random
 import time
 
-from eelgrassworks import replica
+from eelgrassworks import moments
 
 
 def read_now() -> float:
@@ -20,6 +20,6 @@
     return time.time_ns() // 1_000_000
 
 
-def read_moment(source: random.Random) -> replica.Moment:
+def read_moment(source: random.Random) -> moments.Moment:
     """Return the time and a random number for one event."""
-    return replica.Moment(read_now(), read_wall_ms(), source.random())
+    return moments.Moment(read_now(), read_wall_ms(), source.random())
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -15,6 +15,7 @@
 from eelgrassworks import effects
 from eelgrassworks import grants
 from eelgrassworks import ledger
+from eelgrassworks import moments
 from eelgrassworks import replica
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
@@ -99,7 +100,7 @@
         options: ControlOptions,
         stored: replica.Stored,
         snapshot: bytes,
-        moment: replica.Moment,
+        moment: moments.Moment,
     ) -> None:
         self.options = options
         self.ledger = ledger.Ledger()
@@ -120,7 +121,7 @@
         self._registering: dict[str, int] = {}
 
     def handle(
-        self, event: ControlEvent, moment: replica.Moment
+        self, event: ControlEvent, moment: moments.Moment
     ) -> effects.Effects:
         """Take one event and return the effects it has."""
         match event:
@@ -145,7 +146,7 @@
     # Messages.
 
     def _receive(
-        self, peer: str, message: object, moment: replica.Moment
+        self, peer: str, message: object, moment: moments.Moment
     ) -> effects.Effects:
         match message:
             case messages.EntryRenewal():
@@ -174,7 +175,7 @@
         self,
         peer: str,
         renewal: messages.EntryRenewal,
-        moment: replica.Moment,
+        moment: moments.Moment,
     ) -> effects.Effects:
         if not self.replica.is_settled():
             return [self._tell_not_leader(peer)]
@@ -190,7 +191,7 @@
         return self._tell_terms(peer, renewal, record.incarnation, moment)
 
     def _register(
-        self, renewal: messages.EntryRenewal, moment: replica.Moment
+        self, renewal: messages.EntryRenewal, moment: moments.Moment
     ) -> effects.Effects:
         if self._registering.get(renewal.name) == renewal.nonce:
             return []
@@ -207,7 +208,7 @@
         peer: str,
         renewal: messages.EntryRenewal,
         incarnation: int,
-        moment: replica.Moment,
+        moment: moments.Moment,
     ) -> effects.Effects:
         contact_s = self.replica.measure_contact(moment.now_s)
         remaining_s = self.grants.measure_term(contact_s, moment.now_s)
@@ -230,7 +231,7 @@
         self,
         peer: str,
         asked: messages.ChangeAsked,
-        moment: replica.Moment,
+        moment: moments.Moment,
     ) -> effects.Effects:
         known = self.ledger.changes.get(asked.id)
         if known is not None and self.replica.is_settled():
@@ -247,7 +248,7 @@
 
     # Commits.
 
-    def _append_batch(self, moment: replica.Moment) -> effects.Effects:
+    def _append_batch(self, moment: moments.Moment) -> effects.Effects:
         """Append the gathered claims unless a write is under way."""
         if not self._batch:
             return []
@@ -272,7 +273,7 @@
             isinstance(waiting, list) for waiting in self._committing.values()
         )
 
-    def _apply(self, moment: replica.Moment) -> effects.Effects:
+    def _apply(self, moment: moments.Moment) -> effects.Effects:
         installed = self.replica.take_installed()
         if installed is not None:
             self.ledger.load(installed)
@@ -298,7 +299,7 @@
         members = self.replica.find_taken_members()
         return self.replica.compact(self.ledger.dump(members))
 
-    def _note_leadership(self, moment: replica.Moment) -> effects.Effects:
+    def _note_leadership(self, moment: moments.Moment) -> effects.Effects:
         settled = self.replica.is_settled()
         if settled and not self._led:
             self._led = True
@@ -334,7 +335,7 @@
 
     # Lookups.
 
-    def _answer_lookups(self, moment: replica.Moment) -> effects.Effects:
+    def _answer_lookups(self, moment: moments.Moment) -> effects.Effects:
         """Answer lookups that came before a quorum's last confirmation."""
         if not self._lookups or not self.replica.is_settled():
             return []
@@ -350,7 +351,7 @@
 
     # Time.
 
-    def _end_silent_entries(self, moment: replica.Moment) -> effects.Effects:
+    def _end_silent_entries(self, moment: moments.Moment) -> effects.Effects:
         if not self.replica.is_settled() or not self._led:
             return []
         proposed = []
@@ -365,7 +366,7 @@
             return []
         return self.replica.propose(proposed, moment)[1]
 
-    def _finish_stop(self, moment: replica.Moment) -> effects.Effects:
+    def _finish_stop(self, moment: moments.Moment) -> effects.Effects:
         if not self.stopping or self._left:
             return []
         waited_s = moment.now_s - self._stop_s
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -85,8 +85,7 @@
         """Connect to the other replicas and begin."""
         await super().start()
         for name, address in self.model.replicas.items():
-            # Of two replicas the one with the smaller name dials.
-            if self.model.name < name:
+            if name != self.model.name:
                 self.link.connect(name, address)
         application = web.Application()
         admin.Admin(self, self.model.tokens.operators).add_routes(application)
@@ -117,6 +116,8 @@
 
     def _sync(self) -> None:
         self._sync_asked = False
+        if self.ended.is_set():
+            return
         self.link.flush()
         began_s = clock.read_now()
         try:
@@ -184,7 +185,9 @@
         }
 
     async def close(self) -> None:
-        """Close the journal."""
+        """Close the journal; a planned stop leaves nothing unsynced."""
+        if self.fault is None:
+            self._journal.sync()
         self._journal.close()
 
 
--- a/eelgrassworks/embedded.py
+++ b/eelgrassworks/embedded.py
@@ -33,6 +33,7 @@
 from eelgrassworks.links import bus
 
 HOST: Final = '127.0.0.1'
+ANY_ADDRESS: Final = 'tcp://127.0.0.1:0'
 KEY: Final = 'embedded-default-key'
 DOMAINS: Final = ('accra-central', 'tema-port', 'kasoa-west')
 TEAM: Final = 'inspectors'
@@ -113,15 +114,16 @@
         model = settings.AgentSettings(
             target.name,
             settings.WorkerModel(f'worker-{position + 1}', domain),
+            ANY_ADDRESS,
             settings.TargetModel(f'http://{HOST}:{port}', self.plan.slots),
             settings.HttpModel(HOST, 0),
             KEY,
-            {'entry-1': 'tcp://127.0.0.1:0'},
+            {'entry-1': ANY_ADDRESS},
         )
         return agentprocess.AgentProcess(model, self._open_link(target.name))
 
     def _open_link(self, name: str) -> bus.BusTransport:
-        sender = links.Sender(name, secrets.randbits(63))
+        sender = links.Sender(name, secrets.randbits(63), ANY_ADDRESS)
         return bus.BusTransport(self._bus, links.Codec(KEY.encode()), sender)
 
     async def stop(self) -> None:
@@ -138,11 +140,11 @@
     return settings.ControlSettings(
         'control-1',
         settings.VmModel('vm-1', DOMAINS[0], 'gh-south'),
-        'tcp://127.0.0.1:0',
+        ANY_ADDRESS,
         settings.HttpModel(HOST, 0),
         KEY,
         str(folder),
-        {'control-1': 'tcp://127.0.0.1:0'},
+        {'control-1': ANY_ADDRESS},
     )
 
 
@@ -150,10 +152,10 @@
     return settings.EntrySettings(
         'entry-1',
         settings.VmModel('vm-1', DOMAINS[0], 'gh-south'),
-        'tcp://127.0.0.1:0',
+        ANY_ADDRESS,
         settings.HttpModel(HOST, 0),
         KEY,
-        {'control-1': 'tcp://127.0.0.1:0'},
+        {'control-1': ANY_ADDRESS},
         max_wait_s=60.0,
     )
 
--- a/eelgrassworks/journal.py
+++ b/eelgrassworks/journal.py
@@ -165,7 +165,7 @@
                 members=ledger.read_members(data),
             )
         records, torn_bytes = self._read_journal()
-        stored = _replay(stored, records)
+        stored = replay(stored, records)
         return Recovered(identity, stored, data, torn_bytes)
 
     def _read_identity(self, name: str) -> Identity:
@@ -361,7 +361,7 @@
     return False
 
 
-def _replay(
+def replay(
     stored: replica.Stored, records: list[JournalRecord]
 ) -> replica.Stored:
     """Apply journal records to what the snapshot holds."""
--- a/eelgrassworks/links/codec.py
+++ b/eelgrassworks/links/codec.py
@@ -31,6 +31,7 @@
     version: int
     sender: str
     incarnation: int
+    address: str
     messages: list[Variant]
 
 
@@ -86,6 +87,7 @@
             PROTOCOL_VERSION,
             sender.name,
             sender.incarnation,
+            sender.address,
             [pack(message) for message in messages],
         )
         body = _ENCODER.encode(model)
@@ -106,7 +108,7 @@
             raise FrameRejected(str(error)) from error
         if model.version != PROTOCOL_VERSION:
             raise FrameRejected(f'protocol version {model.version}')
-        sender = frame.Sender(model.sender, model.incarnation)
+        sender = frame.Sender(model.sender, model.incarnation, model.address)
         messages = tuple(unpack(variant) for variant in model.messages)
         return frame.Frame(sender, messages)
 
--- a/eelgrassworks/links/connection.py
+++ b/eelgrassworks/links/connection.py
@@ -1,7 +1,9 @@
-"""State of one connection as seen from one end.
+"""State of one outgoing connection.
 
-A connection can go silent while the network accepts new ones, so silence
-beyond a deadline ends it, however healthy the socket looks.
+A connection can go silent while the network accepts new ones, and it can do
+so in one direction only.  Each heartbeat asks for an echo; when echoes stay
+out beyond a deadline the connection is replaced, however healthy the socket
+looks.
 """
 
 import dataclasses
@@ -13,24 +15,28 @@
 
 @dataclasses.dataclass(slots=True)
 class Connection:
-    """Heartbeat state of a connection to ``peer``.  Times are monotonic."""
+    """Heartbeat state of a connection to ``peer``.  Times are monotonic.
+
+    ``echoed_s`` is the sending time of the latest heartbeat that came back,
+    or the opening time of the connection.
+    """
 
     peer: str
-    last_heard_s: float
-    last_sent_s: float
+    echoed_s: float
+    asked_s: float = float('-inf')
 
-    def note_heard(self, now_s: float) -> None:
-        """Record that a valid frame arrived."""
-        self.last_heard_s = now_s
+    def needs_heartbeat(self, now_s: float) -> bool:
+        """Tell whether the next heartbeat is due."""
+        return now_s - self.asked_s >= HEARTBEAT_INTERVAL_S
 
-    def note_sent(self, now_s: float) -> None:
-        """Record that a frame was handed to the socket."""
-        self.last_sent_s = now_s
+    def note_asked(self, now_s: float) -> None:
+        """Record that a heartbeat was posted."""
+        self.asked_s = now_s
 
-    def is_silent(self, now_s: float) -> bool:
-        """Tell whether the peer has missed its deadline."""
-        return now_s - self.last_heard_s > SILENCE_DEADLINE_S
+    def note_echo(self, sent_s: float) -> None:
+        """Record the echo of a heartbeat that was sent at ``sent_s``."""
+        self.echoed_s = max(self.echoed_s, sent_s)
 
-    def needs_heartbeat(self, now_s: float) -> bool:
-        """Tell whether nothing was sent for one heartbeat interval."""
-        return now_s - self.last_sent_s >= HEARTBEAT_INTERVAL_S
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether echoes stayed out beyond the deadline."""
+        return now_s - self.echoed_s > SILENCE_DEADLINE_S
--- a/eelgrassworks/links/frame.py
+++ b/eelgrassworks/links/frame.py
@@ -7,11 +7,13 @@
 class Sender:
     """The process that sent a frame.
 
-    ``incarnation`` tells one run of a named process from the next.
+    ``incarnation`` tells one run of a named process from the next; answers
+    go to ``address``.
     """
 
     name: str
     incarnation: int
+    address: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -257,7 +257,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the connection carries frames."""
+    """Asks for an echo, to show that the connection carries frames."""
+
+    sent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatEcho:
+    """Answer to a heartbeat, with the time that it carried."""
+
+    sent_s: float
 
 
 # Control to control.
--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -1,14 +1,18 @@
-"""Transport between processes over pynng pair sockets.
+"""Transport between processes over pynng sockets.
 
-Sockets are polled through their file descriptors by the event loop.  A
-message is posted at most once: nothing here sends a frame again.  A peer
-that stays silent beyond the deadline gets a new connection, or loses the one
-that it had opened.
+Each process listens on one pull socket and opens one push socket to each
+peer; a frame names the address for answers, so the receiver opens the way
+back itself.  (One pair socket with many peers would halve the connections,
+but it silently drops the third frame that waits for a peer.)  Sockets are
+polled through their file descriptors by the event loop.
+
+A message is posted at most once: nothing here sends a frame again.  A
+connection whose heartbeats get no echo is closed, with what it had buffered,
+and opened anew.
 """
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import dataclasses
 from typing import Any
 from typing import Final
@@ -57,31 +61,23 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Dialed:
-    """A connection that this process opened."""
+class Outgoing:
+    """A connection that this process opened to a peer.
+
+    ``fixed`` is set when the settings name the peer; others are forgotten
+    once they stay silent.
+    """
 
     address: str
     socket: Any
     state: connection.Connection
-
-
-@dataclasses.dataclass(slots=True)
-class Accepted:
-    """A connection that the peer opened."""
-
-    pipe: Any
-    state: connection.Connection
+    fixed: bool
 
 
 class SocketTransport:
     """The sockets of one process."""
 
-    def __init__(
-        self,
-        frame_codec: codec.Codec,
-        sender: frame.Sender,
-        listen: str = '',
-    ) -> None:
+    def __init__(self, frame_codec: codec.Codec, sender: frame.Sender) -> None:
         self.sender = sender
         self.counters: dict[str, int] = {
             'frames_sent': 0,
@@ -90,14 +86,13 @@
             'frames_rejected': 0,
             'messages_sent': 0,
             'bytes_sent': 0,
+            'bytes_received': 0,
             'connections_replaced': 0,
         }
         self._codec = frame_codec
-        self._listen = listen
         self._listener: Any = None
         self._handler: Handler | None = None
-        self._dialed: dict[str, Dialed] = {}
-        self._accepted: dict[str, Accepted] = {}
+        self._outgoing: dict[str, Outgoing] = {}
         self._outbox: dict[str, list[object]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -108,19 +103,20 @@
         """
         self._handler = handler
         self._loop = asyncio.get_running_loop()
-        if self._listen:
-            self._listener = _open_socket()
-            self._listener.listen(self._listen)
-            self._watch(self._listener, None)
+        self._listener = pynng.Pull0(
+            recv_buffer_size=BUFFERED_FRAMES,
+            recv_max_size=codec.MAX_FRAME_BYTES,
+        )
+        self._listener.listen(self.sender.address)
+        self._loop.add_reader(self._listener.recv_fd, self._read)
 
     def connect(self, peer: str, address: str) -> None:
         """Keep a connection to a peer, unless it already has one."""
-        known = self._dialed.get(peer)
+        known = self._outgoing.get(peer)
         if known is not None and known.address == address:
+            known.fixed = True
             return
-        if known is not None:
-            self._close_socket(known.socket)
-        self._dial(peer, address)
+        self._open(peer, address, fixed=True)
 
     def post(self, peer: str, message: object) -> None:
         """Add a message to the frame that goes out this turn."""
@@ -142,122 +138,110 @@
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and replace silent connections."""
-        for peer, dialed in list(self._dialed.items()):
-            if dialed.state.is_silent(now_s):
-                self.counters['connections_replaced'] += 1
-                self._close_socket(dialed.socket)
-                self._dial(peer, dialed.address)
-            elif dialed.state.needs_heartbeat(now_s):
-                self.post(peer, messages.Heartbeat())
-        for peer, accepted in list(self._accepted.items()):
-            if accepted.state.is_silent(now_s):
-                del self._accepted[peer]
-                with contextlib.suppress(pynng.NNGException):
-                    accepted.pipe.close()
-            elif accepted.state.needs_heartbeat(now_s):
-                self.post(peer, messages.Heartbeat())
+        for peer, outgoing in list(self._outgoing.items()):
+            if outgoing.state.is_silent(now_s):
+                self._replace(peer, outgoing)
+            elif outgoing.state.needs_heartbeat(now_s):
+                outgoing.state.note_asked(now_s)
+                self.post(peer, messages.Heartbeat(now_s))
 
     def close(self) -> None:
         """Close every connection."""
-        for dialed in self._dialed.values():
-            self._close_socket(dialed.socket)
-        self._dialed = {}
-        self._accepted = {}
-        if self._listener is not None:
-            self._close_socket(self._listener)
+        for outgoing in self._outgoing.values():
+            outgoing.socket.close()
+        self._outgoing = {}
+        if self._listener is not None and self._loop is not None:
+            self._loop.remove_reader(self._listener.recv_fd)
+            self._listener.close()
             self._listener = None
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
+        now_s = clock.read_now()
         return {
-            'dialed': sorted(self._dialed),
-            'accepted': sorted(self._accepted),
+            'peers': {
+                peer: {
+                    'address': outgoing.address,
+                    'echo_age_s': round(now_s - outgoing.state.echoed_s, 3),
+                }
+                for peer, outgoing in sorted(self._outgoing.items())
+            },
             'counters': dict(self.counters),
         }
 
-    def _dial(self, peer: str, address: str) -> None:
-        socket = _open_socket()
+    def _open(self, peer: str, address: str, fixed: bool) -> None:
+        known = self._outgoing.pop(peer, None)
+        if known is not None:
+            known.socket.close()
+        socket = pynng.Push0(send_buffer_size=BUFFERED_FRAMES)
         socket.reconnect_time_min = RECONNECT_MIN_MS
         socket.reconnect_time_max = RECONNECT_MAX_MS
         socket.dial(address, block=False)
-        now_s = clock.read_now()
-        state = connection.Connection(peer, now_s, now_s)
-        self._dialed[peer] = Dialed(address, socket, state)
-        self._watch(socket, peer)
+        state = connection.Connection(peer, clock.read_now())
+        self._outgoing[peer] = Outgoing(address, socket, state, fixed)
 
-    def _watch(self, socket: Any, peer: str | None) -> None:
-        if self._loop is None:
-            raise RuntimeError('the transport is not started')
-        descriptor = socket.recv_fd
-        self._loop.add_reader(descriptor, self._read, socket, peer)
-
-    def _close_socket(self, socket: Any) -> None:
-        if self._loop is not None:
-            self._loop.remove_reader(socket.recv_fd)
-        socket.close()
+    def _replace(self, peer: str, outgoing: Outgoing) -> None:
+        self.counters['connections_replaced'] += 1
+        if outgoing.fixed:
+            self._open(peer, outgoing.address, fixed=True)
+            return
+        outgoing.socket.close()
+        del self._outgoing[peer]
 
     def _send(self, peer: str, data: bytes) -> bool:
         """Hand a frame to the socket; False when it had to be dropped."""
-        accepted = self._accepted.get(peer)
-        dialed = self._dialed.get(peer)
+        outgoing = self._outgoing.get(peer)
+        if outgoing is None:
+            return False
         try:
-            if dialed is not None:
-                dialed.socket.send(data, block=False)
-                dialed.state.note_sent(clock.read_now())
-                return True
-            if accepted is not None and self._listener is not None:
-                message = pynng.Message(data, accepted.pipe)
-                self._listener.send_msg(message, block=False)
-                accepted.state.note_sent(clock.read_now())
-                return True
+            outgoing.socket.send(data, block=False)
         except pynng.NNGException:
             return False
-        return False
+        return True
 
-    def _read(self, socket: Any, peer: str | None) -> None:
-        """Deliver every frame that a socket holds."""
-        while True:
+    def _read(self) -> None:
+        """Deliver every frame that the listener holds."""
+        while self._listener is not None:
             try:
-                message = socket.recv_msg(block=False)
+                data = self._listener.recv(block=False)
             except pynng.NNGException:
                 return
-            try:
-                received = self._codec.decode_frame(message.bytes)
-            except codec.FrameRejected:
-                self.counters['frames_rejected'] += 1
-                continue
-            self.counters['frames_received'] += 1
-            if not self._note_heard(received, peer, message.pipe):
-                self.counters['frames_rejected'] += 1
-                continue
-            if self._handler is not None:
-                self._handler(received)
-
-    def _note_heard(
-        self, received: frame.Frame, peer: str | None, pipe: Any
-    ) -> bool:
-        """Record who sent a frame; False when it is not who was dialed."""
-        now_s = clock.read_now()
-        name = received.sender.name
-        if peer is not None:
-            dialed = self._dialed.get(peer)
-            if name != peer or dialed is None:
-                return False
-            dialed.state.note_heard(now_s)
-            return True
-        known = self._accepted.get(name)
-        if known is None or known.pipe is not pipe:
-            state = connection.Connection(name, now_s, now_s)
-            self._accepted[name] = Accepted(pipe, state)
-            return True
-        known.state.note_heard(now_s)
-        return True
+            self._take(data)
 
-
-def _open_socket() -> Any:
-    return pynng.Pair1(
-        polyamorous=True,
-        recv_buffer_size=BUFFERED_FRAMES,
-        send_buffer_size=BUFFERED_FRAMES,
-        recv_max_size=codec.MAX_FRAME_BYTES,
-    )
+    def _take(self, data: bytes) -> None:
+        try:
+            received = self._codec.decode_frame(data)
+        except codec.FrameRejected:
+            self.counters['frames_rejected'] += 1
+            return
+        self.counters['frames_received'] += 1
+        self.counters['bytes_received'] += len(data)
+        sender = received.sender
+        known = self._outgoing.get(sender.name)
+        if (
+            known is None
+            or not known.fixed
+            and known.address != sender.address
+        ):
+            self._open(sender.name, sender.address, fixed=False)
+        rest = tuple(
+            message
+            for message in received.messages
+            if not self._take_heartbeat(sender.name, message)
+        )
+        if rest and self._handler is not None:
+            self._handler(frame.Frame(sender, rest))
+
+    def _take_heartbeat(self, peer: str, message: object) -> bool:
+        """Handle a message of the connection itself; False for others."""
+        match message:
+            case messages.Heartbeat(sent_s):
+                self.post(peer, messages.HeartbeatEcho(sent_s))
+                return True
+            case messages.HeartbeatEcho(sent_s):
+                outgoing = self._outgoing.get(peer)
+                if outgoing is not None:
+                    outgoing.state.note_echo(sent_s)
+                return True
+            case _:
+                return False
--- a/eelgrassworks/main.py
+++ b/eelgrassworks/main.py
@@ -78,26 +78,26 @@
 
     Modules are imported for the role alone, since an agent must stay small.
     """
-    sender = links.Sender(model.name, secrets.randbits(RUN_BITS))
-    codec = links.Codec(model.key.encode())
+    run = secrets.randbits(RUN_BITS)
+    link = transport.SocketTransport(
+        links.Codec(model.key.encode()),
+        links.Sender(model.name, run, model.listen),
+    )
     match model:
         case settings.ControlSettings():
             from eelgrassworks import controlprocess
             from eelgrassworks import journal
 
-            link = transport.SocketTransport(codec, sender, model.listen)
             return controlprocess.ControlProcess(
                 model, link, journal.SystemDisk()
             )
         case settings.EntrySettings():
             from eelgrassworks import entryprocess
 
-            link = transport.SocketTransport(codec, sender, model.listen)
             return entryprocess.EntryProcess(model, link)
         case settings.AgentSettings():
             from eelgrassworks import agentprocess
 
-            link = transport.SocketTransport(codec, sender)
             return agentprocess.AgentProcess(model, link)
 
 
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -17,7 +17,6 @@
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import metrics
-from eelgrassworks.links import messages
 from eelgrassworks.links import transport
 
 TICK_INTERVAL_S: Final = 0.05
@@ -91,6 +90,8 @@
 
     def dispatch(self, event: object) -> None:
         """Give an event to the decision class and carry out its effects."""
+        if self.ended.is_set():
+            return
         self.carry_out(self.decide(event, clock.read_now()))
 
     def carry_out(self, asked: effects.Effects) -> None:
@@ -120,8 +121,6 @@
     def receive(self, frame: links.Frame) -> None:
         """Take a frame from the transport."""
         for message in frame.messages:
-            if isinstance(message, messages.Heartbeat):
-                continue
             self.dispatch(self.make_received(frame, message))
 
     # Life.
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -20,6 +20,7 @@
 from eelgrassworks import effects
 from eelgrassworks import errors
 from eelgrassworks import ledger
+from eelgrassworks import moments
 from eelgrassworks import replicatedlog
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
@@ -33,19 +34,6 @@
 PROMOTION_LAG: Final = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Moment:
-    """What the process around gives with each event.
-
-    Monotonic time, Unix time in milliseconds, and a random number in the
-    range 0 to 1.
-    """
-
-    now_s: float
-    wall_ms: int
-    entropy: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaOptions:
     """Identity of a replica and the names of all replicas."""
@@ -125,7 +113,7 @@
     """The decision class of the replicated log."""
 
     def __init__(
-        self, options: ReplicaOptions, stored: Stored, moment: Moment
+        self, options: ReplicaOptions, stored: Stored, moment: moments.Moment
     ) -> None:
         self.options = options
         self.term = stored.term
@@ -218,7 +206,7 @@
 
     # Events.
 
-    def tick(self, moment: Moment) -> effects.Effects:
+    def tick(self, moment: moments.Moment) -> effects.Effects:
         """Let time pass."""
         match self.role:
             case Leader() as leader:
@@ -230,7 +218,7 @@
                 return asked
 
     def receive(
-        self, peer: str, message: object, moment: Moment
+        self, peer: str, message: object, moment: moments.Moment
     ) -> effects.Effects:
         """Take a message of another replica."""
         match message:
@@ -261,7 +249,9 @@
             case _:
                 return []
 
-    def note_synced(self, sequence: int, moment: Moment) -> effects.Effects:
+    def note_synced(
+        self, sequence: int, moment: moments.Moment
+    ) -> effects.Effects:
         """Take the report that writes up to ``sequence`` are durable."""
         self._synced = max(self._synced, sequence)
         while self._writes and self._writes[0][0] <= self._synced:
@@ -282,7 +272,7 @@
         return asked
 
     def propose(
-        self, proposed: list[codec.Variant], moment: Moment
+        self, proposed: list[codec.Variant], moment: moments.Moment
     ) -> tuple[int, effects.Effects]:
         """Append commands as the leader.
 
@@ -345,7 +335,7 @@
         self.snapshot = data
         return [self._save_snapshot(data)]
 
-    def transfer(self, moment: Moment) -> effects.Effects:
+    def transfer(self, moment: moments.Moment) -> effects.Effects:
         """Hand leadership to the voter that is furthest ahead."""
         role = self.role
         if not isinstance(role, Leader):
@@ -366,14 +356,14 @@
 
     # Elections.
 
-    def _set_election(self, moment: Moment) -> None:
+    def _set_election(self, moment: moments.Moment) -> None:
         self._election_s = moment.now_s + ELECTION_S * (1 + moment.entropy)
 
     def _may_stand(self) -> bool:
         return self.is_voter and self.has_standing
 
     def _stand(
-        self, moment: Moment, trial: bool, transfer: bool
+        self, moment: moments.Moment, trial: bool, transfer: bool
     ) -> effects.Effects:
         self._set_election(moment)
         if not self._may_stand():
@@ -408,7 +398,7 @@
         ]
 
     def _take_vote_asked(
-        self, peer: str, asked: messages.VoteAsked, moment: Moment
+        self, peer: str, asked: messages.VoteAsked, moment: moments.Moment
     ) -> effects.Effects:
         granted = self._judge_candidate(peer, asked, moment)
         if granted and not asked.trial:
@@ -422,7 +412,7 @@
         return [effects.Send(peer, told)]
 
     def _judge_candidate(
-        self, peer: str, asked: messages.VoteAsked, moment: Moment
+        self, peer: str, asked: messages.VoteAsked, moment: moments.Moment
     ) -> bool:
         """Tell whether this replica would vote for the candidate."""
         if not self._may_stand():
@@ -440,7 +430,7 @@
             return asked.term > self.term
         return asked.term > self.term or self.vote in ('', peer)
 
-    def _has_leader(self, moment: Moment) -> bool:
+    def _has_leader(self, moment: moments.Moment) -> bool:
         """Tell whether a leader was heard within the election time."""
         if isinstance(self.role, Leader):
             contact_s = self.measure_contact(moment.now_s)
@@ -448,7 +438,7 @@
         return moment.now_s - self._heard_s < ELECTION_S
 
     def _grant_vote(
-        self, peer: str, asked: messages.VoteAsked, moment: Moment
+        self, peer: str, asked: messages.VoteAsked, moment: moments.Moment
     ) -> effects.Effects:
         self._adopt_term(asked.term)
         self.vote = peer
@@ -459,7 +449,7 @@
         return [write]
 
     def _take_vote(
-        self, peer: str, told: messages.VoteTold, moment: Moment
+        self, peer: str, told: messages.VoteTold, moment: moments.Moment
     ) -> effects.Effects:
         self._note_seen(told.disk, 0, told.term)
         role = self.role
@@ -477,7 +467,7 @@
         role.votes.add(peer)
         return self._count_votes(moment)
 
-    def _count_votes(self, moment: Moment) -> effects.Effects:
+    def _count_votes(self, moment: moments.Moment) -> effects.Effects:
         role = self.role
         if not isinstance(role, Candidate):
             return []
@@ -487,7 +477,7 @@
             return self._stand(moment, trial=False, transfer=role.transfer)
         return self._lead(moment)
 
-    def _lead(self, moment: Moment) -> effects.Effects:
+    def _lead(self, moment: moments.Moment) -> effects.Effects:
         self.counters['leaderships'] += 1
         following = self.log.last_index + 1
         progress = {name: Progress(following) for name in self._others()}
@@ -501,7 +491,9 @@
             self.vote = ''
         self.role = Follower('')
 
-    def _follow_term(self, term: int, moment: Moment) -> effects.Effects:
+    def _follow_term(
+        self, term: int, moment: moments.Moment
+    ) -> effects.Effects:
         if self.is_leader:
             self._set_election(moment)
         self._adopt_term(term)
@@ -509,7 +501,9 @@
 
     # The leader.
 
-    def _tick_leader(self, role: Leader, moment: Moment) -> effects.Effects:
+    def _tick_leader(
+        self, role: Leader, moment: moments.Moment
+    ) -> effects.Effects:
         contact_s = max(self.measure_contact(moment.now_s), role.since_s)
         if moment.now_s - contact_s > QUORUM_PATIENCE_S:
             self.role = Follower('')
@@ -526,7 +520,7 @@
             return self.beat(moment) + self._promote(role, moment)
         return []
 
-    def beat(self, moment: Moment) -> effects.Effects:
+    def beat(self, moment: moments.Moment) -> effects.Effects:
         """Send an append to every member, also without entries."""
         role = self.role
         if not isinstance(role, Leader):
@@ -542,14 +536,16 @@
             if name != self.options.name
         ]
 
-    def _broadcast(self, role: Leader, moment: Moment) -> effects.Effects:
+    def _broadcast(
+        self, role: Leader, moment: moments.Moment
+    ) -> effects.Effects:
         asked: effects.Effects = []
         for name in self._list_followers():
             asked += self._send_append(role, name, moment)
         return asked
 
     def _send_append(
-        self, role: Leader, name: str, moment: Moment
+        self, role: Leader, name: str, moment: moments.Moment
     ) -> effects.Effects:
         progress = role.progress.setdefault(
             name, Progress(self.log.last_index + 1)
@@ -571,7 +567,7 @@
         return [effects.Send(name, asked)]
 
     def _take_appended(
-        self, peer: str, told: messages.AppendTold, moment: Moment
+        self, peer: str, told: messages.AppendTold, moment: moments.Moment
     ) -> effects.Effects:
         if told.term > self.term:
             return self._follow_term(told.term, moment)
@@ -632,7 +628,7 @@
     # Membership changes.
 
     def _take_admission(
-        self, peer: str, disk: str, moment: Moment
+        self, peer: str, disk: str, moment: moments.Moment
     ) -> effects.Effects:
         """Replace the lost disk of a named replica by a learner."""
         if not self.is_settled() or not self._members_committed():
@@ -654,7 +650,9 @@
     def _members_committed(self) -> bool:
         return self._members[-1][0] <= self.commit
 
-    def _promote(self, role: Leader, moment: Moment) -> effects.Effects:
+    def _promote(
+        self, role: Leader, moment: moments.Moment
+    ) -> effects.Effects:
         """Make one caught-up learner a voter."""
         if not self.is_settled() or not self._members_committed():
             return []
@@ -677,7 +675,7 @@
     # Followers.
 
     def _take_append(
-        self, peer: str, asked: messages.AppendAsked, moment: Moment
+        self, peer: str, asked: messages.AppendAsked, moment: moments.Moment
     ) -> effects.Effects:
         if asked.term < self.term:
             told = self._tell_append(False, 0, asked.sent_s)
@@ -700,7 +698,7 @@
         return writes + self._send_durably(peer, told)
 
     def _follow(
-        self, leader: str, term: int, moment: Moment
+        self, leader: str, term: int, moment: moments.Moment
     ) -> effects.Effects:
         writes: effects.Effects = []
         if term > self.term:
@@ -736,7 +734,7 @@
 
     # Standing of this data folder.
 
-    def _ask_standing(self, moment: Moment) -> effects.Effects:
+    def _ask_standing(self, moment: moments.Moment) -> effects.Effects:
         """Ask for admission, or for a majority to vouch for the folder."""
         if moment.now_s - self._asked_s < ASK_INTERVAL_S:
             return []
@@ -767,7 +765,7 @@
     # Snapshots.
 
     def _send_part(
-        self, progress: Progress, name: str, moment: Moment
+        self, progress: Progress, name: str, moment: moments.Moment
     ) -> effects.Effects:
         if moment.now_s - progress.part_sent_s < ASK_INTERVAL_S:
             return []
@@ -786,7 +784,7 @@
         return [effects.Send(name, part)]
 
     def _take_part(
-        self, peer: str, part: messages.SnapshotPart, moment: Moment
+        self, peer: str, part: messages.SnapshotPart, moment: moments.Moment
     ) -> effects.Effects:
         if part.term < self.term:
             return []
@@ -815,7 +813,10 @@
         return effects.Send(peer, told)
 
     def _take_part_told(
-        self, peer: str, told: messages.SnapshotPartTold, moment: Moment
+        self,
+        peer: str,
+        told: messages.SnapshotPartTold,
+        moment: moments.Moment,
     ) -> effects.Effects:
         role = self.role
         if not isinstance(role, Leader) or told.term != self.term:
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -122,6 +122,7 @@
 
     name: Name
     worker: WorkerModel
+    listen: Address
     target: TargetModel
     http: HttpModel
     key: Key
--- /dev/null
+++ b/eelgrassworks/virtual.py
@@ -0,0 +1,454 @@
+"""Decision classes under a virtual clock, for experiments and tests.
+
+Runs the real decision classes of control, entry and agent in one process
+without sockets, disks or waiting.  What lies between them is replaced by
+small fakes: links with a latency that can be cut, disks that lose what was
+not synced, targets with a speed.  A run is a function of its seed.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+from typing import Final
+
+from eelgrassworks import agent
+from eelgrassworks import commands
+from eelgrassworks import contracts
+from eelgrassworks import control
+from eelgrassworks import effects
+from eelgrassworks import entry
+from eelgrassworks import journal
+from eelgrassworks import machines
+from eelgrassworks import moments
+from eelgrassworks import placement
+from eelgrassworks import replica
+from eelgrassworks import session
+
+TICK_S: Final = 0.05
+LATENCY_S: Final = 0.0005
+SYNC_S: Final = 0.004
+START_S: Final = 1000.0
+WALL_OFFSET_MS: Final = 1_700_000_000_000
+
+# Returns the run time in seconds and whether the task succeeds.
+RunModel = Callable[[str, contracts.TaskKey, str, bytes], tuple[float, bool]]
+# Returns the delays after which copies of a message arrive; none drops it.
+Router = Callable[[str, str, object], list[float]]
+
+
+@dataclasses.dataclass(slots=True)
+class FakeDisk:
+    """What a control replica has written, and what of it is durable."""
+
+    identity: str
+    voters: dict[str, str]
+    base: tuple[int, int, bytes] = (0, 0, b'')
+    records: list[journal.JournalRecord] = dataclasses.field(
+        default_factory=list
+    )
+    unsynced: list[journal.JournalRecord] = dataclasses.field(
+        default_factory=list
+    )
+    syncing: bool = False
+    latest: int = 0
+
+    def read(self) -> replica.Stored:
+        """Return what a restart finds."""
+        last_index, last_term, data = self.base
+        members = commands.SetMembers(self.voters, {})
+        if data:
+            members = journal.ledger.read_members(data)
+        stored = replica.Stored(0, '', last_index, last_term, members, ())
+        return journal.replay(stored, self.records)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One process: its decision class and what the fakes know of it.
+
+    ``rate`` is how fast its clock runs; ``run`` invalidates what was
+    scheduled for an earlier run of it.
+    """
+
+    name: str
+    role: str
+    core: Any = None
+    run: int = 0
+    rate: float = 1.0
+    frozen: bool = False
+    held: list[Any] = dataclasses.field(default_factory=list)
+    disk: FakeDisk | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What was sent and started, for measurements."""
+
+    frames: int = 0
+    messages: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    starts: collections.Counter[contracts.TaskKey] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    work_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class World:
+    """A set of nodes and the time that passes for them."""
+
+    def __init__(self, seed: int) -> None:
+        self.now_s = START_S
+        self.random = random.Random(seed)
+        self.nodes: dict[str, Node] = {}
+        self.tally = Tally()
+        self.replies: dict[int, tuple[float, object]] = {}
+        self.started_at: list[tuple[float, str, contracts.TaskKey]] = []
+        self.halted: dict[str, effects.Halt] = {}
+        self.left: set[str] = set()
+        self.latency_s: Callable[[str, str], float] = _same_latency
+        self.sync_s = SYNC_S
+        self.router: Router = self._route
+        self.cut: set[tuple[str, str]] = set()
+        self.run_model: RunModel = _run_short
+        self.observer: Callable[[str, object], None] | None = None
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._requests = itertools.count(1)
+        self._factories: dict[str, Callable[[Node], Any]] = {}
+        self._running: dict[contracts.TaskKey, tuple[Node, int]] = {}
+
+    # Nodes.
+
+    def add_control(
+        self,
+        names: tuple[str, ...],
+        snapshot_interval: int = 64,
+        group_commit: bool = True,
+    ) -> None:
+        """Add the replicas of a new cluster."""
+        voters = {name: f'disk-{name}' for name in names}
+        for name in names:
+            node = Node(name, 'control')
+            node.disk = FakeDisk(voters[name], voters)
+
+            def make(node: Node) -> Any:
+                disk = node.disk or FakeDisk('', {})
+                options = control.ControlOptions(
+                    replica.ReplicaOptions(node.name, disk.identity, names),
+                    group_commit,
+                    snapshot_interval,
+                )
+                return control.Control(
+                    options, disk.read(), disk.base[2], self._moment(node)
+                )
+
+            self._add(node, make)
+
+    def add_entry(
+        self,
+        name: str,
+        replicas: tuple[str, ...],
+        policy: placement.Policy | None = None,
+        max_wait_s: float = 60.0,
+    ) -> None:
+        """Add an entry."""
+
+        def make(node: Node) -> Any:
+            options = session.SessionOptions(
+                name, f'tcp://{name}', self._make_run(node), replicas
+            )
+            return entry.Entry(
+                entry.EntryOptions(
+                    options, policy or placement.LateBinding(), max_wait_s
+                )
+            )
+
+        self._add(Node(name, 'entry'), make)
+
+    def add_agent(
+        self,
+        target: machines.Target,
+        entries: tuple[str, ...],
+        queue_limit: int = 2,
+    ) -> None:
+        """Add an agent with its target."""
+
+        def make(node: Node) -> Any:
+            return agent.Agent(
+                agent.AgentOptions(
+                    target, self._make_run(node), entries, queue_limit
+                )
+            )
+
+        self._add(Node(target.name, 'agent'), make)
+
+    def _make_run(self, node: Node) -> int:
+        return node.run * 1000 + len(node.name)
+
+    def _add(self, node: Node, make: Callable[[Node], Any]) -> None:
+        self.nodes[node.name] = node
+        self._factories[node.name] = make
+        self.start(node.name)
+
+    def start(self, name: str) -> None:
+        """Start or restart a node with what its disk holds."""
+        node = self.nodes[name]
+        node.run += 1
+        node.frozen = False
+        node.held = []
+        if node.disk is not None:
+            node.disk.unsynced = []
+            node.disk.syncing = False
+        node.core = self._factories[name](node)
+        run = node.run
+        offset_s = self.random.random() * TICK_S
+        self.at(offset_s, lambda: self._tick(node, run))
+
+    def kill(self, name: str) -> None:
+        """End a node at once; unsynced writes are lost."""
+        node = self.nodes[name]
+        node.run += 1
+        node.core = None
+
+    def lose_disk(self, name: str) -> None:
+        """Empty the data folder of a dead node; it gets a new identity."""
+        node = self.nodes[name]
+        identity = f'disk-{name}-{node.run}'
+        node.disk = FakeDisk(identity, {})
+
+    def freeze(self, name: str) -> None:
+        """Stop a node without its knowledge; frames to it are held."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen node go on, with the frames that were held."""
+        node = self.nodes[name]
+        node.frozen = False
+        held, node.held = node.held, []
+        run = node.run
+        self._tick(node, run)
+        for event in held:
+            self._give(node, run, event)
+
+    # Time.
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        heapq.heappush(
+            self._heap, (self.now_s + delay_s, next(self._order), action)
+        )
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        while self._heap and self._heap[0][0] <= end_s:
+            self.step()
+        self.now_s = end_s
+
+    def step(self) -> None:
+        """Do the next thing that is due."""
+        self.now_s, _, action = heapq.heappop(self._heap)
+        action()
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Let time pass until a condition holds; False at the limit."""
+        end_s = self.now_s + limit_s
+        while self._heap and self._heap[0][0] <= end_s:
+            if condition():
+                return True
+            self.step()
+        return condition()
+
+    def read_clock(self, node: Node) -> float:
+        """Return the monotonic time of a node."""
+        return START_S + (self.now_s - START_S) * node.rate
+
+    def _moment(self, node: Node) -> moments.Moment:
+        return moments.Moment(
+            self.read_clock(node),
+            WALL_OFFSET_MS + int(self.now_s * 1000),
+            self.random.random(),
+        )
+
+    def _tick(self, node: Node, run: int) -> None:
+        if node.run != run or node.core is None:
+            return
+        # Time stands still for a frozen node until the thaw ticks it.
+        if node.frozen:
+            return
+        self.at(TICK_S, lambda: self._tick(node, run))
+        self._give(node, run, _TICKS[node.role])
+
+    # Events and effects.
+
+    def give(self, name: str, event: object) -> None:
+        """Give an event to a node now."""
+        node = self.nodes[name]
+        self._give(node, node.run, event)
+
+    def ask(self, name: str, make: Callable[[int], object]) -> int:
+        """Give a numbered request to an entry; return the number."""
+        number = next(self._requests)
+        self.give(name, make(number))
+        return number
+
+    def _give(self, node: Node, run: int, event: object) -> None:
+        if node.run != run or node.core is None:
+            return
+        if node.frozen:
+            node.held.append(event)
+            return
+        if node.role == 'control':
+            asked = node.core.handle(event, self._moment(node))
+        else:
+            asked = node.core.handle(event, self.read_clock(node))
+        self._carry_out(node, asked)
+
+    def _carry_out(self, node: Node, asked: effects.Effects) -> None:
+        frames: dict[str, list[object]] = {}
+        for effect in asked:
+            match effect:
+                case effects.Send(peer, message):
+                    frames.setdefault(peer, []).append(message)
+                case effects.Reply(request, response):
+                    self.replies[request] = (self.now_s, response)
+                case effects.StartTask():
+                    self._start_task(node, effect)
+                case effects.StopTask(key):
+                    self._end_task(key, False, b'stopped')
+                case effects.Write() | effects.SaveSnapshot():
+                    self._write(node, effect)
+                case effects.Halt():
+                    self.halted[node.name] = effect
+                    self.kill(node.name)
+                case effects.Leave():
+                    self.left.add(node.name)
+                case _:
+                    pass
+        for peer, posted in frames.items():
+            self._send(node, peer, posted)
+
+    def _send(self, node: Node, peer: str, posted: list[object]) -> None:
+        self.tally.frames += 1
+        for message in posted:
+            self.tally.messages[type(message).__name__] += 1
+            if self.observer is not None:
+                self.observer(node.name, message)
+            for delay_s in self.router(node.name, peer, message):
+                self._deliver(node, peer, message, delay_s)
+
+    def _route(self, sender: str, receiver: str, _: object) -> list[float]:
+        if (sender, receiver) in self.cut:
+            return []
+        return [self.latency_s(sender, receiver)]
+
+    def _deliver(
+        self, sender: Node, peer: str, message: object, delay_s: float
+    ) -> None:
+        receiver = self.nodes.get(peer)
+        if receiver is None:
+            return
+        make = _RECEIVED[receiver.role]
+        event = make(sender.name, self._make_run(sender), message)
+
+        def arrive() -> None:
+            self._give(receiver, receiver.run, event)
+
+        self.at(delay_s, arrive)
+
+    def _start_task(self, node: Node, start: effects.StartTask) -> None:
+        key = start.key
+        self.tally.starts[key] += 1
+        self.started_at.append((self.now_s, node.name, key))
+        run_s, succeeded = self.run_model(
+            node.name, key, start.kind, start.payload
+        )
+        if run_s > start.limit_s:
+            run_s, succeeded = start.limit_s, False
+        body = b'{}' if succeeded else b'failed'
+        done = self.tally.work_s
+        done[node.name] = done.get(node.name, 0.0) + run_s
+
+        self._running[key] = (node, node.run)
+        self.at(run_s, lambda: self._end_task(key, succeeded, body))
+
+    def _end_task(
+        self, key: contracts.TaskKey, succeeded: bool, body: bytes
+    ) -> None:
+        running = self._running.pop(key, None)
+        if running is not None:
+            node, run = running
+            self._give(node, run, agent.TaskEnded(key, succeeded, body))
+
+    def _write(
+        self, node: Node, effect: effects.Write | effects.SaveSnapshot
+    ) -> None:
+        disk = node.disk
+        if disk is None:
+            return
+        disk.latest = effect.sequence
+        match effect:
+            case effects.Write(_, term, vote, keep, entries):
+                disk.unsynced.append(
+                    journal.JournalRecord(term, vote, keep, entries)
+                )
+            case effects.SaveSnapshot():
+                disk.base = (effect.last_index, effect.last_term, effect.data)
+                disk.unsynced = []
+                rest = journal.JournalRecord(
+                    effect.term,
+                    effect.vote,
+                    effect.last_index,
+                    effect.entries,
+                )
+                disk.records = [rest]
+        if not disk.syncing:
+            disk.syncing = True
+            run = node.run
+            self.at(0.0, lambda: self._sync(node, run, disk))
+
+    def _sync(self, node: Node, run: int, disk: FakeDisk) -> None:
+        """Make what was written so far durable, after the sync time."""
+        if node.run != run:
+            return
+        batch, disk.unsynced = disk.unsynced, []
+        sequence = disk.latest
+
+        def end() -> None:
+            if node.run != run:
+                return
+            disk.records += batch
+            disk.syncing = False
+            self._give(node, run, control.Synced(sequence))
+            if disk.latest > sequence and not disk.syncing:
+                disk.syncing = True
+                self._sync(node, run, disk)
+
+        self.at(self.sync_s, end)
+
+
+def _same_latency(_: str, __: str) -> float:
+    return LATENCY_S
+
+
+def _run_short(
+    _: str, __: contracts.TaskKey, ___: str, ____: bytes
+) -> tuple[float, bool]:
+    return 0.1, True
+
+
+_TICKS: Final[dict[str, object]] = {
+    'control': control.Ticked(),
+    'entry': entry.Ticked(),
+    'agent': agent.Ticked(),
+}
+_RECEIVED: Final[dict[str, Callable[..., object]]] = {
+    'control': control.Received,
+    'entry': entry.Received,
+    'agent': agent.Received,
+}
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,309 @@
+"""Real processes on loopback, for a few tests of failures.
+
+Each process is started by the test and ended by its own id.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+
+from eelgrassworks import ids
+
+KEY = 'a key for tests of processes'
+DOMAINS = ('accra-central', 'tema-port', 'kasoa-west')
+SHEET = (
+    'record,name,failure_domains,repeatable,time_limit_ms,share,max_queued,'
+    'max_running\n'
+    'kind,crack-flag,accra-central;tema-port;kasoa-west,yes,20000,,,\n'
+    'kind,structural-read,accra-central;tema-port,no,20000,,,\n'
+    'team,inspectors,,,,2,20000,0\n'
+    'team,desks,,,,1,20000,0\n'
+)
+READY_TIMEOUT_S = 30.0
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            holder = stack.enter_context(socket.socket())
+            holder.bind(('127.0.0.1', 0))
+            ports.append(holder.getsockname()[1])
+        return ports
+
+
+class Deployment:
+    """Control replicas, entries, agents and stand-in targets."""
+
+    def __init__(
+        self, controls: int = 3, entries: int = 2, agents: int = 2
+    ) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.root = pathlib.Path(self.folder.name)
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.http: dict[str, int] = {}
+        self.link: dict[str, int] = {}
+        self.standins: dict[str, int] = {}
+        self.controls = [f'control-{n + 1}' for n in range(controls)]
+        self.entries = [f'entry-{n + 1}' for n in range(entries)]
+        self.agents = [f'runner-{n + 1}' for n in range(agents)]
+        self.standin_options: dict[str, list[str]] = {}
+        self.slots = 8
+        self.listen_as: dict[tuple[str, str], int] = {}
+        self.settings_extra: dict[str, dict[str, Any]] = {}
+
+    async def __aenter__(self) -> 'Deployment':
+        names = [*self.controls, *self.entries, *self.agents]
+        ports = find_ports(len(names) * 3)
+        for position, name in enumerate(names):
+            self.http[name] = ports[position * 3]
+            self.link[name] = ports[position * 3 + 1]
+            self.standins[name] = ports[position * 3 + 2]
+        for name in self.agents:
+            await self.start_standin(name)
+        for name in self.controls:
+            self.write_settings(name)
+            await self.run_to_end('format', name, '--cluster', 'test')
+        for name in names:
+            self.write_settings(name)
+            await self.start(name)
+        await self.apply_sheet()
+        await self.wait_ready(names)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+                await process.wait()
+        self.folder.cleanup()
+
+    # Settings.
+
+    def address(self, reader: str, name: str) -> str:
+        """Return where ``reader`` finds the link of a process."""
+        port = self.listen_as.get((reader, name), self.link[name])
+        return f'tcp://127.0.0.1:{port}'
+
+    def write_settings(self, name: str) -> pathlib.Path:
+        """Write the settings file of a process."""
+        model: dict[str, Any] = {
+            'name': name,
+            'http': {'host': '127.0.0.1', 'port': self.http[name]},
+            'key': KEY,
+        }
+        vm = {
+            'name': f'vm-{name}',
+            'failure_domain': DOMAINS[0],
+            'region': 'gh-south',
+        }
+        replicas = {n: self.address(name, n) for n in self.controls}
+        listen = f'tcp://127.0.0.1:{self.link[name]}'
+        if name in self.controls:
+            folder = str(self.root / name)
+            model |= {'role': 'control', 'vm': vm, 'listen': listen}
+            model |= {'replicas': replicas, 'data_folder': folder}
+        elif name in self.entries:
+            model |= {'role': 'entry', 'vm': vm, 'listen': listen}
+            model |= {'replicas': replicas}
+        else:
+            position = self.agents.index(name)
+            url = f'http://127.0.0.1:{self.standins[name]}'
+            model |= {
+                'role': 'agent',
+                'worker': {
+                    'name': f'worker-{name}',
+                    'failure_domain': DOMAINS[position % len(DOMAINS)],
+                },
+                'listen': listen,
+                'target': {'url': url, 'slots': self.slots},
+                'entries': {n: self.address(name, n) for n in self.entries},
+            }
+        model |= self.settings_extra.get(name, {})
+        path = self.root / f'{name}.json'
+        path.write_text(json.dumps(model))
+        return path
+
+    # Processes.
+
+    async def start(self, name: str) -> None:
+        """Start one daemon."""
+        role = json.loads((self.root / f'{name}.json').read_text())['role']
+        self.processes[name] = await self._spawn(
+            name,
+            'eelgrassworks.main',
+            role,
+            '--settings',
+            str(self.root / f'{name}.json'),
+        )
+
+    async def run_to_end(self, command: str, name: str, *more: str) -> int:
+        """Run one command of the daemon for a process."""
+        path = str(self.root / f'{name}.json')
+        process = await self._spawn(
+            f'{name}-{command}',
+            'eelgrassworks.main',
+            command,
+            '--settings',
+            path,
+            *more,
+        )
+        return await process.wait()
+
+    async def start_standin(self, name: str) -> None:
+        """Start the stand-in target of an agent."""
+        self.processes[f'target-{name}'] = await self._spawn(
+            f'target-{name}',
+            'eelgrassworks.client',
+            'standin',
+            name,
+            '--port',
+            str(self.standins[name]),
+            *self.standin_options.get(name, []),
+        )
+
+    async def _spawn(
+        self, log: str, module: str, *words: str
+    ) -> asyncio.subprocess.Process:
+        code = f'import {module} as m; m.main()'
+        with open(self.root / f'{log}.log', 'ab') as stream:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-c',
+                code,
+                *words,
+                stdout=stream,
+                stderr=stream,
+                env=os.environ | {'PYTHONUNBUFFERED': '1'},
+            )
+
+    def send_signal(self, name: str, number: int) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    async def end(self, name: str, number: int = signal.SIGKILL) -> int:
+        """End one process and wait for it."""
+        self.send_signal(name, number)
+        return await self.processes[name].wait()
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.root / f'{name}.log').read_text()
+
+    # HTTP.
+
+    def url(self, name: str) -> str:
+        """Return the HTTP address of a process."""
+        return f'http://127.0.0.1:{self.http[name]}'
+
+    async def call(
+        self, method: str, url: str, **options: Any
+    ) -> tuple[int, Any]:
+        """Make one call; return the status and the JSON answer."""
+        timeout = aiohttp.ClientTimeout(total=60)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, url, **options) as response,
+        ):
+            return response.status, await response.json(content_type=None)
+
+    async def submit(
+        self,
+        entry: str,
+        works_ms: list[int],
+        submission: str = '',
+        kind: str = 'crack-flag',
+    ) -> tuple[int, Any]:
+        """Submit a job to one entry and wait for its answer."""
+        headers = {'Team': 'inspectors'}
+        if submission:
+            headers['Idempotency-Key'] = submission
+        body = {'kind': kind, 'tasks': [{'work_ms': w} for w in works_ms]}
+        return await self.call(
+            'POST', f'{self.url(entry)}/v1/jobs', json=body, headers=headers
+        )
+
+    async def change(
+        self, entry: str, action: str, name: str, expected: int, key: str
+    ) -> tuple[int, Any]:
+        """Make a change of the configuration."""
+        body = {
+            'expected_revision': expected,
+            'change': {'action': action, 'name': name},
+        }
+        return await self.call(
+            'POST',
+            f'{self.url(entry)}/v1/changes',
+            json=body,
+            headers={'Idempotency-Key': key, 'Operator': key},
+        )
+
+    async def state(self, name: str) -> Any:
+        """Return the dump of a process."""
+        return (await self.call('GET', f'{self.url(name)}/v1/state'))[1]
+
+    async def count(self, name: str) -> Any:
+        """Return the counts of the stand-in target of an agent."""
+        port = self.standins[name]
+        return (await self.call('GET', f'http://127.0.0.1:{port}/counts'))[1]
+
+    async def apply_sheet(self) -> None:
+        """Apply the sheet of the tests as the first revision."""
+
+        async def attempt() -> bool:
+            status, _ = await self.call(
+                'PUT',
+                f'{self.url(self.entries[0])}/v1/sheet',
+                params={'expected_revision': '0'},
+                data=SHEET.encode(),
+                headers={'Idempotency-Key': 'sheet'},
+            )
+            return status == 200
+
+        await wait_until(attempt)
+
+    async def wait_ready(self, names: list[str]) -> None:
+        """Wait until processes are ready and entries know every target."""
+        for name in names:
+            await wait_until(lambda name=name: self._is_ready(name))
+
+    async def _is_ready(self, name: str) -> bool:
+        status, _ = await self.call('GET', f'{self.url(name)}/ready')
+        if status != 200:
+            return False
+        if name not in self.entries:
+            return True
+        described = (await self.state(name))['state']['dispatcher']
+        accepting = [t for t in described['targets'].values() if t['free']]
+        return len(accepting) >= len(self.agents)
+
+
+async def wait_until(attempt: Any, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Wait until an attempt returns True."""
+    give_up = time.monotonic() + timeout_s
+    while time.monotonic() < give_up:
+        try:
+            if await attempt():
+                return
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            pass
+        await asyncio.sleep(0.05)
+    raise TimeoutError('the condition did not come about')
+
+
+def make_id() -> str:
+    """Return a new submission id."""
+    return ids.make_id(time.time_ns() // 1_000_000)
--- /dev/null
+++ b/tests/scenarios.py
@@ -0,0 +1,444 @@
+"""Failures that the fences are meant for, each as a function of a world.
+
+A scenario returns the violations that it saw; an empty list means that what
+must hold did hold.  The table in test_fences runs each scenario as it is and
+once more with its fence taken away.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import errors
+from eelgrassworks import virtual
+from eelgrassworks.links import messages
+from tests import worlds
+
+MINUTE_S = 60.0
+
+
+def find_repeated(world: virtual.World) -> list[str]:
+    """Return the keys that were started more than once."""
+    return [
+        f'{key} started {count} times'
+        for key, count in world.tally.starts.items()
+        if count > 1
+    ]
+
+
+def find_starts_after(
+    world: virtual.World, targets: set[str], since_s: float
+) -> list[str]:
+    """Return the starts at some targets after a time."""
+    return [
+        f'{key.submission}/{key.index} started at {target} '
+        f'{at_s - since_s:.3f} s too late'
+        for at_s, target, key in world.started_at
+        if target in targets and at_s > since_s
+    ]
+
+
+def find_untruths(
+    world: virtual.World, asked: dict[int, contracts.Submission]
+) -> list[str]:
+    """Return the answers that do not agree with what was started."""
+    found = []
+    started = {key.submission for key in world.tally.starts}
+    for request, submission in asked.items():
+        if request not in world.replies:
+            found.append(f'{submission.id} was not answered')
+            continue
+        answer = world.replies[request][1]
+        match answer:
+            case contracts.Complete(results):
+                if len(results) != len(submission.payloads):
+                    found.append(f'{submission.id} was answered in part')
+            case contracts.NotRun():
+                if submission.id in started:
+                    found.append(f'{submission.id} was run, not "not run"')
+            case contracts.Failed(refusal):
+                if refusal.ran != errors.Ran.MAY_HAVE_RUN:
+                    found.append(f'{submission.id} failed as "not run"')
+            case _:
+                found.append(f'{submission.id} got {answer}')
+    return found
+
+
+def delay_some(
+    world: virtual.World,
+    wanted: Callable[[str, str, object], bool],
+    delays_s: list[float],
+) -> None:
+    """Deliver copies of the wanted messages after the given delays."""
+    route = world.router
+
+    def router(sender: str, receiver: str, message: object) -> list[float]:
+        if wanted(sender, receiver, message):
+            return delays_s
+        return route(sender, receiver, message)
+
+    world.router = router
+
+
+def isolate(world: virtual.World, name: str) -> None:
+    """Cut one node off from every other, in both directions."""
+    for other in world.nodes:
+        world.cut |= {(name, other), (other, name)}
+
+
+def split(world: virtual.World, one: set[str], two: set[str]) -> None:
+    """Cut two groups of nodes off from each other."""
+    for left in one:
+        for right in two:
+            world.cut |= {(left, right), (right, left)}
+
+
+# Claims.
+
+
+def resubmit_elsewhere(world: virtual.World) -> list[str]:
+    """The same id reaches two entries at once."""
+    submission = worlds.make_submission(worlds.make_id(world), 40)
+    asked = {
+        worlds.submit(world, name, submission): submission
+        for name in worlds.ENTRIES
+    }
+    world.run(5.0)
+    return find_repeated(world) + find_untruths(world, asked)
+
+
+def resubmit_after_owner_died(world: virtual.World) -> list[str]:
+    """The owner dies while the tasks run; the id comes to another entry."""
+    submission = worlds.make_submission(worlds.make_id(world), 40)
+    worlds.submit(world, 'entry-1', submission)
+    world.run(0.05)
+    world.kill('entry-1')
+    world.run(MINUTE_S)
+    request = worlds.submit(world, 'entry-2', submission)
+    world.run(20.0)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def resubmit_after_blackout(world: virtual.World) -> list[str]:
+    """All replicas lose power just after a claim was granted."""
+    world.sync_s = 0.05
+    submission = worlds.make_submission(worlds.make_id(world), 4)
+    worlds.submit(world, 'entry-1', submission)
+    world.run_until(lambda: bool(world.tally.starts), 5.0)
+    for name in worlds.CONTROLS:
+        world.kill(name)
+    world.run(0.5)
+    for name in worlds.CONTROLS:
+        world.start(name)
+    world.sync_s = virtual.SYNC_S
+    world.run(MINUTE_S)
+    request = worlds.submit(world, 'entry-2', submission)
+    world.run(20.0)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def resubmit_after_folder_reverted(world: virtual.World) -> list[str]:
+    """A replica comes back with an old copy of its data folder.
+
+    The claim is committed by two replicas; one of them then gets its folder
+    of the day before, and the other one dies.
+    """
+    leader = worlds.find_leader(world)
+    old, behind = [name for name in worlds.CONTROLS if name != leader]
+    disk = world.nodes[old].disk
+    copy = dataclasses.replace(disk, records=list(disk.records))
+    isolate(world, behind)
+    submission = worlds.make_submission(worlds.make_id(world), 4)
+    worlds.submit(world, 'entry-1', submission)
+    world.run(1.0)
+    world.kill(old)
+    copy.unsynced, copy.syncing = [], False
+    world.nodes[old].disk = copy
+    # The leader is asked about the folder before it dies.
+    world.cut.clear()
+    split(world, {leader}, {behind})
+    delay_some(
+        world,
+        lambda s, r, m: (
+            (s, r) == (leader, old)
+            and not isinstance(m, messages.StandingTold)
+        ),
+        [],
+    )
+    world.start(old)
+    world.run(0.1)
+    world.kill(leader)
+    world.run(MINUTE_S)
+    request = worlds.submit(world, 'entry-2', submission)
+    world.run(20.0)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def resubmit_after_disk_lost(world: virtual.World) -> list[str]:
+    """A replica loses its disk, and a second one right afterwards.
+
+    The claim is committed by two replicas while the third was cut off; one
+    of the two comes back empty and the other one dies.
+    """
+    leader = worlds.find_leader(world)
+    emptied, behind = [name for name in worlds.CONTROLS if name != leader]
+    isolate(world, behind)
+    submission = worlds.make_submission(worlds.make_id(world), 4)
+    worlds.submit(world, 'entry-1', submission)
+    world.run(1.0)
+    world.kill(emptied)
+    world.lose_disk(emptied)
+    world.kill(leader)
+    world.cut.clear()
+    world.start(emptied)
+    world.run(MINUTE_S)
+    request = worlds.submit(world, 'entry-2', submission)
+    world.run(25.0)
+    world.start(leader)
+    world.run(10.0)
+    again = worlds.submit(world, 'entry-2', submission)
+    world.run(20.0)
+    asked = {request: submission, again: submission}
+    return find_repeated(world) + find_untruths(world, asked)
+
+
+# Starts.
+
+
+def start_twice_at_once(world: virtual.World) -> list[str]:
+    """Each start arrives twice, the second time a little later."""
+    delay_some(
+        world,
+        lambda _, __, m: isinstance(m, messages.TaskStart),
+        [0.001, 0.3],
+    )
+    submission = worlds.make_submission(worlds.make_id(world), 30)
+    request = worlds.submit(world, 'entry-1', submission)
+    world.run(10.0)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def start_again_after_minutes(world: virtual.World) -> list[str]:
+    """Each start arrives again after it was buffered for minutes."""
+    delay_some(
+        world,
+        lambda _, __, m: isinstance(m, messages.TaskStart),
+        [0.001, 3 * MINUTE_S],
+    )
+    submission = worlds.make_submission(worlds.make_id(world), 30)
+    request = worlds.submit(world, 'entry-1', submission)
+    world.run(5 * MINUTE_S)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def start_again_at_next_incarnation(world: virtual.World) -> list[str]:
+    """A start arrives again at an agent that restarted in between."""
+    delay_some(
+        world,
+        lambda _, __, m: isinstance(m, messages.TaskStart),
+        [0.001, 4.0],
+    )
+    submission = worlds.make_submission(worlds.make_id(world), 6)
+    request = worlds.submit(world, 'entry-1', submission)
+    world.run(0.05)
+    for position in range(3):
+        world.kill(f'runner-{position + 1}')
+    world.run(0.5)
+    for position in range(3):
+        world.start(f'runner-{position + 1}')
+    world.run(25.0)
+    return find_repeated(world) + find_untruths(world, {request: submission})
+
+
+def answer_while_start_travels(world: virtual.World) -> list[str]:
+    """The deadline passes while starts travel; later frames are lost."""
+    delay_some(
+        world, lambda _, __, m: isinstance(m, messages.TaskStart), [3.0]
+    )
+    delay_some(
+        world,
+        lambda _, __, m: isinstance(
+            m, messages.JobCancel | messages.TaskFence
+        ),
+        [],
+    )
+    submission = worlds.make_submission(worlds.make_id(world), 6, limit_s=1.0)
+    request = worlds.submit(world, 'entry-1', submission)
+    world.run(10.0)
+    return find_untruths(world, {request: submission})
+
+
+# Failure domains and targets.
+
+
+def close_while_agent_is_cut_off(world: virtual.World) -> list[str]:
+    """An agent hears nothing of a close, but starts still reach it."""
+    world.run(1.0)
+    delay_some(
+        world,
+        lambda _, r, m: r == 'runner-1' and isinstance(m, messages.AgentTerms),
+        [],
+    )
+    delay_some(
+        world,
+        lambda _, r, m: r == 'runner-1' and isinstance(m, messages.TaskStart),
+        [3.5],
+    )
+    submission = worlds.make_submission(worlds.make_id(world), 30)
+    worlds.submit(world, 'entry-1', submission)
+    return _close(world, 'entry-1') + find_repeated(world)
+
+
+def close_while_agent_is_frozen(world: virtual.World) -> list[str]:
+    """An agent stops without its knowledge and goes on after the close."""
+    submission = worlds.make_submission(worlds.make_id(world), 30)
+    world.freeze('runner-1')
+    worlds.submit(world, 'entry-1', submission)
+    world.run(0.1)
+    world.at(4.0, lambda: world.thaw('runner-1'))
+    return _close(world, 'entry-1') + find_repeated(world)
+
+
+def close_behind_old_leader(world: virtual.World) -> list[str]:
+    """An entry and its agent still follow a leader that was cut off."""
+    leader = worlds.find_leader(world)
+    others = {name for name in worlds.CONTROLS if name != leader}
+    split(world, {leader, 'entry-1', 'runner-1'}, others | {'entry-2'})
+    world.run(0.3)
+    world.at(3.2, lambda: _submit_anonymous(world))
+    return _close(world, 'entry-2')
+
+
+def _submit_anonymous(world: virtual.World) -> None:
+    worlds.submit(
+        world, 'entry-1', worlds.make_submission('', 30, claimed=False)
+    )
+
+
+def close_then_old_terms(world: virtual.World) -> list[str]:
+    """Terms from before a close arrive after it, together with a start."""
+    late: list[tuple[str, Any]] = []
+    route = world.router
+
+    def router(sender: str, receiver: str, message: object) -> list[float]:
+        if receiver == 'runner-1' and isinstance(message, messages.AgentTerms):
+            late.append((sender, message))
+        return route(sender, receiver, message)
+
+    world.router = router
+    world.run(1.0)
+    old = late[-1][1]
+    made = worlds.change(
+        world, 'entry-1', contracts.CloseDomain(worlds.DOMAINS[0]), 1, 'close'
+    )
+    if not made.in_force:
+        return ['the close did not come into force']
+    since_s = world.now_s
+    world.run(0.01)
+    run = world._make_run(world.nodes['entry-1'])
+    world.give('runner-1', _receive('entry-1', run, old))
+    _force_start(world, run)
+    world.run(3.0)
+    return find_starts_after(world, {'runner-1'}, since_s)
+
+
+def _receive(peer: str, run: int, message: object) -> Any:
+    return virtual._RECEIVED['agent'](peer, run, message)
+
+
+def _force_start(world: virtual.World, run: int) -> None:
+    """Let a start reach the agent as if its entry still believed in it."""
+    core = world.nodes['runner-1'].core
+    start = messages.TaskStart(
+        'late',
+        0,
+        core.options.incarnation,
+        'crack-flag',
+        b'{}',
+        5000,
+        int(world.now_s * 1000),
+        0,
+    )
+    world.give('runner-1', _receive('entry-1', run, start))
+
+
+def _close(world: virtual.World, entry_name: str) -> list[str]:
+    """Close the domain of runner-1 and look for starts after it."""
+    began_s = world.now_s
+    made = worlds.change(
+        world,
+        entry_name,
+        contracts.CloseDomain(worlds.DOMAINS[0]),
+        1,
+        'close',
+    )
+    if not isinstance(made, entry.ChangeMade) or not made.in_force:
+        return [f'the close did not come into force: {made}']
+    since_s = world.now_s
+    found = []
+    if since_s - began_s > 3.0:
+        found.append(f'the close took {since_s - began_s:.3f} s')
+    world.run(10.0)
+    return found + find_starts_after(world, {'runner-1'}, since_s)
+
+
+def drain_then_announce_again(world: virtual.World) -> list[str]:
+    """A drained target restarts and announces itself once more."""
+    made = worlds.change(
+        world, 'entry-1', contracts.DrainTarget('runner-1'), 1, 'drain'
+    )
+    since_s = world.now_s
+    if not made.in_force:
+        return ['the drain did not come into force']
+    world.kill('runner-1')
+    world.run(0.5)
+    world.start('runner-1')
+    world.run(2.0)
+    submission = worlds.make_submission(worlds.make_id(world), 60)
+    request = worlds.submit(world, 'entry-1', submission)
+    world.run(10.0)
+    return find_starts_after(world, {'runner-1'}, since_s) + find_untruths(
+        world, {request: submission}
+    )
+
+
+# Configuration.
+
+
+def race_operators(world: virtual.World) -> list[str]:
+    """Two operators send changes against the same revision."""
+    requests = [
+        worlds.ask_change(
+            world, name, contracts.CloseDomain(domain), 1, f'operator-{name}'
+        )
+        for name, domain in zip(worlds.ENTRIES, worlds.DOMAINS, strict=False)
+    ]
+    world.run(12.0)
+    made = [world.replies[each][1] for each in requests]
+    verdicts = [type(each.verdict).__name__ for each in made]
+    if sorted(verdicts) != ['ChangeAccepted', 'ChangeConflict']:
+        return [f'two operators got {verdicts}']
+    winner = next(
+        each.verdict
+        for each in made
+        if isinstance(each.verdict, contracts.ChangeConflict)
+    ).winner
+    expected = f'operator-{worlds.ENTRIES[verdicts.index("ChangeAccepted")]}'
+    return [] if winner == expected else [f'the winner is given as {winner}']
+
+
+def resend_change(world: virtual.World) -> list[str]:
+    """The answer of a change is lost; the operator sends it again."""
+    world.kill('entry-1')
+    world.start('entry-1')
+    world.run(2.0)
+    change = contracts.CloseDomain(worlds.DOMAINS[0])
+    worlds.ask_change(world, 'entry-1', change, 1, 'same')
+    world.run(0.1)
+    world.kill('entry-1')
+    made = worlds.change(world, 'entry-2', change, 1, 'same')
+    if made.verdict != contracts.ChangeAccepted('same', 2):
+        return [f'the second sending got {made.verdict}']
+    return []
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -9,13 +9,13 @@
 from eelgrassworks.links import messages
 
 KEY = b'a key for tests'
-SENDER = links.Sender('entry-1', 7)
+SENDER = links.Sender('entry-1', 7, 'tcp://127.0.0.1:1')
 
 
 @ddt.ddt
 class FrameTest(unittest.TestCase):
     @ddt.data(
-        messages.Heartbeat(),
+        messages.Heartbeat(1.5),
         messages.TaskFence('job', 3, 9, 1000),
         messages.TaskFinished('job', 3, True, b'{}', 12, 4, 9),
         messages.ClaimsAsked(1, (contracts.Claim('id', 'd', 'e', 4),)),
@@ -38,7 +38,7 @@
     @ddt.unpack
     def test_rejects_frame(self, _: str, spoil) -> None:
         codec = links.Codec(KEY)
-        data = codec.encode_frame(SENDER, [messages.Heartbeat()])
+        data = codec.encode_frame(SENDER, [messages.Heartbeat(1.5)])
         with self.assertRaises(links.FrameRejected):
             codec.decode_frame(spoil(data))
 
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,195 @@
+"""Faults at every step boundary of a standard piece of work.
+
+A run of the decision classes is a sequence of steps.  Each case repeats the
+same run from the same seed, injects one fault (or two) before a chosen step,
+mends it later, and checks what must always hold.
+"""
+
+from collections.abc import Callable
+import os
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks import virtual
+from tests import scenarios
+from tests import worlds
+
+Fault = Callable[[virtual.World], None]
+
+LAST_STEP = 400
+# Every step takes half an hour; EELGRASSWORKS_STRIDE=1 asks for it.
+STRIDE = int(os.environ.get('EELGRASSWORKS_STRIDE', '23'))
+MEND_S = 3.0
+
+
+def kill(name: str) -> Fault:
+    """Kill a node and start it again."""
+
+    def inject(world: virtual.World) -> None:
+        world.kill(name)
+        world.at(MEND_S, lambda: world.start(name))
+
+    return inject
+
+
+def empty(name: str) -> Fault:
+    """Kill a replica and start it again with an empty folder."""
+
+    def inject(world: virtual.World) -> None:
+        world.kill(name)
+        world.lose_disk(name)
+        world.at(0.5, lambda: world.start(name))
+
+    return inject
+
+
+def freeze(name: str) -> Fault:
+    """Stop a node without its knowledge for a while."""
+
+    def inject(world: virtual.World) -> None:
+        world.freeze(name)
+        world.at(MEND_S, lambda: world.thaw(name))
+
+    return inject
+
+
+def cut(name: str, inward: bool = True, outward: bool = True) -> Fault:
+    """Cut a node off, in one direction or both, for a while."""
+
+    def inject(world: virtual.World) -> None:
+        added = set()
+        for other in world.nodes:
+            added |= {(other, name)} if inward else set()
+            added |= {(name, other)} if outward else set()
+        world.cut |= added
+        world.at(MEND_S, lambda: world.cut.difference_update(added))
+
+    return inject
+
+
+def storm(names: tuple[str, ...]) -> Fault:
+    """Kill several nodes at once and start them one after the other."""
+
+    def inject(world: virtual.World) -> None:
+        for position, name in enumerate(names):
+            world.kill(name)
+            world.at(0.2 * (position + 1), lambda name=name: world.start(name))
+
+    return inject
+
+
+def both(first: Fault, second: Fault, gap_s: float) -> Fault:
+    """Inject a second fault while the first one is still there."""
+
+    def inject(world: virtual.World) -> None:
+        first(world)
+        world.at(gap_s, lambda: second(world))
+
+    return inject
+
+
+LEADER = 'control-1'
+FAULTS: tuple[tuple[str, Fault], ...] = (
+    ('kill the owner', kill('entry-1')),
+    ('kill the other entry', kill('entry-2')),
+    ('kill the leader', kill(LEADER)),
+    ('kill an agent', kill('runner-1')),
+    ('empty a replica', empty('control-2')),
+    ('empty the leader', empty(LEADER)),
+    ('freeze the owner', freeze('entry-1')),
+    ('freeze the leader', freeze(LEADER)),
+    ('freeze an agent', freeze('runner-1')),
+    ('cut the owner off', cut('entry-1')),
+    ('cut the owner off inward', cut('entry-1', outward=False)),
+    ('cut the owner off outward', cut('entry-1', inward=False)),
+    ('cut the leader off', cut(LEADER)),
+    ('cut the leader off inward', cut(LEADER, outward=False)),
+    ('cut the leader off outward', cut(LEADER, inward=False)),
+    ('cut an agent off', cut('runner-1')),
+    ('cut an agent off inward', cut('runner-1', outward=False)),
+    ('cut an agent off outward', cut('runner-1', inward=False)),
+    ('restart all replicas', storm(worlds.CONTROLS)),
+    ('restart all agents', storm(('runner-1', 'runner-2', 'runner-3'))),
+    ('restart all entries', storm(worlds.ENTRIES)),
+    (
+        'empty a replica, then kill the leader',
+        both(empty('control-2'), kill(LEADER), 1.5),
+    ),
+    (
+        'cut the leader off, then freeze the owner',
+        both(cut(LEADER), freeze('entry-1'), 0.3),
+    ),
+    (
+        'kill an agent, then the leader',
+        both(kill('runner-1'), kill(LEADER), 0.1),
+    ),
+)
+
+
+def run_case(inject: Fault, step: int) -> list[str]:
+    """Run the standard work with one fault; return the violations."""
+    world = worlds.make_world(seed=step)
+    shared = worlds.make_submission(worlds.make_id(world), 30, limit_s=8.0)
+    other = worlds.make_submission(
+        worlds.make_id(world), 5, limit_s=8.0, kind='structural-read'
+    )
+    asked = {
+        worlds.submit(world, 'entry-1', shared): shared,
+        worlds.submit(world, 'entry-2', shared): shared,
+        worlds.submit(world, 'entry-1', other): other,
+    }
+    worlds.ask_change(
+        world,
+        'entry-2',
+        contracts.DrainTarget('runner-3'),
+        1,
+        'drain',
+    )
+    for _ in range(step):
+        world.step()
+    inject(world)
+    world.run(20.0)
+    late = worlds.make_submission(worlds.make_id(world), 10, limit_s=8.0)
+    again = worlds.submit(world, 'entry-2', shared)
+    last = worlds.submit(world, 'entry-2', late)
+    world.run(20.0)
+    asked |= {again: shared, last: late}
+    answered = {
+        request: submission
+        for request, submission in asked.items()
+        if request in world.replies or request in (again, last)
+    }
+    found = scenarios.find_repeated(world)
+    found += scenarios.find_untruths(world, answered)
+    complete = contracts.Complete
+    if not isinstance(world.replies.get(last, (0, None))[1], complete):
+        found.append(f'after the fault: {world.replies.get(last)}')
+    return found + _compare_states(world)
+
+
+def _compare_states(world: virtual.World) -> list[str]:
+    """Return where the replicas disagree once everything is mended."""
+    states = {
+        name: world.nodes[name].core.ledger.configuration
+        for name in worlds.CONTROLS
+        if world.nodes[name].core is not None
+    }
+    if len(states) < len(worlds.CONTROLS):
+        return [f'halted: {world.halted}']
+    if len({state.revision for state in states.values()}) > 1:
+        return [f'the replicas hold {states}']
+    return []
+
+
+@ddt.ddt
+class FaultTest(unittest.TestCase):
+    @ddt.data(*FAULTS)
+    @ddt.unpack
+    def test_every_step(self, name: str, inject: Fault) -> None:
+        # Each fault begins at another step, so that together they cover more.
+        first = 1 + len(name) % STRIDE
+        for step in range(first, LAST_STEP, STRIDE):
+            with self.subTest(fault=name, step=step):
+                self.assertEqual(run_case(inject, step), [])
--- /dev/null
+++ b/tests/test_fences.py
@@ -0,0 +1,223 @@
+"""Each fence holds against its failure, and is what holds against it."""
+
+from collections.abc import Callable
+import contextlib
+from typing import Any
+import unittest
+from unittest import mock
+
+import ddt
+
+from eelgrassworks import agent
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import grants
+from eelgrassworks import jobs
+from eelgrassworks import ledger
+from eelgrassworks import replica
+from eelgrassworks import virtual
+from eelgrassworks import zones
+from tests import scenarios
+from tests import worlds
+
+Scenario = Callable[[virtual.World], list[str]]
+Removal = Callable[[], Any]
+
+
+def claims() -> Any:
+    """Admit every job without a claim."""
+
+    def admit(self: Any, request: int, submission: Any, now_s: float) -> Any:
+        job = jobs.Job(submission, now_s, now_s + 20, waiters=[request])
+        self.table.add(job)
+        self._activate(job)
+        return []
+
+    return mock.patch.object(entry.Entry, '_admit', admit)
+
+
+def durability() -> Any:
+    """Count and tell writes before they are synced."""
+    stack = contextlib.ExitStack()
+
+    def send(self: Any, peer: str, message: object) -> Any:
+        return [replica.effects.Send(peer, message)]
+
+    def write(self: Any, keep: int, entries: Any) -> Any:
+        made = original(self, keep, entries)
+        self._durable_index = self.log.last_index
+        return made
+
+    original = replica.Replica._write
+    stack.enter_context(
+        mock.patch.object(replica.Replica, '_send_durably', send)
+    )
+    stack.enter_context(mock.patch.object(replica.Replica, '_write', write))
+    return stack
+
+
+def standing() -> Any:
+    """Let every restarted replica vote at once."""
+    always = mock.PropertyMock(return_value=True)
+    return mock.patch.object(replica.Replica, 'has_standing', always)
+
+
+def disk_identity() -> Any:
+    """Let an emptied folder take its old identity."""
+
+    def lose(self: Any, name: str) -> None:
+        node = self.nodes[name]
+        node.disk = virtual.FakeDisk(node.disk.identity, node.disk.voters)
+
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(virtual.World, 'lose_disk', lose))
+    stack.enter_context(standing())
+    return stack
+
+
+def key_records() -> Any:
+    """Let the agent forget a key when its task ends."""
+
+    def forget(self: Any, key: Any, *_: Any) -> None:
+        del self.records[key]
+
+    return mock.patch.object(agent.Agent, '_remember_end', forget)
+
+
+def start_window() -> Any:
+    """Accept starts of any age and any incarnation."""
+    stack = contextlib.ExitStack()
+    for name, answer in (('_is_stale', False), ('_cancel', [])):
+        patch = mock.patch.object(
+            agent.Agent, name, mock.Mock(return_value=answer)
+        )
+        stack.enter_context(patch)
+    return stack
+
+
+def leases() -> Any:
+    """Let work start without a valid lease."""
+    return mock.patch.object(zones.Lease, 'is_valid', lambda *_: True)
+
+
+def quorum_contact() -> Any:
+    """Let a leader grant leases without a quorum."""
+    stack = contextlib.ExitStack()
+    stack.enter_context(
+        mock.patch.object(
+            grants.Grants, 'measure_term', lambda *_: zones.LEASE_TTL_S
+        )
+    )
+    stack.enter_context(
+        mock.patch.object(replica, 'QUORUM_PATIENCE_S', float('inf'))
+    )
+    return stack
+
+
+def revision_order() -> Any:
+    """Let an agent take terms of any revision."""
+
+    def take(self: Any, terms: Any, now_s: float) -> Any:
+        self.lease.expires_s = now_s + zones.LEASE_TTL_S
+        self.policy = zones.DomainPolicy(
+            terms.revision,
+            terms.open,
+            terms.draining,
+            frozenset(terms.kinds) or frozenset(worlds.KINDS),
+        )
+        return []
+
+    return mock.patch.object(agent.Agent, '_take_terms', take)
+
+
+def replicated_drain() -> Any:
+    """Let a drain end with the incarnation of the agent."""
+
+    def project(configuration: Any, domain: str, target: str) -> Any:
+        kinds = frozenset(configuration.sheet.kinds)
+        return zones.DomainPolicy(configuration.revision, True, False, kinds)
+
+    def listing(self: Any, kind: str) -> Any:
+        return [view for view in self.views.values() if view.accepting]
+
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(zones, 'project_policy', project))
+    stack.enter_context(
+        mock.patch.object(entry.dispatcher.Dispatcher, 'list_serving', listing)
+    )
+    return stack
+
+
+def truthful_not_run() -> Any:
+    """Take silence for a refusal."""
+    return mock.patch.object(jobs.Job, 'may_have_run', lambda _: False)
+
+
+def expected_revision() -> Any:
+    """Accept a change against any revision."""
+    original = ledger.Ledger._decide
+
+    def decide(self: Any, asked: Any) -> Any:
+        revision = self.configuration.revision
+        return original(
+            self,
+            replica.commands.CommitChange(
+                asked.id, asked.operator, revision, asked.change
+            ),
+        )
+
+    return mock.patch.object(ledger.Ledger, '_decide', decide)
+
+
+def change_ids() -> Any:
+    """Forget the verdicts on changes."""
+
+    def change(self: Any, asked: Any) -> Any:
+        return self._decide(asked)
+
+    return mock.patch.object(ledger.Ledger, '_change', change)
+
+
+FENCES: tuple[tuple[Scenario, Removal], ...] = (
+    (scenarios.resubmit_elsewhere, claims),
+    (scenarios.resubmit_after_owner_died, claims),
+    (scenarios.resubmit_after_blackout, durability),
+    (scenarios.resubmit_after_folder_reverted, standing),
+    (scenarios.resubmit_after_disk_lost, disk_identity),
+    (scenarios.start_twice_at_once, key_records),
+    (scenarios.start_again_after_minutes, start_window),
+    (scenarios.start_again_at_next_incarnation, start_window),
+    (scenarios.answer_while_start_travels, truthful_not_run),
+    (scenarios.close_while_agent_is_cut_off, leases),
+    (scenarios.close_while_agent_is_frozen, leases),
+    (scenarios.close_behind_old_leader, quorum_contact),
+    (scenarios.close_then_old_terms, revision_order),
+    (scenarios.drain_then_announce_again, replicated_drain),
+    (scenarios.race_operators, expected_revision),
+    (scenarios.resend_change, change_ids),
+)
+
+
+@ddt.ddt
+class FenceTest(unittest.TestCase):
+    @ddt.data(*FENCES)
+    @ddt.unpack
+    def test_holds(self, scenario: Scenario, _: Removal) -> None:
+        self.assertEqual(scenario(worlds.make_world()), [])
+
+    @ddt.data(*FENCES)
+    @ddt.unpack
+    def test_fails_without(self, scenario: Scenario, remove: Removal) -> None:
+        world = worlds.make_world()
+        with remove():
+            self.assertNotEqual(scenario(world), [])
+
+
+class AnswerTest(unittest.TestCase):
+    def test_complete_in_order(self) -> None:
+        world = worlds.make_world()
+        submission = worlds.make_submission(worlds.make_id(world), 1200)
+        answer = worlds.await_answer(
+            world, worlds.submit(world, 'entry-1', submission)
+        )
+        self.assertIsInstance(answer, contracts.Complete)
--- /dev/null
+++ b/tests/worlds.py
@@ -0,0 +1,142 @@
+"""Worlds of decision classes that the tests of failures start from."""
+
+import itertools
+from typing import Any
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import ids
+from eelgrassworks import machines
+from eelgrassworks import virtual
+
+DOMAINS = ('accra-central', 'tema-port', 'kasoa-west')
+CONTROLS = ('control-1', 'control-2', 'control-3')
+ENTRIES = ('entry-1', 'entry-2')
+ALL = frozenset(DOMAINS)
+KINDS = {
+    'crack-flag': contracts.Kind('crack-flag', ALL, True, 20.0),
+    'structural-read': contracts.Kind('structural-read', ALL, False, 20.0),
+}
+QUOTAS = {'inspectors': contracts.Quota('inspectors', 1.0, 100_000, 0)}
+SHEET = contracts.Sheet(KINDS, QUOTAS)
+_COUNTER = itertools.count(1)
+
+
+def make_id(world: virtual.World) -> str:
+    """Return a new id with the world's own time."""
+    head = virtual.WALL_OFFSET_MS + int(world.now_s * 1000)
+    return ids.make_id(head)
+
+
+def make_target(position: int, slots: int = 8) -> machines.Target:
+    """Return a target in one of the three failure domains."""
+    return machines.Target(
+        f'runner-{position + 1}',
+        f'worker-{position + 1}',
+        DOMAINS[position % len(DOMAINS)],
+        slots,
+        frozenset(),
+    )
+
+
+def make_world(
+    seed: int = 1,
+    controls: tuple[str, ...] = CONTROLS,
+    entries: tuple[str, ...] = ENTRIES,
+    agents: int = 3,
+) -> virtual.World:
+    """Return a world that serves the sheet of the tests."""
+    world = virtual.World(seed)
+    world.add_control(controls)
+    for name in entries:
+        world.add_entry(name, controls)
+    for position in range(agents):
+        world.add_agent(make_target(position), entries)
+    apply_sheet(world, entries[0])
+    world.run(2.0)
+    return world
+
+
+def apply_sheet(world: virtual.World, entry_name: str) -> None:
+    """Apply the sheet as the first revision and wait until in force."""
+    made = change(world, entry_name, contracts.ApplySheet(SHEET), 0, 'sheet')
+    if not isinstance(made, entry.ChangeMade):
+        raise AssertionError(f'the sheet was not applied: {made}')
+
+
+def change(
+    world: virtual.World,
+    entry_name: str,
+    asked: contracts.Change,
+    expected: int,
+    change_id: str,
+    limit_s: float = 12.0,
+) -> Any:
+    """Make a change and wait for the response."""
+    request = ask_change(world, entry_name, asked, expected, change_id)
+    world.run_until(lambda: request in world.replies, limit_s)
+    return world.replies[request][1]
+
+
+def ask_change(
+    world: virtual.World,
+    entry_name: str,
+    asked: contracts.Change,
+    expected: int,
+    change_id: str,
+) -> int:
+    """Ask for a change; return the number of the request."""
+    wanted = contracts.ChangeRequest(change_id, change_id, expected, asked)
+    return world.ask(entry_name, lambda n: entry.ChangeAsked(n, wanted))
+
+
+def make_submission(
+    submission: str,
+    tasks: int = 10,
+    claimed: bool = True,
+    limit_s: float = 20.0,
+    kind: str = 'crack-flag',
+    digest: str = 'digest',
+) -> contracts.Submission:
+    """Return a submission of equal tasks."""
+    return contracts.Submission(
+        submission or f'anonymous-{next(_COUNTER)}',
+        digest,
+        'inspectors',
+        kind,
+        (b'{}',) * tasks,
+        limit_s,
+        claimed,
+    )
+
+
+def submit(
+    world: virtual.World, entry_name: str, submission: contracts.Submission
+) -> int:
+    """Submit a job; return the number of the request."""
+    return world.ask(entry_name, lambda n: entry.SubmitAsked(n, submission))
+
+
+def await_answer(
+    world: virtual.World, request: int, limit_s: float = 30.0
+) -> Any:
+    """Let time pass until a request is answered; return the answer."""
+    world.run_until(lambda: request in world.replies, limit_s)
+    if request not in world.replies:
+        raise AssertionError(f'request {request} was not answered')
+    return world.replies[request][1]
+
+
+def find_leader(world: virtual.World) -> str:
+    """Return the name of the settled leader; empty when there is none."""
+    for name, node in world.nodes.items():
+        if node.role == 'control' and node.core is not None:
+            if not node.frozen and node.core.replica.is_settled():
+                return name
+    return ''
+
+
+def await_leader(world: virtual.World, limit_s: float = 10.0) -> str:
+    """Let time pass until a leader is settled; return its name."""
+    world.run_until(lambda: bool(find_leader(world)), limit_s)
+    return find_leader(world)
