--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -16,13 +16,12 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
+from eelgrassworks import keyrecords
 from eelgrassworks import machines
 from eelgrassworks import zones
 from eelgrassworks.links import messages
 
 RENEWAL_INTERVAL_S: Final = 0.5
-START_WINDOW_S: Final = 30.0
-KEPT_BODIES_BYTES: Final = 4 * 1024 * 1024
 # Longer than a round trip between an entry and an agent, shorter than a task.
 OFFER_LIFE_S: Final = 0.02
 
@@ -79,44 +78,6 @@
 AgentEvent = Received | TaskEnded | TargetChecked | Ticked | StopAsked
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyQueued:
-    """The start waits for a slot."""
-
-    entry: str
-    start: messages.TaskStart
-    arrived_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyRunning:
-    """The task runs."""
-
-    entry: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyEnded:
-    """The task ended; ``finished`` is sent again when asked for."""
-
-    finished: messages.TaskFinished
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyForgotten:
-    """The task ended and its result was dropped to bound memory."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyFenced:
-    """The key was never started and never will be."""
-
-    reason: str
-
-
-KeyRecord = KeyQueued | KeyRunning | KeyEnded | KeyForgotten | KeyFenced
-
-
 @dataclasses.dataclass(slots=True)
 class EntryView:
     """What the agent knows of one entry.
@@ -155,15 +116,10 @@
         self.healthy = True
         self.stopping = False
         self.entries: dict[str, EntryView] = {}
-        self.records: dict[contracts.TaskKey, KeyRecord] = {}
+        self.records = keyrecords.KeyRecords()
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self._queue: collections.deque[contracts.TaskKey] = collections.deque()
-        self._expiries: collections.deque[tuple[float, contracts.TaskKey]] = (
-            collections.deque()
-        )
-        self._kept: collections.deque[contracts.TaskKey] = collections.deque()
-        self._kept_bytes = 0
         self._renewed_s = float('-inf')
         self._left = False
 
@@ -202,7 +158,7 @@
             case messages.TaskFence():
                 return self._fence(peer, message, now_s)
             case messages.JobCancel(submissions):
-                return self._cancel(peer, submissions, now_s)
+                return self._cancel(submissions, now_s)
             case messages.SlotsWanted(waiting):
                 view.waiting = waiting
                 return self._offer_slots(now_s)
@@ -214,21 +170,25 @@
         self, peer: str, start: messages.TaskStart, now_s: float
     ) -> effects.Effects:
         key = contracts.TaskKey(start.submission, start.index)
-        record = self.records.get(key)
-        if record is not None:
-            self.counters['starts_repeated'] += 1
-            return self._tell_record(peer, key, record)
+        match self.records.find(key):
+            case None:
+                pass
+            case keyrecords.KeyFenced(attempt) if attempt < start.attempt:
+                pass
+            case record:
+                self.counters['starts_repeated'] += 1
+                return self._tell_record(peer, key, start.attempt, record)
         if self._is_stale(start.incarnation, start.stamp_ms, now_s):
             self.counters['starts_stale'] += 1
-            return [effects.Send(peer, self._tell_unknown(key))]
+            return [self._tell_unknown(peer, key, start.attempt)]
         objection = self._find_objection(start, now_s)
         if objection:
-            return self._decline(peer, key, objection, now_s)
+            return self._decline(peer, start, objection, now_s)
         if self.slots.free > 0:
-            return self._run(peer, key, start, now_s)
+            return self._run(peer, start, now_s)
         if len(self._queue) >= self.options.queue_limit:
-            return self._decline(peer, key, messages.BUSY, now_s)
-        self.records[key] = KeyQueued(peer, start, now_s)
+            return self._decline(peer, start, messages.BUSY, now_s)
+        self.records.hold(key, keyrecords.KeyQueued(peer, start))
         self._queue.append(key)
         return []
 
@@ -278,45 +238,44 @@
         self, peer: str, fence: messages.TaskFence, now_s: float
     ) -> effects.Effects:
         key = contracts.TaskKey(fence.submission, fence.index)
-        record = self.records.get(key)
-        match record:
+        match self.records.find(key):
+            case None if self._is_stale(
+                fence.incarnation, fence.stamp_ms, now_s
+            ):
+                return [self._tell_unknown(peer, key, fence.attempt)]
             case None:
-                if self._is_stale(fence.incarnation, fence.stamp_ms, now_s):
-                    return [effects.Send(peer, self._tell_unknown(key))]
-                return self._decline(peer, key, 'fenced', now_s)
-            case KeyQueued():
+                return self._decline(peer, fence, 'fenced', now_s)
+            case keyrecords.KeyQueued(_, start) if (
+                start.attempt <= fence.attempt
+            ):
                 self._queue.remove(key)
-                return self._decline(peer, key, 'fenced', now_s)
-            case _:
-                return self._tell_record(peer, key, record)
+                return self._decline(peer, fence, 'fenced', now_s)
+            case record:
+                return self._tell_record(peer, key, fence.attempt, record)
 
     def _cancel(
-        self, peer: str, submissions: tuple[str, ...], now_s: float
+        self, submissions: tuple[str, ...], now_s: float
     ) -> effects.Effects:
         asked: effects.Effects = []
-        names = set(submissions)
         for name in submissions:
-            self.cancelled[name] = now_s + START_WINDOW_S
-        for key in [each for each in self._queue if each.submission in names]:
-            self._queue.remove(key)
-            asked += self._decline(peer, key, 'cancelled', now_s)
+            self.cancelled[name] = now_s + keyrecords.START_WINDOW_S
         for key in self.slots.occupants:
-            if key.submission in names:
+            if key.submission in submissions:
                 asked.append(effects.StopTask(key))
-        return asked
+        return asked + self._fill_slots(now_s)
 
     # Tasks.
 
     def _run(
         self,
         peer: str,
-        key: contracts.TaskKey,
         start: messages.TaskStart,
         now_s: float,
     ) -> effects.Effects:
+        key = contracts.TaskKey(start.submission, start.index)
         self.slots.occupy(key, peer, now_s)
         self.entries[peer].running += 1
-        self.records[key] = KeyRunning(peer)
+        self.records.hold(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
         return [
             effects.StartTask(
@@ -350,7 +309,7 @@
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
         )
-        self._remember_end(key, finished, now_s)
+        self.records.end(key, finished, now_s)
         asked.append(effects.Send(occupant.entry, finished))
         if favoured != occupant.entry:
             asked += offers
@@ -359,86 +318,74 @@
     def _fill_slots(self, now_s: float) -> effects.Effects:
         """Start queued tasks while slots are free."""
         asked: effects.Effects = []
-        while self._queue:
-            key = self._queue[0]
-            record = self.records[key]
-            if not isinstance(record, KeyQueued):
-                self._queue.popleft()
-                continue
+        for key in list(self._queue):
+            record = self.records.find(key)
+            if not isinstance(record, keyrecords.KeyQueued):
+                raise TypeError(f'queued key {key} is recorded as {record}')
             objection = self._find_objection(record.start, now_s)
             if not objection and self.slots.free <= 0:
-                return asked
-            self._queue.popleft()
-            if objection:
-                asked += self._decline(record.entry, key, objection, now_s)
                 continue
-            asked += self._run(record.entry, key, record.start, now_s)
+            self._queue.remove(key)
+            peer, start = record.entry, record.start
+            if objection:
+                asked += self._decline(peer, start, objection, now_s)
+            else:
+                asked += self._run(peer, start, now_s)
         return asked
 
     def _decline(
-        self, peer: str, key: contracts.TaskKey, reason: str, now_s: float
-    ) -> effects.Effects:
-        """Fence a key that was not started and say so."""
-        self.records[key] = KeyFenced(reason)
-        self._expiries.append((now_s + START_WINDOW_S, key))
-        self.counters['starts_declined'] += 1
-        return [effects.Send(peer, self._tell_declined(peer, key, reason))]
-
-    def _remember_end(
         self,
-        key: contracts.TaskKey,
-        finished: messages.TaskFinished,
+        peer: str,
+        asked: messages.TaskStart | messages.TaskFence,
+        reason: str,
         now_s: float,
-    ) -> None:
-        self.records[key] = KeyEnded(finished)
-        self._expiries.append((now_s + START_WINDOW_S, key))
-        self._kept.append(key)
-        self._kept_bytes += len(finished.body)
-        while self._kept_bytes > KEPT_BODIES_BYTES:
-            self._drop_body(self._kept.popleft(), KeyForgotten())
-
-    def _drop_body(
-        self, key: contracts.TaskKey, replacement: KeyRecord | None
-    ) -> None:
-        record = self.records.get(key)
-        if not isinstance(record, KeyEnded):
-            return
-        self._kept_bytes -= len(record.finished.body)
-        if replacement is not None:
-            self.records[key] = replacement
+    ) -> effects.Effects:
+        """Fence an attempt that was not started and say so."""
+        key = contracts.TaskKey(asked.submission, asked.index)
+        self.records.fence(key, asked.attempt, reason, now_s)
+        self.counters['starts_declined'] += 1
+        return [self._tell_declined(peer, key, asked.attempt, reason)]
 
     # Answers.
 
     def _tell_record(
-        self, peer: str, key: contracts.TaskKey, record: KeyRecord
+        self,
+        peer: str,
+        key: contracts.TaskKey,
+        attempt: int,
+        record: keyrecords.KeyRecord,
     ) -> effects.Effects:
         match record:
-            case KeyQueued():
+            case keyrecords.KeyQueued():
                 return []
-            case KeyRunning():
-                told: object = messages.TaskRunning(key.submission, key.index)
-            case KeyEnded(finished):
-                told = finished
-            case KeyForgotten():
-                told = self._tell_unknown(key)
-            case KeyFenced(reason):
-                told = self._tell_declined(peer, key, reason)
-        return [effects.Send(peer, told)]
-
-    def _tell_unknown(self, key: contracts.TaskKey) -> messages.TaskUnknown:
-        return messages.TaskUnknown(key.submission, key.index)
+            case keyrecords.KeyRunning():
+                running = messages.TaskRunning(key.submission, key.index)
+                return [effects.Send(peer, running)]
+            case keyrecords.KeyEnded(finished):
+                return [effects.Send(peer, finished)]
+            case keyrecords.KeyForgotten():
+                return [self._tell_unknown(peer, key, attempt)]
+            case keyrecords.KeyFenced(fenced, reason):
+                return [self._tell_declined(peer, key, fenced, reason)]
+
+    def _tell_unknown(
+        self, peer: str, key: contracts.TaskKey, attempt: int
+    ) -> effects.Send:
+        unknown = messages.TaskUnknown(key.submission, key.index, attempt)
+        return effects.Send(peer, unknown)
 
     def _tell_declined(
-        self, peer: str, key: contracts.TaskKey, reason: str
-    ) -> messages.TaskDeclined:
-        free = -len(self._queue)
-        return messages.TaskDeclined(
+        self, peer: str, key: contracts.TaskKey, attempt: int, reason: str
+    ) -> effects.Send:
+        declined = messages.TaskDeclined(
             key.submission,
             key.index,
+            attempt,
             reason,
-            free,
+            -len(self._queue),
             self.entries[peer].starts_seen,
         )
+        return effects.Send(peer, declined)
 
     # Slots among entries.
 
@@ -536,12 +483,7 @@
         return 0 if view is None else view.starts_seen
 
     def _forget(self, now_s: float) -> None:
-        while self._expiries and self._expiries[0][0] <= now_s:
-            key = self._expiries.popleft()[1]
-            self._drop_body(key, None)
-            self.records.pop(key, None)
-        while self._kept and self._kept[0] not in self.records:
-            self._kept.popleft()
+        self.records.expire(now_s)
         expired = [
             name for name, end in self.cancelled.items() if end <= now_s
         ]
@@ -557,7 +499,7 @@
         if incarnation != self.options.incarnation:
             return True
         age_s = now_s - stamp_ms / 1000
-        return age_s > START_WINDOW_S or age_s < 0
+        return age_s >= keyrecords.START_WINDOW_S or age_s < 0
 
     def _note_health(self, healthy: bool, now_s: float) -> effects.Effects:
         changed = healthy != self.healthy
--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -242,6 +242,8 @@
             ]
         rows = [dataclasses.asdict(each) for each in results]
         if revision:
+            # The folder is made absolute, since the other run starts in it.
+            revision = str(pathlib.Path(revision).resolve())
             words = [f'--{name}={value}' for name, value in options.items()]
             words.append(f'--policy={policy}')
             rows.append(asyncio.run(comparison.run_revision(revision, words)))
--- a/eelgrassworks/comparison.py
+++ b/eelgrassworks/comparison.py
@@ -7,7 +7,6 @@
 import dataclasses
 import json
 import os
-import pathlib
 import sys
 from typing import Any
 from typing import Final
@@ -106,9 +105,8 @@
     return result
 
 
-async def run_revision(path: str, words: list[str]) -> dict[str, Any]:
+async def run_revision(folder: str, words: list[str]) -> dict[str, Any]:
     """Run the same trial with the package of another checkout."""
-    folder = str(pathlib.Path(path).resolve())
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-c',
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -24,7 +24,7 @@
 AGENT_LOST_S: Final = 5.0
 PROBE_INTERVAL_S: Final = 1.0
 OVERDUE_MARGIN_S: Final = 1.0
-MAX_ATTEMPTS: Final = 16
+MAX_OBJECTIONS: Final = 16
 DEFAULT_RUN_S: Final = 0.3
 RUN_SMOOTHING: Final = 0.02
 
@@ -217,11 +217,12 @@
     ) -> effects.Send:
         job = self._table.jobs[key.submission]
         job.note_sent(key.index, view.target.name)
+        attempt = job.attempts.get(key.index, 0) + 1
         limit_s = max(0.001, job.deadline_s - now_s)
         view.send(
             key,
             machines.Outstanding(
-                team, kind, view.stamp_ms, limit_s, now_s, now_s
+                team, kind, attempt, view.stamp_ms, limit_s, now_s, now_s
             ),
         )
         self._find_breaker(view, kind).note_sent(now_s)
@@ -229,6 +230,7 @@
         start = messages.TaskStart(
             key.submission,
             key.index,
+            attempt,
             view.incarnation,
             kind,
             job.submission.payloads[key.index],
@@ -322,9 +324,9 @@
                 return self._take_finished(view, message, now_s)
             case messages.TaskDeclined():
                 return self._take_declined(view, message, now_s)
-            case messages.TaskUnknown(submission, index):
+            case messages.TaskUnknown(submission, index, attempt):
                 key = contracts.TaskKey(submission, index)
-                if self._settle(view, key) is None:
+                if self._settle_attempt(view, key, attempt) is None:
                     return Taken([], [])
                 return Taken([], [TaskLost(key, view.target.name)])
             case messages.SlotsOffered(free, starts_seen):
@@ -367,7 +369,7 @@
         if declined.reason != messages.BUSY:
             view.accepting = False
         key = contracts.TaskKey(declined.submission, declined.index)
-        sent = self._settle(view, key)
+        sent = self._settle_attempt(view, key, declined.attempt)
         if sent is None:
             return Taken([], [])
         self._find_breaker(view, sent.kind).note_unused(now_s)
@@ -375,11 +377,12 @@
         if job is None or job.state != jobs.JobState.ACTIVE:
             return Taken([], [])
         job.note_unsent(key.index)
-        # A busy target is a matter of flow, not a failed attempt.
+        job.attempts[key.index] = sent.attempt
+        # A busy target is a matter of flow, not an objection.
         if declined.reason != messages.BUSY:
-            attempts = job.attempts.get(key.index, 0) + 1
-            job.attempts[key.index] = attempts
-            if attempts >= MAX_ATTEMPTS:
+            objections = job.objections.get(key.index, 0) + 1
+            job.objections[key.index] = objections
+            if objections >= MAX_OBJECTIONS:
                 return Taken([], [TaskStuck(key)])
         self.queue.put_back(sent.team, key.submission, sent.kind, key.index)
         return Taken([], [])
@@ -392,6 +395,19 @@
             self.queue.end(sent.team)
         return sent
 
+    def _settle_attempt(
+        self,
+        view: machines.TargetView,
+        key: contracts.TaskKey,
+        attempt: int,
+    ) -> machines.Outstanding | None:
+        """Settle a key unless the answer is about an earlier attempt."""
+        sent = view.outstanding.get(key)
+        if sent is None or sent.attempt != attempt:
+            self.counters['answers_outdated'] += 1
+            return None
+        return self._settle(view, key)
+
     def _learn(
         self, view: machines.TargetView, kind: str, run_s: float
     ) -> None:
@@ -436,7 +452,11 @@
                 continue
             sent.probed_s = now_s
             fence = messages.TaskFence(
-                key.submission, key.index, view.incarnation, sent.stamp_ms
+                key.submission,
+                key.index,
+                sent.attempt,
+                view.incarnation,
+                sent.stamp_ms,
             )
             asked.append(effects.Send(view.target.name, fence))
         self.counters['fences_sent'] += len(asked)
--- a/eelgrassworks/experiment.py
+++ b/eelgrassworks/experiment.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 from typing import Any
 from typing import Final
 
@@ -179,7 +180,7 @@
         self._apply_sheet()
         self._began_s = world.now_s
         for job in self.jobs:
-            world.at(job.arrived_s, lambda job=job: self._submit(job))
+            world.at(job.arrived_s, functools.partial(self._submit, job))
         self._plan_closing()
         world.tally = virtual.Tally()
         parts = 20
--- a/eelgrassworks/jobs.py
+++ b/eelgrassworks/jobs.py
@@ -35,7 +35,8 @@
     """A job and the outcomes gathered so far.
 
     ``waiters`` are the local requests and ``remote`` the attached requests
-    of other entries that receive the answer.
+    of other entries that receive the answer.  ``attempts`` counts the fenced
+    starts of a task, ``objections`` those that were not for want of a slot.
     """
 
     submission: contracts.Submission
@@ -47,6 +48,7 @@
     remote: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     tasks: bytearray = dataclasses.field(default_factory=bytearray)
     attempts: dict[int, int] = dataclasses.field(default_factory=dict)
+    objections: dict[int, int] = dataclasses.field(default_factory=dict)
     results: list[bytes] = dataclasses.field(default_factory=list)
     places: dict[int, str] = dataclasses.field(default_factory=dict)
     remaining: int = 0
@@ -91,6 +93,7 @@
         self.ended_s = now_s
         self.results = []
         self.attempts = {}
+        self.objections = {}
         self.places = {}
         self.submission = dataclasses.replace(self.submission, payloads=())
 
--- /dev/null
+++ b/eelgrassworks/keyrecords.py
@@ -0,0 +1,128 @@
+"""What an agent remembers of task keys, and for how long.
+
+A start carries an echo of the agent's clock and is refused once that echo is
+START_WINDOW_S old.  A record therefore has to outlive its last change by
+that window only; afterwards every frame that could concern it is stale.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks.links import messages
+
+START_WINDOW_S: Final = 30.0
+KEPT_BODIES_BYTES: Final = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyQueued:
+    """The start waits for a slot."""
+
+    entry: str
+    start: messages.TaskStart
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRunning:
+    """The task runs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyEnded:
+    """The task ended; ``finished`` is sent again when asked for."""
+
+    finished: messages.TaskFinished
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyForgotten:
+    """The task ended and its result was dropped to bound memory."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyFenced:
+    """No attempt up to ``attempt`` was started, and none will be."""
+
+    attempt: int
+    reason: str
+
+
+KeyRecord = KeyQueued | KeyRunning | KeyEnded | KeyForgotten | KeyFenced
+
+
+class KeyRecords:
+    """Records of the keys that frames may still concern."""
+
+    def __init__(self) -> None:
+        self._records: dict[contracts.TaskKey, KeyRecord] = {}
+        self._expires: dict[contracts.TaskKey, float] = {}
+        self._order: collections.deque[tuple[float, contracts.TaskKey]] = (
+            collections.deque()
+        )
+        self._kept: collections.deque[contracts.TaskKey] = collections.deque()
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def find(self, key: contracts.TaskKey) -> KeyRecord | None:
+        """Return the record of a key."""
+        return self._records.get(key)
+
+    def hold(
+        self, key: contracts.TaskKey, record: KeyQueued | KeyRunning
+    ) -> None:
+        """Record a key that is not settled; it does not expire."""
+        self._records[key] = record
+        self._expires.pop(key, None)
+
+    def fence(
+        self, key: contracts.TaskKey, attempt: int, reason: str, now_s: float
+    ) -> None:
+        """Record that no attempt up to this one was or will be started."""
+        self._settle(key, KeyFenced(attempt, reason), now_s)
+
+    def end(
+        self,
+        key: contracts.TaskKey,
+        finished: messages.TaskFinished,
+        now_s: float,
+    ) -> None:
+        """Record the outcome of a task, and bound the bytes of outcomes."""
+        self._settle(key, KeyEnded(finished), now_s)
+        self._kept.append(key)
+        self._kept_bytes += len(finished.body)
+        while self._kept_bytes > KEPT_BODIES_BYTES:
+            oldest = self._kept.popleft()
+            if self._release_body(oldest):
+                self._records[oldest] = KeyForgotten()
+
+    def expire(self, now_s: float) -> None:
+        """Forget the records whose window has passed."""
+        while self._order and self._order[0][0] <= now_s:
+            expires_s, key = self._order.popleft()
+            if self._expires.get(key) != expires_s:
+                continue
+            del self._expires[key]
+            self._release_body(key)
+            del self._records[key]
+        while self._kept and self._kept[0] not in self._records:
+            self._kept.popleft()
+
+    def _settle(
+        self, key: contracts.TaskKey, record: KeyRecord, now_s: float
+    ) -> None:
+        expires_s = now_s + START_WINDOW_S
+        self._records[key] = record
+        self._expires[key] = expires_s
+        self._order.append((expires_s, key))
+
+    def _release_body(self, key: contracts.TaskKey) -> bool:
+        """Stop to count the body of a key; False when it has none."""
+        record = self._records.get(key)
+        if not isinstance(record, KeyEnded):
+            return False
+        self._kept_bytes -= len(record.finished.body)
+        return True
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -51,10 +51,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskDeclined:
-    """The key was not started and is fenced at this incarnation."""
+    """No attempt up to this one was or will be started."""
 
     submission: str
     index: int
+    attempt: int
     reason: str
     free: int
     starts_seen: int
@@ -74,6 +75,7 @@
 
     submission: str
     index: int
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,12 +105,14 @@
 class TaskStart:
     """Start of a task, for one incarnation of the agent.
 
-    ``stamp_ms`` echoes the agent's last renewal; ``waiting`` is the number
-    of tasks that the entry cannot place.
+    ``attempt`` grows with each start that follows a decline; ``stamp_ms``
+    echoes the agent's last renewal; ``waiting`` is the number of tasks that
+    the entry cannot place.
     """
 
     submission: str
     index: int
+    attempt: int
     incarnation: int
     kind: str
     payload: bytes
@@ -119,13 +123,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskFence:
-    """Asks that a key is never started, or what became of it.
+    """Asks that an attempt is never started, or what became of the key.
 
-    ``incarnation`` and ``stamp_ms`` are those that the start carried.
+    The last three fields are those that the start carried.
     """
 
     submission: str
     index: int
+    attempt: int
     incarnation: int
     stamp_ms: int
 
@@ -311,7 +316,8 @@
 class AppendAsked:
     """Entries after ``previous_index``; empty as a heartbeat.
 
-    ``sent_s`` is the leader's monotonic time and is echoed.
+    ``sent_s`` is the leader's monotonic time and is echoed; ``durable`` says
+    what each disk has acknowledged, for the day on which it forgets it.
     """
 
     term: int
@@ -320,6 +326,7 @@
     entries: tuple[LogEntry, ...]
     commit: int
     sent_s: float
+    durable: dict[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -32,12 +32,13 @@
 class Outstanding:
     """A start that was sent and not answered.
 
-    ``stamp_ms`` is what the start carried; ``probed_s`` is when its fate was
-    last asked for.
+    ``attempt`` and ``stamp_ms`` are what the start carried; ``probed_s`` is
+    when its fate was last asked for.
     """
 
     team: str
     kind: str
+    attempt: int
     stamp_ms: int
     limit_s: float
     sent_s: float
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -563,9 +563,20 @@
             entries,
             self.commit,
             moment.now_s,
+            self._list_durable(role),
         )
         return [effects.Send(name, asked)]
 
+    def _list_durable(self, role: Leader) -> dict[str, int]:
+        """Return the last index that each voting disk has acknowledged."""
+        own = self.options.name
+        return {
+            disk: self._durable_index
+            if name == own
+            else role.progress[name].match
+            for name, disk in self.members.voters.items()
+        }
+
     def _take_appended(
         self, peer: str, told: messages.AppendTold, moment: moments.Moment
     ) -> effects.Effects:
@@ -681,6 +692,8 @@
             told = self._tell_append(False, 0, asked.sent_s)
             return [effects.Send(peer, told)]
         writes = self._follow(peer, asked.term, moment)
+        for disk, index in asked.durable.items():
+            self._note_seen(disk, index, asked.term)
         previous = asked.previous_index
         held = self.log.find_term(previous)
         if previous > self.log.last_index or (
--- /dev/null
+++ b/models/claims.py
@@ -0,0 +1,190 @@
+"""One owner for a submission id, across entries, retries and lost leaders.
+
+Two entries receive the same id; three replicas hold the claim.  A leader
+counts a replica once its write is synced.  Replicas lose power, entries die
+and are replaced by a new incarnation.  Each entry sends the one task to its
+own target, so that no record at a target can stand in for the claim.
+
+Bounds: 2 entries, 3 replicas, 2 power failures, 1 death of an entry.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+import minicheck
+
+MAX_FAILURES: Final = 2
+MAX_STATES: Final = 2_000_000
+# A replica holds (term, owner).
+NOBODY: Final = (0, '')
+OWNERS: Final = ('one', 'two')
+
+FENCES: Final = ('claim', 'quorum', 'sync', 'owner_lost')
+
+FIELDS: Final = (
+    'term',
+    'written',
+    'synced',
+    'leader',
+    'asked',
+    'owned',
+    'died',
+    'failures',
+    'runs',
+    'told',
+)
+State = tuple[Any, ...]
+Step = tuple[str, State]
+
+
+def replace(state: State, **changes: Any) -> State:
+    """Return the state with some fields changed."""
+    values = dict(zip(FIELDS, state, strict=True)) | changes
+    return tuple(values[name] for name in FIELDS)
+
+
+def put(values: tuple[Any, ...], position: int, value: Any) -> Any:
+    """Return a tuple with one value changed."""
+    return (*values[:position], value, *values[position + 1 :])
+
+
+def make(without: str = '') -> minicheck.Protocol:
+    """Return the protocol, less one of its fences."""
+
+    def step(state: State) -> list[Step]:
+        return [
+            *_move_entries(state, without),
+            *_move_replicas(state, without),
+        ]
+
+    return minicheck.Protocol(
+        name=f'claims without {without}' if without else 'claims',
+        candidate=False,
+        fields=FIELDS,
+        initial=(
+            1,
+            (NOBODY,) * 3,
+            (NOBODY,) * 3,
+            0,
+            (False, False),
+            (False, False),
+            (False, False),
+            0,
+            0,
+            ('', ''),
+        ),
+        transitions=step,
+        invariants={
+            'started_at_most_once': lambda s: s['runs'] <= 1,
+            'not_run_is_true': lambda s: (
+                'not run' not in s['told'] or s['runs'] == 0
+            ),
+        },
+    )
+
+
+def _move_entries(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    for position, name in enumerate(OWNERS):
+        if s['died'][position] or s['told'][position]:
+            continue
+        if not s['asked'][position]:
+            asked = put(s['asked'], position, True)
+            yield f'{name} asks', replace(state, asked=asked)
+            continue
+        if s['owned'][position]:
+            told = put(s['told'], position, 'complete')
+            yield f'{name} runs', replace(state, runs=s['runs'] + 1, told=told)
+            if not any(s['died']):
+                died = put(s['died'], position, True)
+                yield (
+                    f'{name} runs and dies',
+                    replace(state, runs=s['runs'] + 1, died=died),
+                )
+            continue
+        yield from _settle_claim(state, s, position, name, without)
+
+
+def _settle_claim(
+    state: State, s: dict[str, Any], position: int, name: str, without: str
+) -> Iterator[Step]:
+    """Let an entry take the verdict on its claim."""
+    owned = put(s['owned'], position, True)
+    if without == 'claim':
+        yield f'{name} goes on', replace(state, owned=owned)
+        return
+    winner = _read_winner(s, without)
+    if winner == name:
+        yield f'{name} is granted', replace(state, owned=owned)
+    elif winner:
+        ended = s['died'][OWNERS.index(winner)]
+        if ended and without == 'owner_lost':
+            told = 'not run'
+        else:
+            told = 'may have run' if ended else 'complete elsewhere'
+        yield (
+            f'{name} attaches',
+            replace(state, told=put(s['told'], position, told)),
+        )
+
+
+def _read_winner(s: dict[str, Any], without: str) -> str:
+    """Return the owner in the committed claim."""
+    held = s['written'] if without == 'sync' else s['synced']
+    entry = s['written'][s['leader']]
+    count = sum(1 for value in held if value == entry)
+    needed = 1 if without == 'quorum' else 2
+    winner: str = entry[1]
+    return winner if count >= needed else ''
+
+
+def _move_replicas(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    leader = s['leader']
+    for position, name in enumerate(OWNERS):
+        if s['asked'][position] and s['written'][leader] == NOBODY:
+            written = put(s['written'], leader, (s['term'], name))
+            yield f'append {name}', replace(state, written=written)
+    for replica in range(3):
+        value = s['written'][leader]
+        if value != NOBODY and s['written'][replica] != value:
+            written = put(s['written'], replica, value)
+            yield f'replicate to {replica}', replace(state, written=written)
+        if s['written'][replica] != s['synced'][replica]:
+            synced = put(s['synced'], replica, s['written'][replica])
+            yield f'sync {replica}', replace(state, synced=synced)
+    yield from _fail(state, s)
+
+
+def _fail(state: State, s: dict[str, Any]) -> Iterator[Step]:
+    """Let replicas lose power, and another replica be elected."""
+    if s['failures'] >= MAX_FAILURES:
+        return
+    failures = s['failures'] + 1
+    yield (
+        'all lose power',
+        replace(state, written=s['synced'], failures=failures),
+    )
+    for replica in range(3):
+        voters = [
+            other
+            for other in range(3)
+            if other == replica
+            or s['written'][other][0] <= s['written'][replica][0]
+        ]
+        if replica != s['leader'] and len(voters) >= 2:
+            term = s['term'] + 1
+            owner = s['written'][replica][1]
+            # The first entry of a new leader confirms those below it.
+            entry = (term, owner) if owner else NOBODY
+            yield (
+                f'elect {replica}',
+                replace(
+                    state,
+                    term=term,
+                    leader=replica,
+                    written=put(s['written'], replica, entry),
+                    failures=failures,
+                ),
+            )
--- /dev/null
+++ b/models/leases.py
@@ -0,0 +1,166 @@
+"""No start in a failure domain once its close is in force.
+
+A leader grants a lease to an entry, the entry hands on what remains to an
+agent.  Each reads its own clock; the clocks of the entry and the agent may
+each lose a tick within the life of a lease.  Frames may wait for any time.
+
+Bounds: 8 ticks of true time, a lease of 3 ticks, 1 lost tick a clock.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+import minicheck
+
+LAST_TICK: Final = 9
+LEASE: Final = 4
+# What a holder takes off, and what a clock may lose, within one lease.
+DRIFT: Final = 1
+MAX_STATES: Final = 2_000_000
+NEVER: Final = -99
+
+FENCES: Final = ('drift', 'remaining', 'sent_time', 'wait', 'quorum')
+
+FIELDS: Final = (
+    'now',
+    'entry_lost',
+    'agent_lost',
+    'entry_asked',
+    'entry_until',
+    'agent_asked',
+    'agent_until',
+    'answer',
+    'contact',
+    'closed_at',
+    'in_force',
+    'late_start',
+)
+State = tuple[Any, ...]
+Step = tuple[str, State]
+
+
+def replace(state: State, **changes: Any) -> State:
+    """Return the state with some fields changed."""
+    values = dict(zip(FIELDS, state, strict=True)) | changes
+    return tuple(values[name] for name in FIELDS)
+
+
+def make(without: str = '') -> minicheck.Protocol:
+    """Return the protocol, less one of its fences."""
+
+    def step(state: State) -> list[Step]:
+        s = dict(zip(FIELDS, state, strict=True))
+        return [
+            *_pass_time(state, s),
+            *_renew_entry(state, s, without),
+            *_renew_agent(state, s, without),
+            *_close(state, s, without),
+            *_start(state, s),
+        ]
+
+    return minicheck.Protocol(
+        name=f'leases without {without}' if without else 'leases',
+        candidate=False,
+        fields=FIELDS,
+        initial=(
+            0,
+            0,
+            0,
+            NEVER,
+            NEVER,
+            NEVER,
+            NEVER,
+            NEVER,
+            0,
+            NEVER,
+            False,
+            False,
+        ),
+        transitions=step,
+        invariants={'no_late_start': lambda s: not s['late_start']},
+    )
+
+
+def read_entry_clock(s: dict[str, Any]) -> int:
+    """Return the time on the clock of the entry."""
+    return int(s['now'] - s['entry_lost'])
+
+
+def read_agent_clock(s: dict[str, Any]) -> int:
+    """Return the time on the clock of the agent."""
+    return int(s['now'] - s['agent_lost'])
+
+
+def _pass_time(state: State, s: dict[str, Any]) -> Iterator[Step]:
+    if s['now'] >= LAST_TICK:
+        return
+    now = s['now'] + 1
+    yield 'pass time', replace(state, now=now)
+    if s['entry_lost'] < DRIFT:
+        yield 'entry loses a tick', replace(state, now=now, entry_lost=1)
+    if s['agent_lost'] < DRIFT:
+        yield 'agent loses a tick', replace(state, now=now, agent_lost=1)
+
+
+def _renew_entry(
+    state: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    clock = read_entry_clock(s)
+    # The old leader may still be asked after a new one took the close; a
+    # quorum follows it only until then.
+    if s['closed_at'] == NEVER:
+        yield 'quorum follows', replace(state, contact=s['now'])
+    if s['entry_asked'] == NEVER:
+        yield 'entry asks', replace(state, entry_asked=clock)
+        return
+    remaining = s['contact'] + LEASE - s['now']
+    if without == 'quorum':
+        remaining = LEASE
+    if remaining <= 0:
+        return
+    since = clock if without == 'sent_time' else s['entry_asked']
+    taken = 0 if without == 'drift' else DRIFT
+    until = max(s['entry_until'], since + remaining - taken)
+    yield (
+        'leader grants',
+        replace(state, entry_asked=NEVER, entry_until=until),
+    )
+
+
+def _renew_agent(
+    state: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    clock = read_agent_clock(s)
+    if s['agent_asked'] == NEVER:
+        yield 'agent asks', replace(state, agent_asked=clock)
+        return
+    if s['answer'] == NEVER:
+        remaining = s['entry_until'] - read_entry_clock(s)
+        if remaining > 0:
+            handed = LEASE if without == 'remaining' else remaining
+            yield 'entry answers', replace(state, answer=handed)
+        return
+    since = clock if without == 'sent_time' else s['agent_asked']
+    taken = 0 if without == 'drift' else DRIFT
+    until = max(s['agent_until'], since + s['answer'] - taken)
+    yield (
+        'agent takes answer',
+        replace(
+            state, agent_asked=NEVER, answer=NEVER, agent_until=until
+        ),
+    )
+
+
+def _close(state: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+    if s['closed_at'] == NEVER:
+        yield 'close', replace(state, closed_at=s['now'])
+        return
+    waited = s['now'] - s['closed_at']
+    if not s['in_force'] and (waited >= LEASE or without == 'wait'):
+        yield 'in force', replace(state, in_force=True)
+
+
+def _start(state: State, s: dict[str, Any]) -> Iterator[Step]:
+    if read_agent_clock(s) < s['agent_until'] and s['in_force']:
+        yield 'start', replace(state, late_start=True)
--- /dev/null
+++ b/models/replication.py
@@ -0,0 +1,236 @@
+"""A committed entry survives lost disks, replacement and new leaders.
+
+Three replicas, one entry.  A replica may lose its disk; it then has a new
+identity, is replaced as a voter by a change of the members, catches up and
+becomes a voter again, after which another disk may be lost.
+
+Bounds: 3 replicas, 1 entry, terms to 4, 2 lost disks.
+"""
+
+from collections.abc import Iterator
+import itertools
+from typing import Any
+from typing import Final
+
+import minicheck
+
+LAST_TERM: Final = 4
+MAX_LOST: Final = 2
+MAX_STATES: Final = 2_000_000
+REPLICAS: Final = (0, 1, 2)
+NO_SEAT: Final = -1
+
+FENCES: Final = ('disk_identity', 'log_order', 'vote', 'catch_up')
+
+FIELDS: Final = (
+    'terms',
+    'votes',
+    'entries',
+    'disks',
+    'seats',
+    'leader',
+    'leads_in',
+    'committed_in',
+    'lost',
+)
+State = tuple[Any, ...]
+Step = tuple[str, State]
+
+
+def replace(state: State, **changes: Any) -> State:
+    """Return the state with some fields changed."""
+    values = dict(zip(FIELDS, state, strict=True)) | changes
+    return tuple(values[name] for name in FIELDS)
+
+
+def put(values: tuple[Any, ...], position: int, value: Any) -> Any:
+    """Return a tuple with one value changed."""
+    return (*values[:position], value, *values[position + 1 :])
+
+
+def make(without: str = '') -> minicheck.Protocol:
+    """Return the protocol, less one of its fences."""
+
+    def step(state: State) -> list[Step]:
+        s = dict(zip(FIELDS, state, strict=True))
+        return [
+            *_elect(state, s, without),
+            *_replicate(state, s),
+            *_lose_disks(state, s, without),
+            *_change_members(state, s, without),
+        ]
+
+    return minicheck.Protocol(
+        name=f'replication without {without}' if without else 'replication',
+        candidate=False,
+        fields=FIELDS,
+        initial=(
+            (0, 0, 0),
+            (NO_SEAT,) * 3,
+            (0, 0, 0),
+            (0, 0, 0),
+            (0, 0, 0),
+            NO_SEAT,
+            0,
+            0,
+            0,
+        ),
+        transitions=step,
+        invariants={'committed_entry_is_kept': _is_kept},
+    )
+
+
+def _is_kept(s: dict[str, Any]) -> bool:
+    """Tell whether every later leader holds the committed entry."""
+    if not s['committed_in'] or s['leader'] == NO_SEAT:
+        return True
+    if s['leads_in'] < s['committed_in']:
+        return True
+    return bool(s['entries'][s['leader']])
+
+
+def is_voter(s: dict[str, Any], replica: int) -> bool:
+    """Tell whether the replica holds the disk that its seat names."""
+    return bool(s['seats'][replica] == s['disks'][replica])
+
+
+def count_majority(s: dict[str, Any]) -> int:
+    """Return how many seats make a majority."""
+    return sum(1 for seat in s['seats'] if seat != NO_SEAT) // 2 + 1
+
+
+def _elect(state: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+    for candidate in REPLICAS:
+        term = s['terms'][candidate] + 1
+        if term > LAST_TERM or not is_voter(s, candidate):
+            continue
+        others = [each for each in REPLICAS if each != candidate]
+        for size in range(len(others) + 1):
+            for chosen in itertools.combinations(others, size):
+                if size + 1 < count_majority(s):
+                    continue
+                if all(
+                    _grants(s, voter, candidate, term, without)
+                    for voter in chosen
+                ):
+                    yield _lead(state, s, candidate, chosen, term)
+
+
+def _grants(
+    s: dict[str, Any], voter: int, candidate: int, term: int, without: str
+) -> bool:
+    if not is_voter(s, voter) or s['terms'][voter] > term:
+        return False
+    if s['terms'][voter] == term and s['votes'][voter] not in (
+        NO_SEAT,
+        candidate,
+    ):
+        return without == 'vote'
+    if without == 'log_order':
+        return True
+    return bool(s['entries'][candidate] >= s['entries'][voter])
+
+
+def _lead(
+    state: State,
+    s: dict[str, Any],
+    candidate: int,
+    chosen: tuple[int, ...],
+    term: int,
+) -> Step:
+    terms, votes = s['terms'], s['votes']
+    for voter in (candidate, *chosen):
+        terms = put(terms, voter, term)
+        votes = put(votes, voter, candidate)
+    after = replace(
+        state, terms=terms, votes=votes, leader=candidate, leads_in=term
+    )
+    return f'{candidate} leads in {term} by {chosen}', after
+
+
+def _replicate(state: State, s: dict[str, Any]) -> Iterator[Step]:
+    leader = s['leader']
+    if leader == NO_SEAT or s['terms'][leader] != s['leads_in']:
+        return
+    if not s['entries'][leader]:
+        entries = put(s['entries'], leader, 1)
+        yield 'append', replace(state, entries=entries)
+        return
+    for follower in REPLICAS:
+        if s['terms'][follower] > s['leads_in']:
+            continue
+        if s['entries'][follower] and s['terms'][follower] == s['leads_in']:
+            continue
+        changes = {
+            'entries': put(s['entries'], follower, 1),
+            'terms': put(s['terms'], follower, s['leads_in']),
+        }
+        if s['terms'][follower] < s['leads_in']:
+            changes['votes'] = put(s['votes'], follower, NO_SEAT)
+        yield f'replicate to {follower}', replace(state, **changes)
+    holders = [each for each in REPLICAS if _follows(s, each)]
+    if not s['committed_in'] and len(holders) >= count_majority(s):
+        yield 'commit', replace(state, committed_in=s['leads_in'])
+
+
+def _follows(s: dict[str, Any], replica: int) -> bool:
+    """Tell whether a voter holds the entry in the leader's term."""
+    return bool(
+        is_voter(s, replica)
+        and s['entries'][replica]
+        and s['terms'][replica] == s['leads_in']
+    )
+
+
+def _lose_disks(
+    state: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    if s['lost'] >= MAX_LOST:
+        return
+    # A second disk is lost only once the first one is repaired.
+    if any(not is_voter(s, each) for each in REPLICAS):
+        return
+    for replica in REPLICAS:
+        disk = s['disks'][replica]
+        renewed = disk if without == 'disk_identity' else disk + 1
+        yield (
+            f'{replica} loses its disk',
+            replace(
+                state,
+                terms=put(s['terms'], replica, 0),
+                votes=put(s['votes'], replica, NO_SEAT),
+                entries=put(s['entries'], replica, 0),
+                disks=put(s['disks'], replica, renewed),
+                leader=NO_SEAT if s['leader'] == replica else s['leader'],
+                lost=s['lost'] + 1,
+            ),
+        )
+
+
+def _change_members(
+    state: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    """Take a lost disk out of its seat, and a caught-up one in."""
+    leader = s['leader']
+    if leader == NO_SEAT or s['terms'][leader] != s['leads_in']:
+        return
+    following = [
+        each
+        for each in REPLICAS
+        if is_voter(s, each) and s['terms'][each] == s['leads_in']
+    ]
+    for replica in REPLICAS:
+        if is_voter(s, replica):
+            continue
+        if s['seats'][replica] != NO_SEAT:
+            if len(following) >= 2:
+                seats = put(s['seats'], replica, NO_SEAT)
+                yield f'unseat {replica}', replace(state, seats=seats)
+            continue
+        caught_up = (
+            s['entries'][replica] >= s['entries'][leader]
+            and s['terms'][replica] == s['leads_in']
+        )
+        if (caught_up or without == 'catch_up') and len(following) >= 2:
+            seats = put(s['seats'], replica, s['disks'][replica])
+            yield f'seat {replica}', replace(state, seats=seats)
--- /dev/null
+++ b/models/starts.py
@@ -0,0 +1,248 @@
+"""At most one start of a key, and answers that are true.
+
+One entry, one agent and a network that keeps every frame for ever and may
+deliver it any number of times, in any order.  The agent's clock counts start
+windows; the agent may restart.  The entry may try again after a decline.
+
+Bounds: 4 instants, 2 incarnations, 2 attempts.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+import minicheck
+
+LAST_INSTANT: Final = 3
+LAST_INCARNATION: Final = 1
+LAST_ATTEMPT: Final = 2
+WINDOW: Final = 1
+MAX_STATES: Final = 2_000_000
+
+FENCES: Final = (
+    'records',
+    'window',
+    'incarnation',
+    'attempt',
+    'silence',
+)
+
+FIELDS: Final = (
+    'now',
+    'incarnation',
+    'record',
+    'known',
+    'attempt',
+    'outstanding',
+    'told',
+    'starts',
+    'fences',
+    'answers',
+    'runs',
+)
+
+# A start or fence frame is (attempt, incarnation, stamp); an answer is
+# (what, attempt, incarnation).  A record is (state, attempt, expiry).
+NO_RECORD: Final = ('none', 0, 0)
+State = tuple[Any, ...]
+Step = tuple[str, State]
+
+
+def replace(state: State, **changes: Any) -> State:
+    """Return the state with some fields changed."""
+    values = dict(zip(FIELDS, state, strict=True)) | changes
+    return tuple(values[name] for name in FIELDS)
+
+
+def make(without: str = '') -> minicheck.Protocol:
+    """Return the protocol, less one of its fences."""
+
+    def step(state: State) -> list[Step]:
+        return [
+            *_pass_time(state, without),
+            *_move_entry(state, without),
+            *_deliver_starts(state, without),
+            *_deliver_fences(state, without),
+            *_deliver_answers(state, without),
+        ]
+
+    return minicheck.Protocol(
+        name=f'starts without {without}' if without else 'starts',
+        candidate=False,
+        fields=FIELDS,
+        initial=(
+            0,
+            0,
+            NO_RECORD,
+            (0, 0),
+            0,
+            False,
+            'nothing',
+            frozenset(),
+            frozenset(),
+            frozenset(),
+            0,
+        ),
+        transitions=step,
+        invariants={
+            'started_at_most_once': lambda s: s['runs'] <= 1,
+            'not_run_is_true': lambda s: (
+                s['told'] != 'not run' or s['runs'] == 0
+            ),
+            'complete_is_true': lambda s: (
+                s['told'] != 'complete' or s['runs'] == 1
+            ),
+        },
+    )
+
+
+def _pass_time(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    what, attempt, expiry = s['record']
+    if s['now'] < LAST_INSTANT:
+        now = s['now'] + 1
+        record = s['record']
+        if what in ('ended', 'fenced') and now >= expiry:
+            record = NO_RECORD
+        yield 'pass time', replace(state, now=now, record=record)
+    if what == 'running':
+        ended = ('ended', attempt, s['now'] + WINDOW)
+        answer = ('finished', attempt, s['incarnation'])
+        yield (
+            'end task',
+            replace(
+                state,
+                record=NO_RECORD if without == 'records' else ended,
+                answers=s['answers'] | {answer},
+            ),
+        )
+    if s['incarnation'] < LAST_INCARNATION:
+        yield (
+            'restart agent',
+            replace(
+                state, incarnation=s['incarnation'] + 1, record=NO_RECORD
+            ),
+        )
+
+
+def _move_entry(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    current = (s['incarnation'], s['now'])
+    if s['known'] != current:
+        changes: dict[str, Any] = {'known': current}
+        if s['outstanding'] and s['known'][0] != s['incarnation']:
+            changes |= {'outstanding': False, 'told': 'may have run'}
+        yield 'renew', replace(state, **changes)
+    if s['told'] != 'nothing':
+        return
+    if not s['outstanding'] and s['attempt'] < LAST_ATTEMPT:
+        attempt = s['attempt'] + 1
+        yield (
+            'send start',
+            replace(
+                state,
+                attempt=attempt,
+                outstanding=True,
+                starts=s['starts'] | {(attempt, *s['known'])},
+            ),
+        )
+    if s['outstanding']:
+        yield (
+            'send fence',
+            replace(
+                state, fences=s['fences'] | {(s['attempt'], *s['known'])}
+            ),
+        )
+    silent = s['outstanding'] and without != 'silence'
+    told = 'may have run' if silent else 'not run'
+    yield 'pass deadline', replace(state, told=told, outstanding=False)
+
+
+def is_stale(s: dict[str, Any], frame: Any, without: str) -> bool:
+    """Tell whether the record of a frame's key may be missing."""
+    _, incarnation, stamp = frame
+    if incarnation != s['incarnation'] and without != 'incarnation':
+        return True
+    return s['now'] - stamp >= WINDOW and without != 'window'
+
+
+def _answer_record(s: dict[str, Any], attempt: int) -> Any:
+    what, recorded, _ = s['record']
+    answers = {
+        'running': 'running',
+        'ended': 'finished',
+        'fenced': 'declined',
+    }
+    told = recorded if what in ('fenced', 'ended') else attempt
+    return answers[what], told, s['incarnation']
+
+
+def _deliver_starts(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    for frame in s['starts']:
+        attempt = frame[0]
+        what, recorded, _ = s['record']
+        open_again = what == 'fenced' and recorded < attempt
+        if what != 'none' and not open_again:
+            answer = _answer_record(s, attempt)
+            yield (
+                f'repeat start {frame}',
+                replace(state, answers=s['answers'] | {answer}),
+            )
+            continue
+        if is_stale(s, frame, without):
+            answer = ('unknown', attempt, s['incarnation'])
+            yield (
+                f'stale start {frame}',
+                replace(state, answers=s['answers'] | {answer}),
+            )
+            continue
+        yield (
+            f'run start {frame}',
+            replace(state, record=('running', attempt, 0), runs=s['runs'] + 1),
+        )
+        yield f'decline start {frame}', _fence(state, s, attempt)
+
+
+def _fence(state: State, s: dict[str, Any], attempt: int) -> State:
+    answer = ('declined', attempt, s['incarnation'])
+    return replace(
+        state,
+        record=('fenced', attempt, s['now'] + WINDOW),
+        answers=s['answers'] | {answer},
+    )
+
+
+def _deliver_fences(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    for frame in s['fences']:
+        attempt = frame[0]
+        if s['record'][0] != 'none':
+            answer = _answer_record(s, attempt)
+            after = replace(state, answers=s['answers'] | {answer})
+        elif is_stale(s, frame, without):
+            answer = ('unknown', attempt, s['incarnation'])
+            after = replace(state, answers=s['answers'] | {answer})
+        else:
+            after = _fence(state, s, attempt)
+        yield f'take fence {frame}', after
+
+
+def _deliver_answers(state: State, without: str) -> Iterator[Step]:
+    s = dict(zip(FIELDS, state, strict=True))
+    if not s['outstanding'] or s['told'] != 'nothing':
+        return
+    for what, attempt, incarnation in s['answers']:
+        if incarnation != s['known'][0]:
+            continue
+        current = attempt == s['attempt'] or without == 'attempt'
+        match what:
+            case 'finished':
+                changes = {'told': 'complete', 'outstanding': False}
+            case 'declined' if current:
+                changes = {'outstanding': False}
+            case 'unknown' if current:
+                changes = {'told': 'may have run', 'outstanding': False}
+            case _:
+                continue
+        yield f'take answer {what} {attempt}', replace(state, **changes)
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -270,6 +270,29 @@
     return find_untruths(world, {request: submission})
 
 
+def decline_again_later(_: virtual.World) -> list[str]:
+    """A decline arrives again while a later attempt runs.
+
+    Two targets without a queue decline what two entries send at once.
+    """
+    world = worlds.make_world(agents=0)
+    for position in range(2):
+        target = worlds.make_target(position, slots=2)
+        world.add_agent(target, worlds.ENTRIES, queue_limit=0)
+    world.run(2.0)
+    delay_some(
+        world,
+        lambda _, __, m: isinstance(m, messages.TaskDeclined),
+        [0.001, 0.13],
+    )
+    asked = {}
+    for name in worlds.ENTRIES:
+        submission = worlds.make_submission(worlds.make_id(world), 60)
+        asked[worlds.submit(world, name, submission)] = submission
+    world.run(20.0)
+    return find_repeated(world) + find_untruths(world, asked)
+
+
 # Failure domains and targets.
 
 
@@ -354,6 +377,7 @@
     start = messages.TaskStart(
         'late',
         0,
+        1,
         core.options.incarnation,
         'crack-flag',
         b'{}',
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -16,7 +16,7 @@
 class FrameTest(unittest.TestCase):
     @ddt.data(
         messages.Heartbeat(1.5),
-        messages.TaskFence('job', 3, 9, 1000),
+        messages.TaskFence('job', 3, 1, 9, 1000),
         messages.TaskFinished('job', 3, True, b'{}', 12, 4, 9),
         messages.ClaimsAsked(1, (contracts.Claim('id', 'd', 'e', 4),)),
         messages.ChangeAsked(
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -13,6 +13,7 @@
 from eelgrassworks import entry
 from eelgrassworks import grants
 from eelgrassworks import jobs
+from eelgrassworks import keyrecords
 from eelgrassworks import ledger
 from eelgrassworks import replica
 from eelgrassworks import virtual
@@ -79,9 +80,9 @@
     """Let the agent forget a key when its task ends."""
 
     def forget(self: Any, key: Any, *_: Any) -> None:
-        del self.records[key]
+        del self._records[key]
 
-    return mock.patch.object(agent.Agent, '_remember_end', forget)
+    return mock.patch.object(keyrecords.KeyRecords, 'end', forget)
 
 
 def start_window() -> Any:
@@ -148,6 +149,17 @@
     return stack
 
 
+def attempts() -> Any:
+    """Take any decline for one of the latest start."""
+
+    def settle(self: Any, view: Any, key: Any, _: int) -> Any:
+        return self._settle(view, key)
+
+    return mock.patch.object(
+        entry.dispatcher.Dispatcher, '_settle_attempt', settle
+    )
+
+
 def truthful_not_run() -> Any:
     """Take silence for a refusal."""
     return mock.patch.object(jobs.Job, 'may_have_run', lambda _: False)
@@ -187,6 +199,7 @@
     (scenarios.start_twice_at_once, key_records),
     (scenarios.start_again_after_minutes, start_window),
     (scenarios.start_again_at_next_incarnation, start_window),
+    (scenarios.decline_again_later, attempts),
     (scenarios.answer_while_start_travels, truthful_not_run),
     (scenarios.close_while_agent_is_cut_off, leases),
     (scenarios.close_while_agent_is_frozen, leases),
