--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -252,6 +252,38 @@
         else:
             print(comparison.format_table(rows))
 
+    def load(
+        self,
+        kind: str = 'crack-flag',
+        jobs: int = 200,
+        tasks: int = 1,
+        rate: float = 50.0,
+        work_ms: float = 50.0,
+        servers: str = '',
+        claimed: bool = True,
+        seed: int = 1,
+    ) -> None:
+        """Send jobs to a running system in an open loop.
+
+        Args:
+            kind: kind of request.
+            jobs: number of jobs.
+            tasks: tasks of each job.
+            rate: jobs a second.
+            work_ms: work of each task at a stand-in target.
+            servers: URLs of entries, separated by commas; --server if none.
+            claimed: send a submission id with each job.
+            seed: seed of the arrivals.
+        """
+        from eelgrassworks import load
+
+        urls = tuple(servers.split(',')) if servers else (self._server,)
+        plan = load.LoadPlan(
+            urls, self._team, kind, jobs, tasks, rate, work_ms, seed, claimed
+        )
+        report = asyncio.run(load.run_load(plan))
+        self._print(dataclasses.asdict(report))
+
     def standin(
         self,
         name: str,
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -149,7 +149,7 @@
         """Drop the waiting tasks of a job and cancel the sent ones."""
         submission = job.submission
         self.queue.remove(submission.team, submission.id)
-        for target in set(job.places.values()):
+        for target in dict.fromkeys(job.places.values()):
             self._cancels.setdefault(target, []).append(submission.id)
 
     def flush_cancels(self) -> effects.Effects:
--- a/eelgrassworks/embedded.py
+++ b/eelgrassworks/embedded.py
@@ -167,13 +167,18 @@
         url = await embedded.start()
         try:
             async with aiohttp.ClientSession(url) as session:
-                await _apply_sheet(session)
-                await _wait_ready(embedded)
+                await prepare(embedded, session)
                 return await _run(embedded, session)
         finally:
             await embedded.stop()
 
 
+async def prepare(embedded: Embedded, session: aiohttp.ClientSession) -> None:
+    """Apply the sheet and wait until every process takes work."""
+    await _apply_sheet(session)
+    await _wait_ready(embedded)
+
+
 async def _apply_sheet(session: aiohttp.ClientSession) -> None:
     give_up_s = clock.read_now() + READY_TIMEOUT_S
     while clock.read_now() < give_up_s:
--- a/eelgrassworks/experiment.py
+++ b/eelgrassworks/experiment.py
@@ -222,7 +222,7 @@
     def _submit(self, job: workload.PlannedJob) -> None:
         world, preset = self.world, self.plan.preset
         head_ms = virtual.WALL_OFFSET_MS + int(world.now_s * 1000)
-        name = ids.make_id(head_ms)
+        name = ids.compose_id(head_ms, job.number)
         self.ids[name] = job
         submission = contracts.Submission(
             name,
--- a/eelgrassworks/ids.py
+++ b/eelgrassworks/ids.py
@@ -9,6 +9,7 @@
 import uuid
 
 UUID_VERSION: Final = 7
+RANDOM_BITS: Final = 62
 _VERSION_BITS: Final = UUID_VERSION << 76
 _VARIANT_BITS: Final = 0b10 << 62
 
@@ -27,7 +28,12 @@
     return value.int >> 80
 
 
+def compose_id(time_ms: int, bits: int) -> str:
+    """Return the id with the given time and 62 further bits."""
+    head = (time_ms << 80) | _VERSION_BITS
+    return str(uuid.UUID(int=head | _VARIANT_BITS | bits))
+
+
 def make_id(time_ms: int) -> str:
     """Return a new id with the given time."""
-    head = (time_ms << 80) | _VERSION_BITS | (secrets.randbits(12) << 64)
-    return str(uuid.UUID(int=head | _VARIANT_BITS | secrets.randbits(62)))
+    return compose_id(time_ms, secrets.randbits(RANDOM_BITS))
--- a/eelgrassworks/ledger.py
+++ b/eelgrassworks/ledger.py
@@ -218,7 +218,7 @@
 
     def dump(self, members: commands.SetMembers) -> bytes:
         """Return the state and the members of the log as one snapshot."""
-        return codec.encode(
+        return codec.encode_alike(
             LedgerModel(
                 self.configuration,
                 self.claims,
--- a/eelgrassworks/links/codec.py
+++ b/eelgrassworks/links/codec.py
@@ -36,6 +36,7 @@
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
+_ORDERED_ENCODER: Final = msgspec.msgpack.Encoder(order='deterministic')
 _FRAME_DECODER: Final = msgspec.msgpack.Decoder(FrameModel)
 _DECODERS: Final[dict[str, msgspec.msgpack.Decoder[Any]]] = {}
 
@@ -68,9 +69,9 @@
         raise FrameRejected(f'{tag}: {error}') from error
 
 
-def encode(value: object) -> bytes:
-    """Encode a data class or a border model as MessagePack."""
-    return _ENCODER.encode(value)
+def encode_alike(value: object) -> bytes:
+    """Encode a value so that equal values give equal bytes everywhere."""
+    return _ORDERED_ENCODER.encode(value)
 
 
 class Codec:
--- a/eelgrassworks/logs.py
+++ b/eelgrassworks/logs.py
@@ -6,6 +6,7 @@
 
 import datetime
 import json
+import logging
 import re
 import sys
 from typing import Any
@@ -55,6 +56,23 @@
 
     eliot.add_global_fields(**common)
     eliot.add_destinations(write)
+    logging.basicConfig(
+        level=logging.WARNING, handlers=[LibraryHandler()], force=True
+    )
+
+
+class LibraryHandler(logging.Handler):
+    """Writes what libraries report as events of one line."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        log(
+            'library',
+            logger=record.name,
+            level=record.levelname,
+            text=record.getMessage(),
+            error=repr(record.exc_info[1]) if record.exc_info else '',
+        )
 
 
 def log(event: str, **fields: object) -> None:
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,176 @@
+"""Replicas of the log: catching up, replacement, transfer, bounds."""
+
+import unittest
+
+import ddt
+
+from eelgrassworks import commands
+from eelgrassworks import contracts
+from eelgrassworks import control
+from eelgrassworks import ids
+from eelgrassworks import ledger
+from eelgrassworks import links
+from eelgrassworks import virtual
+from eelgrassworks.links import messages
+from tests import scenarios
+from tests import worlds
+
+
+def close_and_open(world: virtual.World, count: int) -> None:
+    """Make changes one after the other, without waiting until in force."""
+    for number in range(count):
+        leader = worlds.await_leader(world)
+        core = world.nodes[leader].core
+        revision = core.ledger.configuration.revision
+        change = (
+            contracts.OpenDomain(worlds.DOMAINS[0])
+            if number % 2
+            else contracts.CloseDomain(worlds.DOMAINS[0])
+        )
+        worlds.ask_change(
+            world, 'entry-1', change, revision, f'change-{number}'
+        )
+        world.run_until(
+            lambda core=core, revision=revision: (
+                core.ledger.configuration.revision > revision
+            ),
+            5.0,
+        )
+
+
+@ddt.ddt
+class ReplicaTest(unittest.TestCase):
+    @ddt.data('kept', 'lost')
+    def test_restart_hundreds_of_changes_behind(self, disk: str) -> None:
+        world = worlds.make_world(agents=1)
+        leader = worlds.find_leader(world)
+        behind = next(n for n in worlds.CONTROLS if n != leader)
+        world.kill(behind)
+        close_and_open(world, 300)
+        if disk == 'lost':
+            world.lose_disk(behind)
+        world.start(behind)
+        core = world.nodes[behind].core
+        world.run_until(lambda: core.ledger.configuration.revision == 301, 5)
+        self.assertEqual(core.ledger.configuration.revision, 301)
+        self.assertEqual(core.replica.counters['snapshots_installed'], 1)
+        world.run(2.0)
+        self.assertTrue(core.replica.is_voter)
+
+    def test_second_loss_right_after_repair(self) -> None:
+        world = worlds.make_world(agents=1)
+        submission = worlds.make_submission(worlds.make_id(world), 4)
+        worlds.await_answer(world, worlds.submit(world, 'entry-1', submission))
+        for name in worlds.CONTROLS:
+            world.kill(name)
+            world.lose_disk(name)
+            world.run(1.0)
+            world.start(name)
+            core = world.nodes[name].core
+            repaired = world.run_until(lambda c=core: c.replica.is_voter, 10)
+            self.assertTrue(repaired, name)
+        again = worlds.submit(world, 'entry-2', submission)
+        worlds.await_answer(world, again)
+        world.run(60.0)
+        self.assertEqual(scenarios.find_repeated(world), [])
+        self.assertEqual(
+            scenarios.find_untruths(world, {again: submission}), []
+        )
+
+    def test_planned_stop_hands_leadership_over(self) -> None:
+        world = worlds.make_world()
+        leader = worlds.find_leader(world)
+        began_s = world.now_s
+        world.give(leader, control.StopAsked())
+        world.run_until(lambda: leader in world.left, 5.0)
+        world.kill(leader)
+        found = worlds.await_leader(world)
+        self.assertNotIn(found, ('', leader))
+        self.assertLess(world.now_s - began_s, 0.2)
+
+    @ddt.data(*range(1, 9))
+    def test_new_leader_after_kill(self, seed: int) -> None:
+        world = worlds.make_world(seed=seed)
+        began_s = world.now_s
+        world.kill(worlds.find_leader(world))
+        self.assertTrue(worlds.await_leader(world))
+        self.assertLess(world.now_s - began_s, 2.0)
+
+    def test_older_folder_is_refused(self) -> None:
+        world = worlds.make_world()
+        leader = worlds.find_leader(world)
+        behind = next(n for n in worlds.CONTROLS if n != leader)
+        disk = world.nodes[behind].disk
+        kept = list(disk.records)
+        close_and_open(world, 3)
+        world.kill(behind)
+        disk.records = kept
+        scenarios.delay_some(
+            world,
+            lambda _, receiver, m: (
+                receiver == behind and isinstance(m, messages.AppendAsked)
+            ),
+            [0.5],
+        )
+        world.start(behind)
+        world.run(1.0)
+        refusal = world.halted[behind].refusal
+        self.assertIn('older', refusal.values['reason'])
+        self.assertIn('empty the folder', refusal.values['remedy'])
+
+    def test_one_sync_serves_all_that_waited(self) -> None:
+        world = worlds.make_world(agents=1)
+        core = world.nodes[worlds.find_leader(world)].core
+        before = core.counters['claim_batches']
+        asked = [
+            worlds.submit(
+                world,
+                'entry-1',
+                worlds.make_submission(worlds.make_id(world), 1),
+            )
+            for _ in range(200)
+        ]
+        for request in asked:
+            worlds.await_answer(world, request, 60.0)
+        self.assertEqual(core.counters['claims'], 200)
+        self.assertLessEqual(core.counters['claim_batches'] - before, 5)
+
+
+class LedgerTest(unittest.TestCase):
+    def test_claims_are_forgotten_truthfully(self) -> None:
+        held = ledger.Ledger()
+
+        held.apply(1, commands.RegisterEntry('entry-1', 'a', 5))
+        old, new = ids.make_id(1_000_000), ids.make_id(3_000_000)
+
+        def claim(submission: str, wall_ms: int) -> object:
+            asked = contracts.Claim(submission, 'd', 'entry-1', 1)
+            command = commands.CommitClaims((asked,), wall_ms)
+            return held.apply(2, command)[0]
+
+        granted = contracts.ClaimGranted(old)
+        self.assertEqual(claim(old, 1_000_500), granted)
+        self.assertEqual(claim(new, 1_000_500), contracts.ClaimFuture(new))
+        self.assertEqual(claim(new, 3_000_000), contracts.ClaimGranted(new))
+        # A clock that was set back must not open the window again.
+        self.assertEqual(claim(old, 1_000_500), contracts.ClaimExpired(old))
+        self.assertEqual(held.look_up(old), contracts.ClaimExpired(old))
+        self.assertEqual(set(held.claims), {new})
+
+    def test_snapshot_keeps_everything(self) -> None:
+        held = ledger.Ledger()
+
+        held.apply(1, commands.RegisterEntry('entry-1', 'a', 5))
+        held.apply(
+            2,
+            commands.CommitChange(
+                'c',
+                'ama',
+                0,
+                links.pack(contracts.ApplySheet(worlds.SHEET)),
+            ),
+        )
+        members = commands.SetMembers({'control-1': 'disk'}, {})
+        copy = ledger.Ledger()
+        self.assertEqual(copy.load(held.dump(members)), members)
+        self.assertEqual(copy.dump(members), held.dump(members))
