--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of processes on loopback; each prints one JSON line."""
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -366,7 +366,9 @@
     ) -> Taken:
         self.counters['starts_declined'] += 1
         view.report(declined.free, declined.starts_seen)
-        if declined.reason != messages.BUSY:
+        if declined.reason == messages.BUSY:
+            view.block()
+        else:
             view.accepting = False
         key = contracts.TaskKey(declined.submission, declined.index)
         sent = self._settle_attempt(view, key, declined.attempt)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -12,6 +12,8 @@
 
 SPEED_SMOOTHING: Final = 0.1
 MIN_SPEED_SAMPLES: Final = 5
+# Below any queue that a policy may fill.
+FULL: Final = -1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +92,10 @@
         if not self.outstanding:
             self.starts_sent = starts_seen
 
+    def block(self) -> None:
+        """Take the target for full until it reports again."""
+        self.reported_free = FULL
+
     def send(self, key: contracts.TaskKey, start: Outstanding) -> None:
         """Record that a start was sent."""
         self.outstanding[key] = start
