--- /dev/null
+++ b/eelgrassworks/changes.py
@@ -0,0 +1,91 @@
+"""Changes of operators that an entry carries to control.
+
+A change is answered once it is in force at every node that can start work,
+once it is refused, or at its deadline.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import session
+
+CHANGE_WAIT_S: Final = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeMade:
+    """Response to a change.
+
+    ``in_force`` tells whether every node that can start work has it.
+    """
+
+    verdict: contracts.ChangeVerdict
+    in_force: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeUnknown:
+    """No verdict was received; the same change id may be sent again."""
+
+
+@dataclasses.dataclass(slots=True)
+class PendingChange:
+    """A change that is not yet in force everywhere."""
+
+    request: int
+    deadline_s: float
+    verdict: contracts.ChangeVerdict | None = None
+
+
+class Changes:
+    """The pending changes of one entry."""
+
+    def __init__(self, control: session.Session) -> None:
+        self._session = control
+        self._pending: dict[str, PendingChange] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def begin(
+        self, request: int, change: contracts.ChangeRequest, now_s: float
+    ) -> effects.Effects:
+        """Carry a change to control."""
+        pending = PendingChange(request, now_s + CHANGE_WAIT_S)
+        self._pending[change.id] = pending
+        return self._session.change(change, now_s)
+
+    def take_verdict(self, verdict: contracts.ChangeVerdict) -> None:
+        """Take the verdict on a change."""
+        pending = self._pending.get(verdict.id)
+        if pending is not None:
+            pending.verdict = verdict
+
+    def settle(self, now_s: float) -> effects.Effects:
+        """Answer the changes that are in force, refused or too late."""
+        asked: effects.Effects = []
+        for change_id, pending in list(self._pending.items()):
+            response = self._respond(pending, now_s)
+            if response is None:
+                continue
+            del self._pending[change_id]
+            self._session.abandon(change_id)
+            asked.append(effects.Reply(pending.request, response))
+        return asked
+
+    def _respond(
+        self, pending: PendingChange, now_s: float
+    ) -> ChangeMade | ChangeUnknown | None:
+        expired = now_s >= pending.deadline_s
+        match pending.verdict:
+            case None:
+                return ChangeUnknown() if expired else None
+            case contracts.ChangeAccepted(_, revision) as verdict:
+                in_force = self._session.in_force_revision >= revision
+                if in_force or expired:
+                    return ChangeMade(verdict, in_force)
+                return None
+            case verdict:
+                return ChangeMade(verdict, False)
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -17,6 +17,7 @@
 from eelgrassworks import ledger
 from eelgrassworks import moments
 from eelgrassworks import replica
+from eelgrassworks import roles
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 
@@ -32,7 +33,7 @@
     ``group_commit`` is off only to measure what it saves.
     """
 
-    replica: replica.ReplicaOptions
+    replica: roles.ReplicaOptions
     group_commit: bool = True
     snapshot_interval: int = SNAPSHOT_INTERVAL
 
@@ -98,7 +99,7 @@
     def __init__(
         self,
         options: ControlOptions,
-        stored: replica.Stored,
+        stored: roles.Stored,
         snapshot: bytes,
         moment: moments.Moment,
     ) -> None:
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -24,7 +24,7 @@
 from eelgrassworks import logs
 from eelgrassworks import metrics
 from eelgrassworks import process
-from eelgrassworks import replica
+from eelgrassworks import roles
 from eelgrassworks import settings
 from eelgrassworks.links import transport
 
@@ -70,7 +70,7 @@
         )
         return control.Control(
             control.ControlOptions(
-                replica.ReplicaOptions(
+                roles.ReplicaOptions(
                     model.name,
                     recovered.identity.disk,
                     tuple(model.replicas),
--- /dev/null
+++ b/eelgrassworks/durability.py
@@ -0,0 +1,55 @@
+"""What a replica has written, what of it is durable, and what waits for it."""
+
+import collections
+
+from eelgrassworks import effects
+
+
+class Durability:
+    """Counts writes and keeps back what must not leave before their sync."""
+
+    def __init__(self, last_index: int) -> None:
+        self.sequence = 0
+        self.index = last_index
+        self._synced = 0
+        self._writes: collections.deque[tuple[int, int]] = collections.deque()
+        self._held: collections.deque[tuple[int, int, effects.Effects]] = (
+            collections.deque()
+        )
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every write is durable."""
+        return self._synced >= self.sequence
+
+    def note_write(self, last_index: int) -> int:
+        """Count a write that ends at a log index; return its number."""
+        self.sequence += 1
+        self._writes.append((self.sequence, last_index))
+        return self.sequence
+
+    def note_truncation(self, keep: int) -> None:
+        """Record that entries after ``keep`` are void."""
+        self.index = min(self.index, keep)
+        self._writes = collections.deque(
+            (sequence, min(last, keep)) for sequence, last in self._writes
+        )
+
+    def hold(self, term: int, asked: effects.Effects) -> None:
+        """Keep effects back until the last write is durable."""
+        self._held.append((self.sequence, term, asked))
+
+    def note_synced(self, sequence: int, term: int) -> effects.Effects:
+        """Take a sync; return the effects that may leave now.
+
+        A promise that was made in an earlier term must not leave any more.
+        """
+        self._synced = max(self._synced, sequence)
+        while self._writes and self._writes[0][0] <= self._synced:
+            self.index = self._writes.popleft()[1]
+        released: effects.Effects = []
+        while self._held and self._held[0][0] <= self._synced:
+            _, held_term, asked = self._held.popleft()
+            if held_term == term:
+                released += asked
+        return released
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -11,20 +11,19 @@
 import heapq
 from typing import Final
 
+from eelgrassworks import answers
+from eelgrassworks import changes
 from eelgrassworks import contracts
 from eelgrassworks import dispatcher
 from eelgrassworks import effects
 from eelgrassworks import errors
+from eelgrassworks import inquiries
 from eelgrassworks import jobs
 from eelgrassworks import placement
 from eelgrassworks import session
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 
-CLAIM_WAIT_S: Final = 3.0
-CHANGE_WAIT_S: Final = 10.0
-ATTACH_RESEND_S: Final = 1.0
-ATTACH_WAIT_S: Final = 15.0
 MAX_QUEUED_TASKS: Final = 50_000
 
 
@@ -112,58 +111,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelTaken:
-    """Response to a cancellation; ``known`` is False for an unknown id."""
-
-    known: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChangeMade:
-    """Response to a change.
-
-    ``in_force`` tells whether every node that can start work has it.
-    """
-
-    verdict: contracts.ChangeVerdict
-    in_force: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChangeUnknown:
-    """No verdict was received; the same change id may be sent again."""
-
-
-@dataclasses.dataclass(slots=True)
-class Inquiry:
-    """A request about an id that this entry does not own.
-
-    ``refusal`` answers a submission whose id turns out to be free; None
-    stands for a question about an existing job.  ``owner`` is set once the
-    request is attached to the job at its owner.
-    """
-
-    request: int
-    submission: str
-    digest: str
-    team: str
-    refusal: errors.Refusal | None
-    deadline_s: float
-    cancels: bool = False
-    owner: str = ''
-    asked_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class PendingChange:
-    """A change of an operator that is not yet in force everywhere."""
-
-    request: int
-    deadline_s: float
-    verdict: contracts.ChangeVerdict | None = None
-
-
 class Entry:
     """The decision class of the entry."""
 
@@ -175,8 +122,8 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
         self._left = False
-        self._inquiries: dict[int, Inquiry] = {}
-        self._changes: dict[str, PendingChange] = {}
+        self._inquiries = inquiries.Inquiries(self.session)
+        self._changes = changes.Changes(self.session)
         self._deadlines: list[tuple[float, str]] = []
 
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
@@ -195,7 +142,7 @@
             case RequestLeft(request):
                 return self._drop_request(request)
             case ChangeAsked(request, change):
-                return self._ask_change(request, change, now_s)
+                return self._changes.begin(request, change, now_s)
             case Ticked():
                 asked = self._tick(now_s)
             case StopAsked():
@@ -219,14 +166,14 @@
         self.counters[f'refused_{refusal.code}'] += 1
         if not submission.claimed:
             return [effects.Reply(request, contracts.NotRun(refusal))]
-        return self._inquire(
-            Inquiry(
+        return self._inquiries.begin(
+            inquiries.Inquiry(
                 request,
                 submission.id,
                 submission.digest,
                 submission.team,
                 refusal,
-                now_s + CLAIM_WAIT_S,
+                now_s + inquiries.CLAIM_WAIT_S,
             ),
             now_s,
         )
@@ -236,10 +183,8 @@
     ) -> effects.Effects:
         submission = job.submission
         if digest != submission.digest:
-            refusal = errors.refuse(
-                errors.Code.ID_CONFLICT, submission=submission.id
-            )
-            return [effects.Reply(request, contracts.NotRun(refusal))]
+            conflict = answers.refuse_conflict(submission.id)
+            return [effects.Reply(request, conflict)]
         if job.answer is not None:
             return [effects.Reply(request, job.answer)]
         job.waiters.append(request)
@@ -255,7 +200,9 @@
         if self.stopping:
             return errors.refuse(errors.Code.STOPPING)
         if not configuration.revision:
-            return errors.refuse(errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S)
+            return errors.refuse(
+                errors.Code.UNAVAILABLE, limit_s=inquiries.CLAIM_WAIT_S
+            )
         kind = sheet.kinds.get(submission.kind)
         if kind is None:
             return errors.refuse(
@@ -313,7 +260,7 @@
             self.options.session.name,
             self.session.incarnation,
         )
-        wait_s = min(deadline_s, now_s + CLAIM_WAIT_S)
+        wait_s = min(deadline_s, now_s + inquiries.CLAIM_WAIT_S)
         heapq.heappush(self._deadlines, (wait_s, submission.id))
         return self.session.claim((claim,), now_s)
 
@@ -327,14 +274,19 @@
     ) -> effects.Effects:
         job = self.table.find(submission)
         if job is None:
-            return self._inquire(
-                Inquiry(
-                    request, submission, '', team, None, now_s + ATTACH_WAIT_S
+            return self._inquiries.begin(
+                inquiries.Inquiry(
+                    request,
+                    submission,
+                    '',
+                    team,
+                    None,
+                    now_s + inquiries.ATTACH_WAIT_S,
                 ),
                 now_s,
             )
         if team != job.submission.team:
-            return [effects.Reply(request, _refuse_team())]
+            return [effects.Reply(request, answers.refuse_team())]
         return self._attach_local(request, job.submission.digest, job)
 
     def _cancel(
@@ -343,12 +295,15 @@
         job = self.table.find(submission)
         if job is not None:
             asked = self._cancel_job(job, team, now_s)
-            return [*asked, effects.Reply(request, CancelTaken(True))]
-        inquiry = Inquiry(
-            request, submission, '', team, None, now_s + CLAIM_WAIT_S
+            return [
+                *asked,
+                effects.Reply(request, inquiries.CancelTaken(True)),
+            ]
+        inquiry = inquiries.Inquiry(
+            request, submission, '', team, None, now_s + inquiries.CLAIM_WAIT_S
         )
         inquiry.cancels = True
-        return self._inquire(inquiry, now_s)
+        return self._inquiries.begin(inquiry, now_s)
 
     def _cancel_job(
         self, job: jobs.Job, team: str, now_s: float
@@ -359,130 +314,13 @@
         return self._break_job(job, errors.Code.CANCELLED, now_s)
 
     def _drop_request(self, request: int) -> effects.Effects:
-        self._inquiries.pop(request, None)
+        self._inquiries.drop(request)
         for job in self.table.list_open():
             if request in job.waiters:
                 job.waiters.remove(request)
         return []
 
-    # Requests of operators.
-
-    def _ask_change(
-        self, request: int, change: contracts.ChangeRequest, now_s: float
-    ) -> effects.Effects:
-        self._changes[change.id] = PendingChange(
-            request, now_s + CHANGE_WAIT_S
-        )
-        return self.session.change(change, now_s)
-
-    def _settle_changes(self, now_s: float) -> effects.Effects:
-        """Answer the changes that are in force, refused or too late."""
-        asked: effects.Effects = []
-        for change_id, pending in list(self._changes.items()):
-            response = self._respond_change(pending, now_s)
-            if response is None:
-                continue
-            del self._changes[change_id]
-            self.session.abandon(change_id)
-            asked.append(effects.Reply(pending.request, response))
-        return asked
-
-    def _respond_change(
-        self, pending: PendingChange, now_s: float
-    ) -> ChangeMade | ChangeUnknown | None:
-        expired = now_s >= pending.deadline_s
-        match pending.verdict:
-            case None:
-                return ChangeUnknown() if expired else None
-            case contracts.ChangeAccepted(_, revision) as verdict:
-                in_force = self.session.in_force_revision >= revision
-                if in_force or expired:
-                    return ChangeMade(verdict, in_force)
-                return None
-            case verdict:
-                return ChangeMade(verdict, False)
-
-    # Inquiries about ids that other entries own.
-
-    def _inquire(self, inquiry: Inquiry, now_s: float) -> effects.Effects:
-        self._inquiries[inquiry.request] = inquiry
-        inquiry.asked_s = now_s
-        return self.session.look_up((inquiry.submission,), now_s)
-
-    def _take_lookup(
-        self, verdict: contracts.ClaimVerdict, now_s: float
-    ) -> effects.Effects:
-        asked: effects.Effects = []
-        for inquiry in list(self._inquiries.values()):
-            if inquiry.submission == verdict.submission:
-                asked += self._advance(inquiry, verdict, now_s)
-        return asked
-
-    def _advance(
-        self,
-        inquiry: Inquiry,
-        verdict: contracts.ClaimVerdict,
-        now_s: float,
-    ) -> effects.Effects:
-        """Take one inquiry a step further with the verdict on its id."""
-        submission = verdict.submission
-        match verdict:
-            case contracts.ClaimTaken(_, owner, _, address) if address:
-                if owner != self.options.session.name:
-                    return self._attach_remote(inquiry, owner, address, now_s)
-                return self._conclude(inquiry, _refuse_expired(submission))
-            case contracts.ClaimTaken(_, owner, _, _):
-                return self._conclude(
-                    inquiry, _refuse_owner_lost(owner, submission)
-                )
-            case contracts.ClaimFree() if inquiry.refusal is not None:
-                return self._conclude(
-                    inquiry, contracts.NotRun(inquiry.refusal)
-                )
-            case contracts.ClaimFree():
-                refusal = errors.refuse(
-                    errors.Code.NOT_FOUND, what='job', name=submission
-                )
-                return self._conclude(inquiry, contracts.NotRun(refusal))
-            case _:
-                return self._conclude(inquiry, _refuse_verdict(verdict))
-
-    def _attach_remote(
-        self, inquiry: Inquiry, owner: str, address: str, now_s: float
-    ) -> effects.Effects:
-        inquiry.asked_s = now_s
-        if not inquiry.owner:
-            inquiry.deadline_s = max(inquiry.deadline_s, now_s + ATTACH_WAIT_S)
-        inquiry.owner = owner
-        connect = effects.Connect(owner, address)
-        if inquiry.cancels:
-            cancel = messages.CancelAsked(inquiry.submission, inquiry.team)
-            del self._inquiries[inquiry.request]
-            return [
-                connect,
-                effects.Send(owner, cancel),
-                effects.Reply(inquiry.request, CancelTaken(True)),
-            ]
-        return [connect, self._ask_owner(inquiry)]
-
-    def _ask_owner(self, inquiry: Inquiry) -> effects.Send:
-        return effects.Send(
-            inquiry.owner,
-            messages.AttachAsked(
-                inquiry.request,
-                inquiry.submission,
-                inquiry.digest,
-                inquiry.team,
-            ),
-        )
-
-    def _conclude(
-        self, inquiry: Inquiry, answer: contracts.Answer
-    ) -> effects.Effects:
-        del self._inquiries[inquiry.request]
-        if inquiry.cancels:
-            return [effects.Reply(inquiry.request, CancelTaken(False))]
-        return [effects.Reply(inquiry.request, answer)]
+    # Jobs of this entry that others ask for.
 
     def _take_attach(
         self, peer: str, asked: messages.AttachAsked
@@ -490,11 +328,11 @@
         """Answer another entry about a job that it believes is here."""
         job = self.table.find(asked.submission)
         if job is None:
-            answer: contracts.Answer = _refuse_expired(asked.submission)
+            answer: contracts.Answer = answers.refuse_expired(asked.submission)
         elif asked.team != job.submission.team:
-            answer = _refuse_team()
+            answer = answers.refuse_team()
         elif asked.digest not in ('', job.submission.digest):
-            answer = _refuse_conflict(asked.submission)
+            answer = answers.refuse_conflict(asked.submission)
         elif job.answer is not None:
             answer = job.answer
         else:
@@ -504,15 +342,6 @@
             return []
         return [_tell_attached(peer, asked.request, answer)]
 
-    def _take_attached(
-        self, peer: str, told: messages.AttachTold, answer: contracts.Answer
-    ) -> effects.Effects:
-        inquiry = self._inquiries.get(told.request)
-        if inquiry is None or inquiry.owner != peer:
-            self.counters['answers_unexpected'] += 1
-            return []
-        return self._conclude(inquiry, answer)
-
     # Messages.
 
     def _receive(
@@ -547,8 +376,7 @@
             case messages.AttachAsked():
                 return self._take_attach(peer, message)
             case messages.AttachTold():
-                answer = _unpack_answer(message)
-                return self._take_attached(peer, message, answer)
+                return self._take_answer(peer, message)
             case messages.CancelAsked(submission, team):
                 job = self.table.find(submission)
                 if job is None:
@@ -558,6 +386,16 @@
                 self.counters['messages_unexpected'] += 1
                 return []
 
+    def _take_answer(
+        self, peer: str, told: messages.AttachTold
+    ) -> effects.Effects:
+        answer = codec.unpack(told.answer)
+        asked = self._inquiries.take_answer(peer, told.request, answer)
+        if asked is None:
+            self.counters['answers_unexpected'] += 1
+            return []
+        return asked
+
     def _take_renewal(
         self,
         peer: str,
@@ -625,7 +463,7 @@
     ) -> effects.Effects:
         if not self.session.take_terms(peer, terms, now_s):
             return [effects.Halt(errors.refuse(errors.Code.STOPPING))]
-        return self._settle_changes(now_s)
+        return self._changes.settle(now_s)
 
     def _take_claims(
         self, told: messages.ClaimsTold, now_s: float
@@ -635,7 +473,7 @@
             job = self.table.find(verdict.submission)
             if job is not None and job.state == jobs.JobState.CLAIMING:
                 asked += self._take_claim(job, verdict, now_s)
-            asked += self._take_lookup(verdict, now_s)
+            asked += self._inquiries.take_verdict(verdict, now_s)
         return asked
 
     def _take_claim(
@@ -649,7 +487,7 @@
             case contracts.ClaimTaken():
                 self.table.drop(submission.id)
                 for request in job.waiters:
-                    self._inquiries[request] = Inquiry(
+                    inquiry = inquiries.Inquiry(
                         request,
                         submission.id,
                         submission.digest,
@@ -657,6 +495,7 @@
                         None,
                         job.deadline_s,
                     )
+                    self._inquiries.hold(inquiry, now_s)
                 return []
             case contracts.ClaimSuperseded():
                 refusal = errors.refuse(errors.Code.STOPPING)
@@ -665,16 +504,13 @@
                     effects.Halt(refusal),
                 ]
             case _:
-                return self._drop_job(job, _refuse_verdict(verdict))
+                return self._drop_job(job, answers.refuse_verdict(verdict))
 
     def _take_change(
         self, told: messages.ChangeTold, now_s: float
     ) -> effects.Effects:
-        verdict = self.session.take_change(told)
-        pending = self._changes.get(verdict.id)
-        if pending is not None:
-            pending.verdict = verdict
-        return self._settle_changes(now_s)
+        self._changes.take_verdict(self.session.take_change(told))
+        return self._changes.settle(now_s)
 
     # Ends of jobs.
 
@@ -716,8 +552,8 @@
         asked = self.session.tick(now_s)
         asked += self._take_from_agent(self.dispatcher.tick(now_s), now_s)
         asked += self._expire_jobs(now_s)
-        asked += self._press_inquiries(now_s)
-        asked += self._settle_changes(now_s)
+        asked += self._inquiries.press(now_s)
+        asked += self._changes.settle(now_s)
         self.table.expire(now_s)
         return asked
 
@@ -729,10 +565,8 @@
             if job is None:
                 continue
             if job.state == jobs.JobState.CLAIMING:
-                refusal = errors.refuse_started(
-                    errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S
-                )
-                asked += self._drop_job(job, contracts.Failed(refusal))
+                undecided = answers.refuse_undecided(inquiries.CLAIM_WAIT_S)
+                asked += self._drop_job(job, undecided)
             elif job.answer is None and job.deadline_s <= now_s:
                 asked += self._break_job(
                     job,
@@ -742,19 +576,6 @@
                 )
         return asked
 
-    def _press_inquiries(self, now_s: float) -> effects.Effects:
-        asked: effects.Effects = []
-        for inquiry in list(self._inquiries.values()):
-            if now_s >= inquiry.deadline_s:
-                asked += self._conclude(inquiry, _refuse_silence(inquiry))
-            elif inquiry.owner and (
-                now_s - inquiry.asked_s >= ATTACH_RESEND_S
-            ):
-                inquiry.asked_s = now_s
-                asked.append(self._ask_owner(inquiry))
-                asked += self.session.look_up((inquiry.submission,), now_s)
-        return asked
-
     def _place(self, now_s: float) -> effects.Effects:
         if not self.dispatcher.queue.length:
             return []
@@ -812,65 +633,3 @@
     peer: str, request: int, answer: contracts.Answer
 ) -> effects.Send:
     return effects.Send(peer, messages.AttachTold(request, codec.pack(answer)))
-
-
-def _unpack_answer(told: messages.AttachTold) -> contracts.Answer:
-    answer: contracts.Answer = codec.unpack(told.answer)
-    return answer
-
-
-def _refuse_team() -> contracts.NotRun:
-    return contracts.NotRun(
-        errors.refuse(
-            errors.Code.NOT_PERMITTED, action='access to the job of a team'
-        )
-    )
-
-
-def _refuse_conflict(submission: str) -> contracts.NotRun:
-    return contracts.NotRun(
-        errors.refuse(errors.Code.ID_CONFLICT, submission=submission)
-    )
-
-
-def _refuse_expired(submission: str) -> contracts.Failed:
-    return contracts.Failed(
-        errors.refuse_started(errors.Code.ID_EXPIRED, submission=submission)
-    )
-
-
-def _refuse_owner_lost(owner: str, submission: str) -> contracts.Failed:
-    return contracts.Failed(
-        errors.refuse_started(
-            errors.Code.OWNER_LOST, owner=owner, submission=submission
-        )
-    )
-
-
-def _refuse_silence(inquiry: Inquiry) -> contracts.Failed:
-    if not inquiry.owner:
-        return contracts.Failed(
-            errors.refuse_started(
-                errors.Code.UNAVAILABLE, limit_s=CLAIM_WAIT_S
-            )
-        )
-    return contracts.Failed(
-        errors.refuse_started(
-            errors.Code.OWNER_UNREACHABLE,
-            owner=inquiry.owner,
-            submission=inquiry.submission,
-        )
-    )
-
-
-def _refuse_verdict(verdict: contracts.ClaimVerdict) -> contracts.Answer:
-    """Return the answer for a verdict that ends a submission."""
-    match verdict:
-        case contracts.ClaimConflict(submission):
-            return _refuse_conflict(submission)
-        case contracts.ClaimFuture(submission):
-            return contracts.NotRun(
-                errors.refuse(errors.Code.ID_FUTURE, submission=submission)
-            )
-        case _:
-            return _refuse_expired(verdict.submission)
--- /dev/null
+++ b/eelgrassworks/inquiries.py
@@ -0,0 +1,173 @@
+"""Requests of an entry about ids that it does not own.
+
+Each one is looked up in the claim table; if another entry owns the id, the
+request attaches to the job there until it is answered, its owner ends, or
+its deadline passes.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import answers
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import session
+from eelgrassworks.links import messages
+
+CLAIM_WAIT_S: Final = 3.0
+ATTACH_RESEND_S: Final = 1.0
+ATTACH_WAIT_S: Final = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelTaken:
+    """Response to a cancellation; ``known`` is False for an unknown id."""
+
+    known: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Inquiry:
+    """A request about an id that this entry does not own.
+
+    ``refusal`` answers a submission whose id turns out to be free; None
+    stands for a question about an existing job.  ``owner`` is set once the
+    request is attached to the job at its owner.
+    """
+
+    request: int
+    submission: str
+    digest: str
+    team: str
+    refusal: errors.Refusal | None
+    deadline_s: float
+    cancels: bool = False
+    owner: str = ''
+    asked_s: float = 0.0
+
+
+class Inquiries:
+    """The open inquiries of one entry."""
+
+    def __init__(self, control: session.Session) -> None:
+        self._session = control
+        self._open: dict[int, Inquiry] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def begin(self, inquiry: Inquiry, now_s: float) -> effects.Effects:
+        """Look an id up."""
+        self.hold(inquiry, now_s)
+        return self._session.look_up((inquiry.submission,), now_s)
+
+    def hold(self, inquiry: Inquiry, now_s: float) -> None:
+        """Take an inquiry whose verdict is known or on its way."""
+        inquiry.asked_s = now_s
+        self._open[inquiry.request] = inquiry
+
+    def drop(self, request: int) -> None:
+        """Forget an inquiry whose caller went away."""
+        self._open.pop(request, None)
+
+    def take_verdict(
+        self, verdict: contracts.ClaimVerdict, now_s: float
+    ) -> effects.Effects:
+        """Take the verdict on an id for every inquiry about it."""
+        asked: effects.Effects = []
+        for inquiry in list(self._open.values()):
+            if inquiry.submission == verdict.submission:
+                asked += self._advance(inquiry, verdict, now_s)
+        return asked
+
+    def take_answer(
+        self, peer: str, request: int, answer: contracts.Answer
+    ) -> effects.Effects | None:
+        """Take an owner's answer; None when nobody waits for it."""
+        inquiry = self._open.get(request)
+        if inquiry is None or inquiry.owner != peer:
+            return None
+        return self._conclude(inquiry, answer)
+
+    def press(self, now_s: float) -> effects.Effects:
+        """Ask owners again, and end inquiries at their deadline."""
+        asked: effects.Effects = []
+        for inquiry in list(self._open.values()):
+            if now_s >= inquiry.deadline_s:
+                asked += self._conclude(inquiry, _refuse_silence(inquiry))
+            elif inquiry.owner and (
+                now_s - inquiry.asked_s >= ATTACH_RESEND_S
+            ):
+                inquiry.asked_s = now_s
+                asked.append(_ask_owner(inquiry))
+                asked += self._session.look_up((inquiry.submission,), now_s)
+        return asked
+
+    def _advance(
+        self,
+        inquiry: Inquiry,
+        verdict: contracts.ClaimVerdict,
+        now_s: float,
+    ) -> effects.Effects:
+        """Take one inquiry a step further with the verdict on its id."""
+        submission = verdict.submission
+        match verdict:
+            case contracts.ClaimTaken(_, owner, _, address) if address:
+                if owner != self._session.options.name:
+                    return self._attach(inquiry, owner, address, now_s)
+                answer: contracts.Answer = answers.refuse_expired(submission)
+            case contracts.ClaimTaken(_, owner, _, _):
+                answer = answers.refuse_owner_lost(owner, submission)
+            case contracts.ClaimFree() if inquiry.refusal is not None:
+                answer = contracts.NotRun(inquiry.refusal)
+            case contracts.ClaimFree():
+                answer = answers.refuse_unknown(submission)
+            case _:
+                answer = answers.refuse_verdict(verdict)
+        return self._conclude(inquiry, answer)
+
+    def _attach(
+        self, inquiry: Inquiry, owner: str, address: str, now_s: float
+    ) -> effects.Effects:
+        """Attach an inquiry to the job at its owner."""
+        inquiry.asked_s = now_s
+        if not inquiry.owner:
+            inquiry.deadline_s = max(inquiry.deadline_s, now_s + ATTACH_WAIT_S)
+        inquiry.owner = owner
+        connect = effects.Connect(owner, address)
+        if not inquiry.cancels:
+            return [connect, _ask_owner(inquiry)]
+        del self._open[inquiry.request]
+        cancel = messages.CancelAsked(inquiry.submission, inquiry.team)
+        return [
+            connect,
+            effects.Send(owner, cancel),
+            effects.Reply(inquiry.request, CancelTaken(True)),
+        ]
+
+    def _conclude(
+        self, inquiry: Inquiry, answer: contracts.Answer
+    ) -> effects.Effects:
+        del self._open[inquiry.request]
+        if inquiry.cancels:
+            return [effects.Reply(inquiry.request, CancelTaken(False))]
+        return [effects.Reply(inquiry.request, answer)]
+
+
+def _ask_owner(inquiry: Inquiry) -> effects.Send:
+    return effects.Send(
+        inquiry.owner,
+        messages.AttachAsked(
+            inquiry.request,
+            inquiry.submission,
+            inquiry.digest,
+            inquiry.team,
+        ),
+    )
+
+
+def _refuse_silence(inquiry: Inquiry) -> contracts.Failed:
+    if not inquiry.owner:
+        return answers.refuse_undecided(CLAIM_WAIT_S)
+    return answers.refuse_owner_silent(inquiry.owner, inquiry.submission)
--- a/eelgrassworks/journal.py
+++ b/eelgrassworks/journal.py
@@ -31,7 +31,7 @@
 from eelgrassworks import effects
 from eelgrassworks import errors
 from eelgrassworks import ledger
-from eelgrassworks import replica
+from eelgrassworks import roles
 from eelgrassworks.links import messages
 
 IDENTITY_NAME: Final = 'identity'
@@ -75,7 +75,7 @@
     """What the folder held; ``torn_bytes`` were cut off the journal."""
 
     identity: Identity
-    stored: replica.Stored
+    stored: roles.Stored
     snapshot: bytes
     torn_bytes: int
 
@@ -152,7 +152,7 @@
         identity = self._read_identity(name)
         self._drop_fresh_files()
         snapshot = self._read_snapshot()
-        stored = replica.Stored(
+        stored = roles.Stored(
             0, '', 0, 0, commands.SetMembers(identity.voters, {}), ()
         )
         data = b''
@@ -361,9 +361,7 @@
     return False
 
 
-def replay(
-    stored: replica.Stored, records: list[JournalRecord]
-) -> replica.Stored:
+def replay(stored: roles.Stored, records: list[JournalRecord]) -> roles.Stored:
     """Apply journal records to what the snapshot holds."""
     entries: list[messages.LogEntry] = []
     term, vote = stored.term, stored.vote
--- a/eelgrassworks/ledger.py
+++ b/eelgrassworks/ledger.py
@@ -46,7 +46,7 @@
     claims: dict[str, ClaimRecord]
     entries: dict[str, EntryRecord]
     changes: list[tuple[str, codec.Variant]]
-    winners: dict[int, str]
+    winners: list[tuple[int, str]]
     time_ms: int
     members: commands.SetMembers
 
@@ -227,7 +227,7 @@
                     (key, codec.pack(each))
                     for key, each in self.changes.items()
                 ],
-                self.winners,
+                list(self.winners.items()),
                 self.time_ms,
                 members,
             )
@@ -241,7 +241,7 @@
         self.changes = collections.OrderedDict(
             (key, codec.unpack(variant)) for key, variant in model.changes
         )
-        self.winners = model.winners
+        self.winners = dict(model.winners)
         self.time_ms = model.time_ms
         self.claims = {}
         self._buckets = {}
--- a/eelgrassworks/operators.py
+++ b/eelgrassworks/operators.py
@@ -9,6 +9,7 @@
 import expression
 import msgspec
 
+from eelgrassworks import changes
 from eelgrassworks import clock
 from eelgrassworks import contracts
 from eelgrassworks import entry
@@ -235,11 +236,11 @@
 
 
 def respond_change(
-    change_id: str, response: entry.ChangeMade | entry.ChangeUnknown
+    change_id: str, response: changes.ChangeMade | changes.ChangeUnknown
 ) -> web.Response:
     """Return the HTTP response of a change."""
     match response:
-        case entry.ChangeMade(contracts.ChangeAccepted(_, revision), force):
+        case changes.ChangeMade(contracts.ChangeAccepted(_, revision), force):
             return web.Response(
                 body=msgspec.json.encode(
                     ChangeAnswer(change_id, revision, force)
@@ -247,7 +248,7 @@
                 status=200 if force else 202,
                 content_type='application/json',
             )
-        case entry.ChangeMade(
+        case changes.ChangeMade(
             contracts.ChangeConflict(_, revision, winner), _
         ):
             refusal = errors.refuse(
@@ -255,12 +256,12 @@
                 revision=revision,
                 winner=winner or 'an unknown operator',
             )
-        case entry.ChangeMade(contracts.ChangeInvalid(_, _, reason), _):
+        case changes.ChangeMade(contracts.ChangeInvalid(_, _, reason), _):
             refusal = errors.refuse(
                 errors.Code.CONFIGURATION_INVALID, reason=reason
             )
-        case entry.ChangeUnknown():
+        case changes.ChangeUnknown():
             refusal = errors.refuse_started(
-                errors.Code.UNAVAILABLE, limit_s=entry.CHANGE_WAIT_S
+                errors.Code.UNAVAILABLE, limit_s=changes.CHANGE_WAIT_S
             )
     return problems.respond_problem(refusal)
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -13,15 +13,17 @@
 """
 
 import collections
-import dataclasses
 from typing import Final
 
 from eelgrassworks import commands
+from eelgrassworks import durability
 from eelgrassworks import effects
 from eelgrassworks import errors
 from eelgrassworks import ledger
+from eelgrassworks import membership
 from eelgrassworks import moments
 from eelgrassworks import replicatedlog
+from eelgrassworks import roles
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 
@@ -34,86 +36,14 @@
 PROMOTION_LAG: Final = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaOptions:
-    """Identity of a replica and the names of all replicas."""
-
-    name: str
-    disk: str
-    names: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stored:
-    """What the data folder held at the start."""
-
-    term: int
-    vote: str
-    base_index: int
-    base_term: int
-    members: commands.SetMembers
-    entries: tuple[messages.LogEntry, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Follower:
-    """Follows ``leader``, or nobody yet."""
-
-    leader: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """Asks for votes; with ``trial`` only whether they would be given."""
-
-    trial: bool
-    votes: set[str]
-    transfer: bool
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What the leader knows of one other member.
-
-    ``contact_s`` is the sending time of the latest append it answered.
-    """
-
-    following: int
-    match: int = 0
-    contact_s: float = float('-inf')
-    sent_s: float = float('-inf')
-    offset: int = 0
-    part_sent_s: float = float('-inf')
-
-
-@dataclasses.dataclass(slots=True)
-class Leader:
-    """Leads since ``since_s``; ``opening`` is its first entry's index."""
-
-    progress: dict[str, Progress]
-    opening: int
-    since_s: float
-    heartbeat_s: float = float('-inf')
-    transferring_s: float | None = None
-
-
-Role = Follower | Candidate | Leader
-
-
-@dataclasses.dataclass(slots=True)
-class Incoming:
-    """A snapshot that arrives in parts."""
-
-    last_index: int
-    last_term: int
-    data: bytearray
-
-
 class Replica:
     """The decision class of the replicated log."""
 
     def __init__(
-        self, options: ReplicaOptions, stored: Stored, moment: moments.Moment
+        self,
+        options: roles.ReplicaOptions,
+        stored: roles.Stored,
+        moment: moments.Moment,
     ) -> None:
         self.options = options
         self.term = stored.term
@@ -122,22 +52,16 @@
             stored.base_index, stored.base_term
         )
         self.commit = stored.base_index
-        self.role: Role = Follower('')
+        self.role: roles.Role = roles.Follower('')
         self.snapshot = b''
         self.counters: collections.Counter[str] = collections.Counter()
-        self._members: list[tuple[int, commands.SetMembers]] = [
-            (stored.base_index, stored.members)
-        ]
+        self.membership = membership.Membership(
+            stored.base_index, stored.members
+        )
         self._append_to_log(stored.entries)
         self._taken = stored.base_index
-        self._sequence = 0
-        self._synced = 0
-        self._durable_index = self.log.last_index
-        self._writes: collections.deque[tuple[int, int]] = collections.deque()
-        self._held: collections.deque[tuple[int, int, effects.Effects]] = (
-            collections.deque()
-        )
-        self._incoming: Incoming | None = None
+        self._durability = durability.Durability(self.log.last_index)
+        self._incoming: roles.Incoming | None = None
         self._heard_s = float('-inf')
         self._asked_s = float('-inf')
         self._seen: dict[str, tuple[int, int]] = {}
@@ -150,28 +74,26 @@
     @property
     def members(self) -> commands.SetMembers:
         """Return the latest members in the log, committed or not."""
-        return self._members[-1][1]
+        return self.membership.current
 
     def find_taken_members(self) -> commands.SetMembers:
         """Return the members as of the last taken entry."""
-        return [
-            members for index, members in self._members if index <= self._taken
-        ][-1]
+        return self.membership.find(self._taken)
 
     @property
     def is_leader(self) -> bool:
         """Tell whether this replica leads."""
-        return isinstance(self.role, Leader)
+        return isinstance(self.role, roles.Leader)
 
     @property
     def leader(self) -> str:
         """Return the leader's name; empty when it is not known."""
         match self.role:
-            case Follower(leader):
+            case roles.Follower(leader):
                 return leader
-            case Leader():
+            case roles.Leader():
                 return self.options.name
-            case Candidate():
+            case roles.Candidate():
                 return ''
 
     @property
@@ -194,10 +116,7 @@
         """Tell whether a majority vouched for this data folder."""
         voters = set(self.members.voters)
         vouching = (self._standing & voters) | {self.options.name}
-        return len(vouching) >= self._majority()
-
-    def _majority(self) -> int:
-        return len(self.members.voters) // 2 + 1
+        return len(vouching) >= self.membership.majority
 
     def _others(self) -> list[str]:
         return [
@@ -209,7 +128,7 @@
     def tick(self, moment: moments.Moment) -> effects.Effects:
         """Let time pass."""
         match self.role:
-            case Leader() as leader:
+            case roles.Leader() as leader:
                 return self._tick_leader(leader, moment)
             case _:
                 asked = self._ask_standing(moment)
@@ -253,19 +172,11 @@
         self, sequence: int, moment: moments.Moment
     ) -> effects.Effects:
         """Take the report that writes up to ``sequence`` are durable."""
-        self._synced = max(self._synced, sequence)
-        while self._writes and self._writes[0][0] <= self._synced:
-            self._durable_index = self._writes.popleft()[1]
-        asked: effects.Effects = []
-        while self._held and self._held[0][0] <= self._synced:
-            _, term, held = self._held.popleft()
-            # A promise made in an earlier term must not leave any more.
-            if term == self.term:
-                asked += held
+        asked = self._durability.note_synced(sequence, self.term)
         match self.role:
-            case Leader() as leader:
+            case roles.Leader() as leader:
                 self._advance_commit(leader)
-            case Candidate(False) if self._synced >= self._sequence:
+            case roles.Candidate(False) if self._durability.is_complete:
                 asked += self._count_votes(moment)
             case _:
                 pass
@@ -280,7 +191,10 @@
         lead or hands leadership over.
         """
         role = self.role
-        if not isinstance(role, Leader) or role.transferring_s is not None:
+        if (
+            not isinstance(role, roles.Leader)
+            or role.transferring_s is not None
+        ):
             return 0, []
         first = self.log.last_index + 1
         entries = tuple(
@@ -306,7 +220,7 @@
         answered; minus infinity when this replica does not lead.
         """
         role = self.role
-        if not isinstance(role, Leader):
+        if not isinstance(role, roles.Leader):
             return float('-inf')
         times = [
             now_s
@@ -315,14 +229,14 @@
             for name in self.members.voters
         ]
         times.sort(reverse=True)
-        if len(times) < self._majority():
+        if len(times) < self.membership.majority:
             return float('-inf')
-        return times[self._majority() - 1]
+        return times[self.membership.majority - 1]
 
     def is_settled(self) -> bool:
         """Tell whether the leader has committed an entry of its term."""
         role = self.role
-        return isinstance(role, Leader) and self.commit >= role.opening
+        return isinstance(role, roles.Leader) and self.commit >= role.opening
 
     def compact(self, data: bytes) -> effects.Effects:
         """Take a snapshot of the state after every taken entry."""
@@ -330,7 +244,7 @@
         term = self.log.find_term(index)
         if term is None or index == self.log.base_index:
             return []
-        self._trim_members(index)
+        self.membership.trim(index)
         self.log.compact(index, term)
         self.snapshot = data
         return [self._save_snapshot(data)]
@@ -338,7 +252,7 @@
     def transfer(self, moment: moments.Moment) -> effects.Effects:
         """Hand leadership to the voter that is furthest ahead."""
         role = self.role
-        if not isinstance(role, Leader):
+        if not isinstance(role, roles.Leader):
             return []
         candidates = [
             (progress.match, name)
@@ -369,7 +283,7 @@
         if not self._may_stand():
             return []
         name = self.options.name
-        self.role = Candidate(trial, {name}, transfer)
+        self.role = roles.Candidate(trial, {name}, transfer)
         if trial:
             asked = self._ask_votes(self.term + 1, True, transfer)
             return asked + self._count_votes(moment)
@@ -432,7 +346,7 @@
 
     def _has_leader(self, moment: moments.Moment) -> bool:
         """Tell whether a leader was heard within the election time."""
-        if isinstance(self.role, Leader):
+        if isinstance(self.role, roles.Leader):
             contact_s = self.measure_contact(moment.now_s)
             return moment.now_s - contact_s < ELECTION_S
         return moment.now_s - self._heard_s < ELECTION_S
@@ -453,7 +367,7 @@
     ) -> effects.Effects:
         self._note_seen(told.disk, 0, told.term)
         role = self.role
-        if not isinstance(role, Candidate) or told.trial != role.trial:
+        if not isinstance(role, roles.Candidate) or told.trial != role.trial:
             return []
         if self.members.voters.get(peer) != told.disk:
             return []
@@ -469,9 +383,12 @@
 
     def _count_votes(self, moment: moments.Moment) -> effects.Effects:
         role = self.role
-        if not isinstance(role, Candidate):
+        if not isinstance(role, roles.Candidate):
             return []
-        if len(role.votes & set(self.members.voters)) < self._majority():
+        if (
+            len(role.votes & set(self.members.voters))
+            < self.membership.majority
+        ):
             return []
         if role.trial:
             return self._stand(moment, trial=False, transfer=role.transfer)
@@ -480,8 +397,8 @@
     def _lead(self, moment: moments.Moment) -> effects.Effects:
         self.counters['leaderships'] += 1
         following = self.log.last_index + 1
-        progress = {name: Progress(following) for name in self._others()}
-        role = Leader(progress, following, moment.now_s)
+        progress = {name: roles.Progress(following) for name in self._others()}
+        role = roles.Leader(progress, following, moment.now_s)
         self.role = role
         return self.propose([codec.pack(commands.NoOp())], moment)[1]
 
@@ -489,7 +406,7 @@
         if term > self.term:
             self.term = term
             self.vote = ''
-        self.role = Follower('')
+        self.role = roles.Follower('')
 
     def _follow_term(
         self, term: int, moment: moments.Moment
@@ -502,11 +419,11 @@
     # The leader.
 
     def _tick_leader(
-        self, role: Leader, moment: moments.Moment
+        self, role: roles.Leader, moment: moments.Moment
     ) -> effects.Effects:
         contact_s = max(self.measure_contact(moment.now_s), role.since_s)
         if moment.now_s - contact_s > QUORUM_PATIENCE_S:
-            self.role = Follower('')
+            self.role = roles.Follower('')
             self._set_election(moment)
             self.counters['stepped_down'] += 1
             return []
@@ -523,7 +440,7 @@
     def beat(self, moment: moments.Moment) -> effects.Effects:
         """Send an append to every member, also without entries."""
         role = self.role
-        if not isinstance(role, Leader):
+        if not isinstance(role, roles.Leader):
             return []
         role.heartbeat_s = moment.now_s
         return self._broadcast(role, moment)
@@ -537,7 +454,7 @@
         ]
 
     def _broadcast(
-        self, role: Leader, moment: moments.Moment
+        self, role: roles.Leader, moment: moments.Moment
     ) -> effects.Effects:
         asked: effects.Effects = []
         for name in self._list_followers():
@@ -545,10 +462,10 @@
         return asked
 
     def _send_append(
-        self, role: Leader, name: str, moment: moments.Moment
+        self, role: roles.Leader, name: str, moment: moments.Moment
     ) -> effects.Effects:
         progress = role.progress.setdefault(
-            name, Progress(self.log.last_index + 1)
+            name, roles.Progress(self.log.last_index + 1)
         )
         previous = progress.following - 1
         previous_term = self.log.find_term(previous)
@@ -567,11 +484,11 @@
         )
         return [effects.Send(name, asked)]
 
-    def _list_durable(self, role: Leader) -> dict[str, int]:
+    def _list_durable(self, role: roles.Leader) -> dict[str, int]:
         """Return the last index that each voting disk has acknowledged."""
         own = self.options.name
         return {
-            disk: self._durable_index
+            disk: self._durability.index
             if name == own
             else role.progress[name].match
             for name, disk in self.members.voters.items()
@@ -583,10 +500,10 @@
         if told.term > self.term:
             return self._follow_term(told.term, moment)
         role = self.role
-        if not isinstance(role, Leader) or told.term < self.term:
+        if not isinstance(role, roles.Leader) or told.term < self.term:
             return []
         progress = role.progress.get(peer)
-        if progress is None or not self._is_disk_of(peer, told.disk):
+        if progress is None or not self.membership.holds_disk(peer, told.disk):
             return []
         progress.contact_s = max(progress.contact_s, told.sent_s)
         if not told.accepted:
@@ -609,7 +526,7 @@
         return asked
 
     def _finish_transfer(
-        self, role: Leader, peer: str, progress: Progress
+        self, role: roles.Leader, peer: str, progress: roles.Progress
     ) -> effects.Effects:
         if progress.match < self.log.last_index:
             return []
@@ -617,21 +534,16 @@
             return []
         return [effects.Send(peer, messages.LeadershipOffered(self.term))]
 
-    def _is_disk_of(self, name: str, disk: str) -> bool:
-        members = self.members
-        known = members.voters.get(name) or members.learners.get(name)
-        return known == disk
-
-    def _advance_commit(self, role: Leader) -> None:
+    def _advance_commit(self, role: roles.Leader) -> None:
         """Commit what a majority of voters holds durably."""
         matches = [
-            self._durable_index
+            self._durability.index
             if name == self.options.name
             else role.progress[name].match
             for name in self.members.voters
         ]
         matches.sort(reverse=True)
-        index = matches[self._majority() - 1]
+        index = matches[self.membership.majority - 1]
         if index <= self.commit or self.log.find_term(index) != self.term:
             return
         self.commit = index
@@ -644,7 +556,9 @@
         """Replace the lost disk of a named replica by a learner."""
         if not self.is_settled() or not self._members_committed():
             return []
-        if peer not in self.options.names or self._is_disk_of(peer, disk):
+        if peer not in self.options.names or self.membership.holds_disk(
+            peer, disk
+        ):
             return []
         members = self.members
         voters = {n: d for n, d in members.voters.items() if n != peer}
@@ -652,17 +566,17 @@
         if not voters:
             return []
         role = self.role
-        if isinstance(role, Leader):
-            role.progress[peer] = Progress(self.log.last_index + 1)
+        if isinstance(role, roles.Leader):
+            role.progress[peer] = roles.Progress(self.log.last_index + 1)
         self.counters['admissions'] += 1
         change = commands.SetMembers(voters, learners)
         return self.propose([codec.pack(change)], moment)[1]
 
     def _members_committed(self) -> bool:
-        return self._members[-1][0] <= self.commit
+        return self.membership.changed_at <= self.commit
 
     def _promote(
-        self, role: Leader, moment: moments.Moment
+        self, role: roles.Leader, moment: moments.Moment
     ) -> effects.Effects:
         """Make one caught-up learner a voter."""
         if not self.is_settled() or not self._members_committed():
@@ -716,7 +630,7 @@
         writes: effects.Effects = []
         if term > self.term:
             writes = self._follow_term(term, moment)
-        self.role = Follower(leader)
+        self.role = roles.Follower(leader)
         self._heard_s = moment.now_s
         self._set_election(moment)
         return writes
@@ -778,7 +692,7 @@
     # Snapshots.
 
     def _send_part(
-        self, progress: Progress, name: str, moment: moments.Moment
+        self, progress: roles.Progress, name: str, moment: moments.Moment
     ) -> effects.Effects:
         if moment.now_s - progress.part_sent_s < ASK_INTERVAL_S:
             return []
@@ -807,7 +721,9 @@
             return asked + self._send_durably(peer, told)
         incoming = self._incoming
         if incoming is None or incoming.last_index != part.last_index:
-            incoming = Incoming(part.last_index, part.last_term, bytearray())
+            incoming = roles.Incoming(
+                part.last_index, part.last_term, bytearray()
+            )
             self._incoming = incoming
         in_order = part.offset == len(incoming.data)
         if in_order:
@@ -832,7 +748,7 @@
         moment: moments.Moment,
     ) -> effects.Effects:
         role = self.role
-        if not isinstance(role, Leader) or told.term != self.term:
+        if not isinstance(role, roles.Leader) or told.term != self.term:
             return []
         progress = role.progress.get(peer)
         if progress is None or told.last_index != self.log.base_index:
@@ -843,13 +759,13 @@
         return self._send_part(progress, peer, moment)
 
     def _install(
-        self, peer: str, incoming: Incoming, sent_s: float
+        self, peer: str, incoming: roles.Incoming, sent_s: float
     ) -> effects.Effects:
         data = bytes(incoming.data)
         members = ledger.read_members(data)
         self.log.compact(incoming.last_index, incoming.last_term)
-        self._members = [(incoming.last_index, members)]
-        self._collect_members(self.log.entries)
+        self.membership = membership.Membership(incoming.last_index, members)
+        self.membership.collect(self.log.entries)
         self.commit = max(self.commit, incoming.last_index)
         self.snapshot = data
         self.counters['snapshots_installed'] += 1
@@ -868,43 +784,23 @@
 
     def _append_to_log(self, entries: tuple[messages.LogEntry, ...]) -> None:
         self.log.append(entries)
-        self._collect_members(entries)
-
-    def _collect_members(
-        self, entries: tuple[messages.LogEntry, ...] | list[messages.LogEntry]
-    ) -> None:
-        for entry in entries:
-            if entry.command[0] == commands.SetMembers.__name__:
-                change = codec.unpack(entry.command)
-                self._members.append((entry.index, change))
+        self.membership.collect(entries)
 
     def _truncate(self, keep: int) -> None:
         self.log.truncate(keep)
-        self._durable_index = min(self._durable_index, keep)
-        self._writes = collections.deque(
-            (sequence, min(last, keep)) for sequence, last in self._writes
-        )
-        while len(self._members) > 1 and self._members[-1][0] > keep:
-            self._members.pop()
-
-    def _trim_members(self, index: int) -> None:
-        while len(self._members) > 1 and self._members[1][0] <= index:
-            self._members.pop(0)
+        self._durability.note_truncation(keep)
+        self.membership.truncate(keep)
 
     def _write(
         self, keep: int, entries: tuple[messages.LogEntry, ...]
     ) -> effects.Write:
-        self._sequence += 1
-        self._writes.append((self._sequence, self.log.last_index))
-        return effects.Write(
-            self._sequence, self.term, self.vote, keep, entries
-        )
+        sequence = self._durability.note_write(self.log.last_index)
+        return effects.Write(sequence, self.term, self.vote, keep, entries)
 
     def _save_snapshot(self, data: bytes) -> effects.SaveSnapshot:
-        self._sequence += 1
-        self._writes.append((self._sequence, self.log.last_index))
+        sequence = self._durability.note_write(self.log.last_index)
         return effects.SaveSnapshot(
-            self._sequence,
+            sequence,
             self.log.base_index,
             self.log.base_term,
             data,
@@ -915,11 +811,11 @@
 
     def _hold(self, asked: effects.Effects) -> None:
         """Keep effects back until the last write is durable."""
-        self._held.append((self._sequence, self.term, asked))
+        self._durability.hold(self.term, asked)
 
     def _send_durably(self, peer: str, message: object) -> effects.Effects:
         asked: effects.Effects = [effects.Send(peer, message)]
-        if self._synced >= self._sequence:
+        if self._durability.is_complete:
             return asked
         self._hold(asked)
         return []
--- /dev/null
+++ b/eelgrassworks/roles.py
@@ -0,0 +1,84 @@
+"""What a replica is at a time: follower, candidate or leader.
+
+Also what it starts from, and what a leader knows of the others.
+"""
+
+import dataclasses
+
+from eelgrassworks import commands
+from eelgrassworks.links import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaOptions:
+    """Identity of a replica and the names of all replicas."""
+
+    name: str
+    disk: str
+    names: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """What the data folder held at the start."""
+
+    term: int
+    vote: str
+    base_index: int
+    base_term: int
+    members: commands.SetMembers
+    entries: tuple[messages.LogEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follower:
+    """Follows ``leader``, or nobody yet."""
+
+    leader: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Asks for votes; with ``trial`` only whether they would be given."""
+
+    trial: bool
+    votes: set[str]
+    transfer: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What the leader knows of one other member.
+
+    ``contact_s`` is the sending time of the latest append it answered.
+    """
+
+    following: int
+    match: int = 0
+    contact_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    offset: int = 0
+    part_sent_s: float = float('-inf')
+
+
+@dataclasses.dataclass(slots=True)
+class Leader:
+    """Leads since ``since_s``; ``opening`` is its first entry's index."""
+
+    progress: dict[str, Progress]
+    opening: int
+    since_s: float
+    heartbeat_s: float = float('-inf')
+    transferring_s: float | None = None
+
+
+Role = Follower | Candidate | Leader
+
+
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """A snapshot that arrives in parts."""
+
+    last_index: int
+    last_term: int
+    data: bytearray
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -26,7 +26,7 @@
 from eelgrassworks import machines
 from eelgrassworks import moments
 from eelgrassworks import placement
-from eelgrassworks import replica
+from eelgrassworks import roles
 from eelgrassworks import session
 
 TICK_S: Final = 0.05
@@ -57,13 +57,13 @@
     syncing: bool = False
     latest: int = 0
 
-    def read(self) -> replica.Stored:
+    def read(self) -> roles.Stored:
         """Return what a restart finds."""
         last_index, last_term, data = self.base
         members = commands.SetMembers(self.voters, {})
         if data:
             members = ledger.read_members(data)
-        stored = replica.Stored(0, '', last_index, last_term, members, ())
+        stored = roles.Stored(0, '', last_index, last_term, members, ())
         return journal.replay(stored, self.records)
 
 
@@ -145,7 +145,7 @@
             def make(node: Node) -> Any:
                 disk = node.disk or FakeDisk('', {})
                 options = control.ControlOptions(
-                    replica.ReplicaOptions(node.name, disk.identity, names),
+                    roles.ReplicaOptions(node.name, disk.identity, names),
                     group_commit,
                     snapshot_interval,
                 )
--- a/models/claims.py
+++ b/models/claims.py
@@ -14,6 +14,8 @@
 
 import minicheck
 
+from models import state
+
 MAX_FAILURES: Final = 2
 MAX_STATES: Final = 500_000
 # A replica holds (term, owner).
@@ -24,7 +26,7 @@
 
 FENCES: Final = ('claim', 'quorum', 'sync', 'owner_lost')
 
-FIELDS: Final = (
+SHAPE: Final = state.Shape(
     'term',
     'written',
     'synced',
@@ -36,37 +38,24 @@
     'runs',
     'told',
 )
-State = tuple[Any, ...]
-Step = tuple[str, State]
-
-
-def replace(state: State, **changes: Any) -> State:
-    """Return the state with some fields changed."""
-    values = dict(zip(FIELDS, state, strict=True)) | changes
-    return tuple(values[name] for name in FIELDS)
-
-
-def put(values: tuple[Any, ...], position: int, value: Any) -> Any:
-    """Return a tuple with one value changed."""
-    return (*values[:position], value, *values[position + 1 :])
+State = state.State
+Step = state.Step
+replace = SHAPE.replace
 
 
 def make(without: str = '') -> minicheck.Protocol:
     """Return the protocol, less one of its fences."""
 
-    def step(state: State) -> list[Step]:
-        # Nothing that follows a second run would show more.
-        if state[FIELDS.index('runs')] > 1:
-            return []
+    def step(before: State) -> list[Step]:
         return [
-            *_move_entries(state, without),
-            *_move_replicas(state, without),
+            *_move_entries(before, without),
+            *_move_replicas(before, without),
         ]
 
     return minicheck.Protocol(
         name=f'claims without {without}' if without else 'claims',
         candidate=False,
-        fields=FIELDS,
+        fields=SHAPE.fields,
         initial=(
             1,
             (NOBODY,) * 3,
@@ -79,7 +68,7 @@
             0,
             ('', ''),
         ),
-        transitions=step,
+        transitions=SHAPE.halt_when(lambda s: s['runs'] > 1, step),
         invariants={
             'started_at_most_once': lambda s: s['runs'] <= 1,
             'not_run_is_true': lambda s: (
@@ -89,39 +78,42 @@
     )
 
 
-def _move_entries(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def _move_entries(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     for position, name in enumerate(OWNERS):
         if s['died'][position] or s['told'][position]:
             continue
         if not s['asked'][position]:
-            asked = put(s['asked'], position, True)
-            yield f'{name} asks', replace(state, asked=asked)
+            asked = state.put(s['asked'], position, True)
+            yield f'{name} asks', replace(before, asked=asked)
             continue
         if s['owned'][position]:
-            told = put(s['told'], position, 'complete')
-            yield f'{name} runs', replace(state, runs=s['runs'] + 1, told=told)
+            told = state.put(s['told'], position, 'complete')
+            yield (
+                f'{name} runs',
+                replace(before, runs=s['runs'] + 1, told=told),
+            )
             if not any(s['died']):
-                died = put(s['died'], position, True)
+                died = state.put(s['died'], position, True)
                 yield (
                     f'{name} runs and dies',
-                    replace(state, runs=s['runs'] + 1, died=died),
+                    replace(before, runs=s['runs'] + 1, died=died),
                 )
             continue
-        yield from _settle_claim(state, s, position, name, without)
+        yield from _settle_claim(before, s, position, name, without)
 
 
 def _settle_claim(
-    state: State, s: dict[str, Any], position: int, name: str, without: str
+    before: State, s: dict[str, Any], position: int, name: str, without: str
 ) -> Iterator[Step]:
     """Let an entry take the verdict on its claim."""
-    owned = put(s['owned'], position, True)
+    owned = state.put(s['owned'], position, True)
     if without == 'claim':
-        yield f'{name} goes on', replace(state, owned=owned)
+        yield f'{name} goes on', replace(before, owned=owned)
         return
     winner = _read_winner(s, without)
     if winner == name:
-        yield f'{name} is granted', replace(state, owned=owned)
+        yield f'{name} is granted', replace(before, owned=owned)
     elif winner:
         ended = s['died'][OWNERS.index(winner)]
         if ended and without == 'owner_lost':
@@ -130,7 +122,7 @@
             told = 'may have run' if ended else 'complete elsewhere'
         yield (
             f'{name} attaches',
-            replace(state, told=put(s['told'], position, told)),
+            replace(before, told=state.put(s['told'], position, told)),
         )
 
 
@@ -146,42 +138,45 @@
     return winner if count >= needed else ''
 
 
-def _move_replicas(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def _move_replicas(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     leader = s['leader']
-    yield from _elect(state, s)
+    yield from _elect(before, s)
     if leader == NO_LEADER:
         return
     for position, name in enumerate(OWNERS):
         if s['asked'][position] and s['written'][leader] == NOBODY:
-            written = put(s['written'], leader, (s['term'], name))
-            yield f'append {name}', replace(state, written=written)
+            written = state.put(s['written'], leader, (s['term'], name))
+            yield f'append {name}', replace(before, written=written)
     for replica in range(3):
         value = s['written'][leader]
         if value != NOBODY and s['written'][replica] != value:
-            written = put(s['written'], replica, value)
-            yield f'replicate to {replica}', replace(state, written=written)
+            written = state.put(s['written'], replica, value)
+            yield f'replicate to {replica}', replace(before, written=written)
         if s['written'][replica] != s['synced'][replica]:
-            synced = put(s['synced'], replica, s['written'][replica])
-            yield f'sync {replica}', replace(state, synced=synced)
-    yield from _fail(state, s)
+            synced = state.put(s['synced'], replica, s['written'][replica])
+            yield f'sync {replica}', replace(before, synced=synced)
+    yield from _fail(before, s)
 
 
-def _fail(state: State, s: dict[str, Any]) -> Iterator[Step]:
+def _fail(before: State, s: dict[str, Any]) -> Iterator[Step]:
     """Let all replicas lose power, or the leader be lost."""
     if s['failures'] >= MAX_FAILURES:
         return
     failures = s['failures'] + 1
-    yield 'leader is lost', replace(state, leader=NO_LEADER, failures=failures)
+    yield (
+        'leader is lost',
+        replace(before, leader=NO_LEADER, failures=failures),
+    )
     yield (
         'all lose power',
         replace(
-            state, written=s['synced'], leader=NO_LEADER, failures=failures
+            before, written=s['synced'], leader=NO_LEADER, failures=failures
         ),
     )
 
 
-def _elect(state: State, s: dict[str, Any]) -> Iterator[Step]:
+def _elect(before: State, s: dict[str, Any]) -> Iterator[Step]:
     if s['leader'] != NO_LEADER:
         return
     for replica in range(3):
@@ -199,9 +194,9 @@
             yield (
                 f'elect {replica}',
                 replace(
-                    state,
+                    before,
                     term=term,
                     leader=replica,
-                    written=put(s['written'], replica, entry),
+                    written=state.put(s['written'], replica, entry),
                 ),
             )
--- a/models/leases.py
+++ b/models/leases.py
@@ -13,6 +13,8 @@
 
 import minicheck
 
+from models import state
+
 LAST_TICK: Final = 7
 LEASE: Final = 3
 # What a holder takes off, and what a clock may lose, within one lease.
@@ -22,7 +24,7 @@
 
 FENCES: Final = ('drift', 'remaining', 'sent_time', 'wait', 'quorum')
 
-FIELDS: Final = (
+SHAPE: Final = state.Shape(
     'now',
     'entry_lost',
     'agent_lost',
@@ -35,36 +37,28 @@
     'in_force',
     'late_start',
 )
-State = tuple[Any, ...]
-Step = tuple[str, State]
-
-
-def replace(state: State, **changes: Any) -> State:
-    """Return the state with some fields changed."""
-    values = dict(zip(FIELDS, state, strict=True)) | changes
-    return tuple(values[name] for name in FIELDS)
+State = state.State
+Step = state.Step
+replace = SHAPE.replace
 
 
 def make(without: str = '') -> minicheck.Protocol:
     """Return the protocol, less one of its fences."""
 
-    def step(state: State) -> list[Step]:
-        s = dict(zip(FIELDS, state, strict=True))
-        # Nothing that follows a late start would show more.
-        if s['late_start']:
-            return []
+    def step(before: State) -> list[Step]:
+        s = SHAPE.read(before)
         return [
-            *_pass_time(state, s),
-            *_renew_entry(state, s, without),
-            *_renew_agent(state, s, without),
-            *_close(state, s, without),
-            *_start(state, s),
+            *_pass_time(before, s),
+            *_renew_entry(before, s, without),
+            *_renew_agent(before, s, without),
+            *_close(before, s, without),
+            *_start(before, s),
         ]
 
     return minicheck.Protocol(
         name=f'leases without {without}' if without else 'leases',
         candidate=False,
-        fields=FIELDS,
+        fields=SHAPE.fields,
         initial=(
             0,
             0,
@@ -78,7 +72,7 @@
             False,
             False,
         ),
-        transitions=step,
+        transitions=SHAPE.halt_when(lambda s: s['late_start'], step),
         invariants={'no_late_start': lambda s: not s['late_start']},
     )
 
@@ -93,23 +87,23 @@
     return int(s['now'] - s['agent_lost'])
 
 
-def _pass_time(state: State, s: dict[str, Any]) -> Iterator[Step]:
+def _pass_time(before: State, s: dict[str, Any]) -> Iterator[Step]:
     if s['now'] >= LAST_TICK:
         return
     now = s['now'] + 1
-    yield 'pass time', replace(state, now=now)
+    yield 'pass time', replace(before, now=now)
     if s['entry_lost'] < DRIFT:
-        yield 'entry loses a tick', replace(state, now=now, entry_lost=1)
+        yield 'entry loses a tick', replace(before, now=now, entry_lost=1)
     if s['agent_lost'] < DRIFT:
-        yield 'agent loses a tick', replace(state, now=now, agent_lost=1)
+        yield 'agent loses a tick', replace(before, now=now, agent_lost=1)
 
 
 def _renew_entry(
-    state: State, s: dict[str, Any], without: str
+    before: State, s: dict[str, Any], without: str
 ) -> Iterator[Step]:
     clock = read_entry_clock(s)
     if s['entry_asked'] == NEVER:
-        yield 'entry asks', replace(state, entry_asked=clock)
+        yield 'entry asks', replace(before, entry_asked=clock)
         return
     # An old leader may still be asked after a new one took the close, but a
     # quorum followed it only until then.
@@ -124,41 +118,41 @@
     until = max(s['entry_until'], since + remaining - taken)
     yield (
         'leader grants',
-        replace(state, entry_asked=NEVER, entry_until=until),
+        replace(before, entry_asked=NEVER, entry_until=until),
     )
 
 
 def _renew_agent(
-    state: State, s: dict[str, Any], without: str
+    before: State, s: dict[str, Any], without: str
 ) -> Iterator[Step]:
     clock = read_agent_clock(s)
     if s['agent_asked'] == NEVER:
-        yield 'agent asks', replace(state, agent_asked=clock)
+        yield 'agent asks', replace(before, agent_asked=clock)
         return
     if s['answer'] == NEVER:
         remaining = s['entry_until'] - read_entry_clock(s)
         if remaining > 0:
             handed = LEASE if without == 'remaining' else remaining
-            yield 'entry answers', replace(state, answer=handed)
+            yield 'entry answers', replace(before, answer=handed)
         return
     since = clock if without == 'sent_time' else s['agent_asked']
     taken = 0 if without == 'drift' else DRIFT
     until = max(s['agent_until'], since + s['answer'] - taken)
     yield (
         'agent takes answer',
-        replace(state, agent_asked=NEVER, answer=NEVER, agent_until=until),
+        replace(before, agent_asked=NEVER, answer=NEVER, agent_until=until),
     )
 
 
-def _close(state: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+def _close(before: State, s: dict[str, Any], without: str) -> Iterator[Step]:
     if s['closed_at'] == NEVER:
-        yield 'close', replace(state, closed_at=s['now'])
+        yield 'close', replace(before, closed_at=s['now'])
         return
     waited = s['now'] - s['closed_at']
     if not s['in_force'] and (waited >= LEASE or without == 'wait'):
-        yield 'in force', replace(state, in_force=True)
+        yield 'in force', replace(before, in_force=True)
 
 
-def _start(state: State, s: dict[str, Any]) -> Iterator[Step]:
+def _start(before: State, s: dict[str, Any]) -> Iterator[Step]:
     if read_agent_clock(s) < s['agent_until'] and s['in_force']:
-        yield 'start', replace(state, late_start=True)
+        yield 'start', replace(before, late_start=True)
--- a/models/replication.py
+++ b/models/replication.py
@@ -14,6 +14,8 @@
 
 import minicheck
 
+from models import state
+
 LAST_TERM: Final = 4
 MAX_LOST: Final = 2
 MAX_STATES: Final = 500_000
@@ -22,7 +24,7 @@
 
 FENCES: Final = ('disk_identity', 'log_order', 'vote', 'catch_up')
 
-FIELDS: Final = (
+SHAPE: Final = state.Shape(
     'terms',
     'votes',
     'entries',
@@ -33,37 +35,27 @@
     'committed_in',
     'lost',
 )
-State = tuple[Any, ...]
-Step = tuple[str, State]
-
-
-def replace(state: State, **changes: Any) -> State:
-    """Return the state with some fields changed."""
-    values = dict(zip(FIELDS, state, strict=True)) | changes
-    return tuple(values[name] for name in FIELDS)
-
-
-def put(values: tuple[Any, ...], position: int, value: Any) -> Any:
-    """Return a tuple with one value changed."""
-    return (*values[:position], value, *values[position + 1 :])
+State = state.State
+Step = state.Step
+replace = SHAPE.replace
 
 
 def make(without: str = '') -> minicheck.Protocol:
     """Return the protocol, less one of its fences."""
 
-    def step(state: State) -> list[Step]:
-        s = dict(zip(FIELDS, state, strict=True))
+    def step(before: State) -> list[Step]:
+        s = SHAPE.read(before)
         return [
-            *_elect(state, s, without),
-            *_replicate(state, s),
-            *_lose_disks(state, s, without),
-            *_change_members(state, s, without),
+            *_elect(before, s, without),
+            *_replicate(before, s),
+            *_lose_disks(before, s, without),
+            *_change_members(before, s, without),
         ]
 
     return minicheck.Protocol(
         name=f'replication without {without}' if without else 'replication',
         candidate=False,
-        fields=FIELDS,
+        fields=SHAPE.fields,
         initial=(
             (0, 0, 0),
             (NO_SEAT,) * 3,
@@ -75,7 +67,7 @@
             0,
             0,
         ),
-        transitions=step,
+        transitions=SHAPE.halt_when(lambda s: not _is_kept(s), step),
         invariants={'committed_entry_is_kept': _is_kept},
     )
 
@@ -99,7 +91,7 @@
     return sum(1 for seat in s['seats'] if seat != NO_SEAT) // 2 + 1
 
 
-def _elect(state: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+def _elect(before: State, s: dict[str, Any], without: str) -> Iterator[Step]:
     for candidate in REPLICAS:
         term = s['terms'][candidate] + 1
         if term > LAST_TERM or not is_voter(s, candidate):
@@ -113,7 +105,7 @@
                     _grants(s, voter, candidate, term, without)
                     for voter in chosen
                 ):
-                    yield _lead(state, s, candidate, chosen, term)
+                    yield _lead(before, s, candidate, chosen, term)
 
 
 def _grants(
@@ -132,7 +124,7 @@
 
 
 def _lead(
-    state: State,
+    before: State,
     s: dict[str, Any],
     candidate: int,
     chosen: tuple[int, ...],
@@ -140,21 +132,21 @@
 ) -> Step:
     terms, votes = s['terms'], s['votes']
     for voter in (candidate, *chosen):
-        terms = put(terms, voter, term)
-        votes = put(votes, voter, candidate)
+        terms = state.put(terms, voter, term)
+        votes = state.put(votes, voter, candidate)
     after = replace(
-        state, terms=terms, votes=votes, leader=candidate, leads_in=term
+        before, terms=terms, votes=votes, leader=candidate, leads_in=term
     )
     return f'{candidate} leads in {term} by {chosen}', after
 
 
-def _replicate(state: State, s: dict[str, Any]) -> Iterator[Step]:
+def _replicate(before: State, s: dict[str, Any]) -> Iterator[Step]:
     leader = s['leader']
     if leader == NO_SEAT or s['terms'][leader] != s['leads_in']:
         return
     if not s['entries'][leader]:
-        entries = put(s['entries'], leader, 1)
-        yield 'append', replace(state, entries=entries)
+        entries = state.put(s['entries'], leader, 1)
+        yield 'append', replace(before, entries=entries)
         return
     for follower in REPLICAS:
         if s['terms'][follower] > s['leads_in']:
@@ -162,15 +154,15 @@
         if s['entries'][follower] and s['terms'][follower] == s['leads_in']:
             continue
         changes = {
-            'entries': put(s['entries'], follower, 1),
-            'terms': put(s['terms'], follower, s['leads_in']),
+            'entries': state.put(s['entries'], follower, 1),
+            'terms': state.put(s['terms'], follower, s['leads_in']),
         }
         if s['terms'][follower] < s['leads_in']:
-            changes['votes'] = put(s['votes'], follower, NO_SEAT)
-        yield f'replicate to {follower}', replace(state, **changes)
+            changes['votes'] = state.put(s['votes'], follower, NO_SEAT)
+        yield f'replicate to {follower}', replace(before, **changes)
     holders = [each for each in REPLICAS if _follows(s, each)]
     if not s['committed_in'] and len(holders) >= count_majority(s):
-        yield 'commit', replace(state, committed_in=s['leads_in'])
+        yield 'commit', replace(before, committed_in=s['leads_in'])
 
 
 def _follows(s: dict[str, Any], replica: int) -> bool:
@@ -183,7 +175,7 @@
 
 
 def _lose_disks(
-    state: State, s: dict[str, Any], without: str
+    before: State, s: dict[str, Any], without: str
 ) -> Iterator[Step]:
     if s['lost'] >= MAX_LOST:
         return
@@ -196,11 +188,11 @@
         yield (
             f'{replica} loses its disk',
             replace(
-                state,
-                terms=put(s['terms'], replica, 0),
-                votes=put(s['votes'], replica, NO_SEAT),
-                entries=put(s['entries'], replica, 0),
-                disks=put(s['disks'], replica, renewed),
+                before,
+                terms=state.put(s['terms'], replica, 0),
+                votes=state.put(s['votes'], replica, NO_SEAT),
+                entries=state.put(s['entries'], replica, 0),
+                disks=state.put(s['disks'], replica, renewed),
                 leader=NO_SEAT if s['leader'] == replica else s['leader'],
                 lost=s['lost'] + 1,
             ),
@@ -208,7 +200,7 @@
 
 
 def _change_members(
-    state: State, s: dict[str, Any], without: str
+    before: State, s: dict[str, Any], without: str
 ) -> Iterator[Step]:
     """Take a lost disk out of its seat, and a caught-up one in."""
     leader = s['leader']
@@ -224,13 +216,13 @@
             continue
         if s['seats'][replica] != NO_SEAT:
             if len(following) >= 2:
-                seats = put(s['seats'], replica, NO_SEAT)
-                yield f'unseat {replica}', replace(state, seats=seats)
+                seats = state.put(s['seats'], replica, NO_SEAT)
+                yield f'unseat {replica}', replace(before, seats=seats)
             continue
         caught_up = (
             s['entries'][replica] >= s['entries'][leader]
             and s['terms'][replica] == s['leads_in']
         )
         if (caught_up or without == 'catch_up') and len(following) >= 2:
-            seats = put(s['seats'], replica, s['disks'][replica])
-            yield f'seat {replica}', replace(state, seats=seats)
+            seats = state.put(s['seats'], replica, s['disks'][replica])
+            yield f'seat {replica}', replace(before, seats=seats)
--- a/models/starts.py
+++ b/models/starts.py
@@ -13,6 +13,8 @@
 
 import minicheck
 
+from models import state
+
 LAST_INSTANT: Final = 2
 LAST_INCARNATION: Final = 1
 LAST_ATTEMPT: Final = 2
@@ -29,7 +31,7 @@
 )
 
 # ``outstanding`` is the (incarnation, stamp) that the latest start carried.
-FIELDS: Final = (
+SHAPE: Final = state.Shape(
     'now',
     'incarnation',
     'record',
@@ -46,35 +48,27 @@
 # A start or fence frame is (attempt, incarnation, stamp); an answer is
 # (what, attempt, incarnation).  A record is (state, attempt, expiry).
 NO_RECORD: Final = ('none', 0, 0)
-State = tuple[Any, ...]
-Step = tuple[str, State]
-
-
-def replace(state: State, **changes: Any) -> State:
-    """Return the state with some fields changed."""
-    values = dict(zip(FIELDS, state, strict=True)) | changes
-    return tuple(values[name] for name in FIELDS)
+State = state.State
+Step = state.Step
+replace = SHAPE.replace
 
 
 def make(without: str = '') -> minicheck.Protocol:
     """Return the protocol, less one of its fences."""
 
-    def step(state: State) -> list[Step]:
-        # Nothing that follows a second run would show more.
-        if state[FIELDS.index('runs')] > 1:
-            return []
+    def step(before: State) -> list[Step]:
         return [
-            *pass_time(state, without),
-            *_move_entry(state, without),
-            *deliver_starts(state, without),
-            *deliver_fences(state, without),
-            *_deliver_answers(state, without),
+            *pass_time(before, without),
+            *_move_entry(before, without),
+            *deliver_starts(before, without),
+            *deliver_fences(before, without),
+            *_deliver_answers(before, without),
         ]
 
     return minicheck.Protocol(
         name=f'starts without {without}' if without else 'starts',
         candidate=False,
-        fields=FIELDS,
+        fields=SHAPE.fields,
         initial=(
             0,
             0,
@@ -88,7 +82,7 @@
             frozenset(),
             0,
         ),
-        transitions=step,
+        transitions=SHAPE.halt_when(lambda s: s['runs'] > 1, step),
         invariants={
             'started_at_most_once': lambda s: s['runs'] <= 1,
             'not_run_is_true': lambda s: (
@@ -101,22 +95,22 @@
     )
 
 
-def pass_time(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def pass_time(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     what, attempt, expiry = s['record']
     if s['now'] < LAST_INSTANT:
         now = s['now'] + 1
         record = s['record']
         if what in ('ended', 'fenced') and now >= expiry:
             record = NO_RECORD
-        yield 'pass time', replace(state, now=now, record=record)
+        yield 'pass time', replace(before, now=now, record=record)
     if what == 'running':
         ended = ('ended', attempt, s['now'] + WINDOW)
         answer = ('finished', attempt, s['incarnation'])
         yield (
             'end task',
             replace(
-                state,
+                before,
                 record=NO_RECORD if without == 'records' else ended,
                 answers=s['answers'] | {answer},
             ),
@@ -124,18 +118,20 @@
     if s['incarnation'] < LAST_INCARNATION:
         yield (
             'restart agent',
-            replace(state, incarnation=s['incarnation'] + 1, record=NO_RECORD),
+            replace(
+                before, incarnation=s['incarnation'] + 1, record=NO_RECORD
+            ),
         )
 
 
-def _move_entry(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def _move_entry(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     current = (s['incarnation'], s['now'])
     if s['known'] != current:
         changes: dict[str, Any] = {'known': current}
         if s['outstanding'] and s['known'][0] != s['incarnation']:
             changes |= {'outstanding': None, 'told': 'may have run'}
-        yield 'renew', replace(state, **changes)
+        yield 'renew', replace(before, **changes)
     if s['told'] != 'nothing':
         return
     if not s['outstanding'] and s['attempt'] < LAST_ATTEMPT:
@@ -143,7 +139,7 @@
         yield (
             'send start',
             replace(
-                state,
+                before,
                 attempt=attempt,
                 outstanding=s['known'],
                 starts=s['starts'] | {(attempt, *s['known'])},
@@ -154,10 +150,10 @@
         if without == 'fence_stamp':
             carried = s['known']
         fence = (s['attempt'], *carried)
-        yield 'send fence', replace(state, fences=s['fences'] | {fence})
+        yield 'send fence', replace(before, fences=s['fences'] | {fence})
     silent = s['outstanding'] and without != 'silence'
     told = 'may have run' if silent else 'not run'
-    yield 'pass deadline', replace(state, told=told, outstanding=None)
+    yield 'pass deadline', replace(before, told=told, outstanding=None)
 
 
 def is_stale(s: dict[str, Any], frame: Any, without: str) -> bool:
@@ -179,8 +175,8 @@
     return answers[what], told, s['incarnation']
 
 
-def deliver_starts(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def deliver_starts(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     for frame in s['starts']:
         attempt = frame[0]
         what, recorded, _ = s['record']
@@ -189,49 +185,51 @@
             answer = _answer_record(s, attempt)
             yield (
                 f'repeat start {frame}',
-                replace(state, answers=s['answers'] | {answer}),
+                replace(before, answers=s['answers'] | {answer}),
             )
             continue
         if is_stale(s, frame, without):
             answer = ('unknown', attempt, s['incarnation'])
             yield (
                 f'stale start {frame}',
-                replace(state, answers=s['answers'] | {answer}),
+                replace(before, answers=s['answers'] | {answer}),
             )
             continue
         yield (
             f'run start {frame}',
-            replace(state, record=('running', attempt, 0), runs=s['runs'] + 1),
+            replace(
+                before, record=('running', attempt, 0), runs=s['runs'] + 1
+            ),
         )
-        yield f'decline start {frame}', _fence(state, s, attempt)
+        yield f'decline start {frame}', _fence(before, s, attempt)
 
 
-def _fence(state: State, s: dict[str, Any], attempt: int) -> State:
+def _fence(before: State, s: dict[str, Any], attempt: int) -> State:
     answer = ('declined', attempt, s['incarnation'])
     return replace(
-        state,
+        before,
         record=('fenced', attempt, s['now'] + WINDOW),
         answers=s['answers'] | {answer},
     )
 
 
-def deliver_fences(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def deliver_fences(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     for frame in s['fences']:
         attempt = frame[0]
         if s['record'][0] != 'none':
             answer = _answer_record(s, attempt)
-            after = replace(state, answers=s['answers'] | {answer})
+            after = replace(before, answers=s['answers'] | {answer})
         elif is_stale(s, frame, without):
             answer = ('unknown', attempt, s['incarnation'])
-            after = replace(state, answers=s['answers'] | {answer})
+            after = replace(before, answers=s['answers'] | {answer})
         else:
-            after = _fence(state, s, attempt)
+            after = _fence(before, s, attempt)
         yield f'take fence {frame}', after
 
 
-def _deliver_answers(state: State, without: str) -> Iterator[Step]:
-    s = dict(zip(FIELDS, state, strict=True))
+def _deliver_answers(before: State, without: str) -> Iterator[Step]:
+    s = SHAPE.read(before)
     if not s['outstanding'] or s['told'] != 'nothing':
         return
     for what, attempt, incarnation in s['answers']:
@@ -247,4 +245,4 @@
                 changes = {'told': 'may have run', 'outstanding': None}
             case _:
                 continue
-        yield f'take answer {what} {attempt}', replace(state, **changes)
+        yield f'take answer {what} {attempt}', replace(before, **changes)
--- /dev/null
+++ b/models/state.py
@@ -0,0 +1,43 @@
+"""States of a specification: tuples with named fields."""
+
+from collections.abc import Callable
+from typing import Any
+
+State = tuple[Any, ...]
+Step = tuple[str, State]
+
+
+class Shape:
+    """The names of the fields of a state."""
+
+    def __init__(self, *fields: str) -> None:
+        self.fields = fields
+
+    def read(self, state: State) -> dict[str, Any]:
+        """Return the fields of a state by name."""
+        return dict(zip(self.fields, state, strict=True))
+
+    def replace(self, state: State, **changes: Any) -> State:
+        """Return the state with some fields changed."""
+        values = self.read(state) | changes
+        return tuple(values[name] for name in self.fields)
+
+    def halt_when(
+        self,
+        wrong: Callable[[dict[str, Any]], bool],
+        step: Callable[[State], list[Step]],
+    ) -> Callable[[State], list[Step]]:
+        """Return the steps, none of them from a state that is wrong.
+
+        Nothing that follows a violation would show more.
+        """
+
+        def halting(state: State) -> list[Step]:
+            return [] if wrong(self.read(state)) else step(state)
+
+        return halting
+
+
+def put(values: tuple[Any, ...], position: int, value: Any) -> Any:
+    """Return a tuple with one value changed."""
+    return (*values[:position], value, *values[position + 1 :])
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -9,8 +9,8 @@
 import dataclasses
 from typing import Any
 
+from eelgrassworks import changes
 from eelgrassworks import contracts
-from eelgrassworks import entry
 from eelgrassworks import errors
 from eelgrassworks import virtual
 from eelgrassworks.links import messages
@@ -399,7 +399,7 @@
         1,
         'close',
     )
-    if not isinstance(made, entry.ChangeMade) or not made.in_force:
+    if not isinstance(made, changes.ChangeMade) or not made.in_force:
         return [f'the close did not come into force: {made}']
     since_s = world.now_s
     found = []
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -46,7 +46,7 @@
 
     def write(self: Any, keep: int, entries: Any) -> Any:
         made = original(self, keep, entries)
-        self._durable_index = self.log.last_index
+        self._durability.index = self.log.last_index
         return made
 
     original = replica.Replica._write
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -184,20 +184,19 @@
 
     def project(self, state: Any) -> Projection:
         """Return what of a state concerns the agent."""
-        s = dict(zip(starts.FIELDS, state, strict=True))
+        s = starts.SHAPE.read(state)
         return s['now'], s['incarnation'], reduce_record(s['record'])
 
     def read_told(
         self, label: Any, after: Any, before: Any
     ) -> set[tuple[str, int]]:
         """Return the answers that a step adds."""
-        values = dict(zip(starts.FIELDS, after, strict=True))
+        values = starts.SHAPE.read(after)
         told = {
             (what, attempt if what in ('declined', 'unknown') else 0)
             for what, attempt, _ in values['answers']
         }
-        position = starts.FIELDS.index('runs')
-        if after[position] > before[position]:
+        if values['runs'] > starts.SHAPE.read(before)['runs']:
             told.add(('run', 0))
         return told
 
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -3,6 +3,7 @@
 import itertools
 from typing import Any
 
+from eelgrassworks import changes
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import ids
@@ -60,7 +61,7 @@
 def apply_sheet(world: virtual.World, entry_name: str) -> None:
     """Apply the sheet as the first revision and wait until in force."""
     made = change(world, entry_name, contracts.ApplySheet(SHEET), 0, 'sheet')
-    if not isinstance(made, entry.ChangeMade):
+    if not isinstance(made, changes.ChangeMade):
         raise AssertionError(f'the sheet was not applied: {made}')
 
 
