Do not credit a disk with a term that it has not seen

Cause: appends tell every replica what each disk has acknowledged; the receiver noted the leader's term for all of them, also for a disk that was away. A killed leader that came back after the next election was told that its folder was older than it had been, and ended. Ruled out: the index (the dead disk's index was right). Change: only the index is noted from an append; the term only from the disk's own answers. Machines, failure domains and regions of the settings stand in the dumps.

--- a/eelgrassworks/agentprocess.py
+++ b/eelgrassworks/agentprocess.py
@@ -32,7 +32,9 @@
         measures = metrics.Metrics(
             model.statsd.host, model.statsd.port, f'agent.{model.name}'
         )
-        super().__init__('agent', link, measures)
+        super().__init__(
+            'agent', settings.make_worker(model.worker), link, measures
+        )
         self.model = model
         self.agent = agent.Agent(
             agent.AgentOptions(
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -43,7 +43,7 @@
         measures = metrics.Metrics(
             model.statsd.host, model.statsd.port, f'control.{model.name}'
         )
-        super().__init__('control', link, measures)
+        super().__init__('control', settings.make_vm(model.vm), link, measures)
         self.model = model
         self.port = 0
         self.stall_s = 0.0
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -29,7 +29,7 @@
         measures = metrics.Metrics(
             model.statsd.host, model.statsd.port, f'entry.{model.name}'
         )
-        super().__init__('entry', link, measures)
+        super().__init__('entry', settings.make_vm(model.vm), link, measures)
         self.model = model
         self.port = 0
         self.entry = entry.Entry(
--- a/eelgrassworks/machines/machine.py
+++ b/eelgrassworks/machines/machine.py
@@ -6,13 +6,15 @@
 
 import dataclasses
 
+from eelgrassworks import zones
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Worker:
     """A machine that runs targets.  Memory is in mebibytes."""
 
     name: str
-    failure_domain: str
+    failure_domain: zones.FailureDomain
     rack: str
     cores: int
     memory_mib: int
@@ -23,5 +25,4 @@
     """A virtual machine that runs processes of the system."""
 
     name: str
-    failure_domain: str
-    region: str
+    failure_domain: zones.FailureDomain
--- a/eelgrassworks/placement.py
+++ b/eelgrassworks/placement.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 from typing import Final
-from typing import Literal
 
 import xxhash
 
@@ -51,10 +50,6 @@
 
 Policy = Random | TwoChoices | LeastOutstanding | LateBinding
 
-PolicyName = Literal[
-    'random', 'two-choices', 'least-outstanding', 'late-binding'
-]
-
 POLICIES: Final[dict[str, type[Policy]]] = {
     'random': Random,
     'two-choices': TwoChoices,
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import signal
 from typing import Any
 from typing import Final
@@ -16,6 +17,7 @@
 from eelgrassworks import errors
 from eelgrassworks import links
 from eelgrassworks import logs
+from eelgrassworks import machines
 from eelgrassworks import metrics
 from eelgrassworks.links import transport
 
@@ -33,10 +35,12 @@
     def __init__(
         self,
         role: str,
+        machine: machines.Vm | machines.Worker,
         link: transport.Transport,
         measures: metrics.Metrics,
     ) -> None:
         self.role = role
+        self.machine = machine
         self.link = link
         self.measures = measures
         self.tick_interval_s = TICK_INTERVAL_S
@@ -212,6 +216,7 @@
         return {
             'role': self.role,
             'name': self.link.sender.name,
+            'machine': dataclasses.asdict(self.machine),
             'run': self.link.sender.incarnation,
             'state': self.describe(),
             'link': self.link.describe(),
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -607,7 +607,8 @@
             return [effects.Send(peer, told)]
         writes = self._follow(peer, asked.term, moment)
         for disk, index in asked.durable.items():
-            self._note_seen(disk, index, asked.term)
+            # A disk that is away has not seen the term of this append.
+            self._note_seen(disk, index, 0)
         previous = asked.previous_index
         held = self.log.find_term(previous)
         if previous > self.log.last_index or (
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -16,6 +16,7 @@
 
 from eelgrassworks import errors
 from eelgrassworks import machines
+from eelgrassworks import zones
 
 Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 Address = Annotated[
@@ -42,6 +43,7 @@
 
     name: Name
     failure_domain: Name
+    region: str = ''
     rack: str = ''
     cores: Positive = 1
     memory_mib: Positive = 1024
@@ -199,7 +201,7 @@
     """Return the worker that the settings describe."""
     return machines.Worker(
         model.name,
-        model.failure_domain,
+        _make_domain(model.failure_domain, model.region),
         model.rack,
         model.cores,
         model.memory_mib,
@@ -208,7 +210,13 @@
 
 def make_vm(model: VmModel) -> machines.Vm:
     """Return the VM that the settings describe."""
-    return machines.Vm(model.name, model.failure_domain, model.region)
+    return machines.Vm(
+        model.name, _make_domain(model.failure_domain, model.region)
+    )
+
+
+def _make_domain(name: str, region: str) -> zones.FailureDomain:
+    return zones.FailureDomain(name, zones.Region(region))
 
 
 def _refuse(key: str, reason: str) -> errors.Refusal:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -96,6 +96,18 @@
         self.assertTrue(worlds.await_leader(world))
         self.assertLess(world.now_s - began_s, 2.0)
 
+    @ddt.data(0.0, 0.3, 1.0, 3.0)
+    def test_killed_leader_comes_back(self, away_s: float) -> None:
+        world = worlds.make_world()
+        leader = worlds.find_leader(world)
+        world.kill(leader)
+        world.run(away_s)
+        close_and_open(world, 2)
+        world.start(leader)
+        world.run(5.0)
+        self.assertEqual(world.halted, {})
+        self.assertTrue(world.nodes[leader].core.replica.has_standing)
+
     def test_older_folder_is_refused(self) -> None:
         world = worlds.make_world()
         leader = worlds.find_leader(world)
