--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -188,6 +188,9 @@
             return [self._tell_not_leader(peer)]
         self._entry_heard[renewal.name] = moment.now_s
         record = self.ledger.entries.get(renewal.name)
+        if record is not None and renewal.nonce in record.retired:
+            # The terms name another incarnation, which ends the old run.
+            return self._tell_terms(peer, renewal, record.incarnation, moment)
         if (
             record is None
             or record.nonce != renewal.nonce
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -462,9 +462,14 @@
         self, peer: str, terms: messages.EntryTerms, now_s: float
     ) -> effects.Effects:
         if not self.session.take_terms(peer, terms, now_s):
-            return [effects.Halt(errors.refuse(errors.Code.STOPPING))]
+            return [self._give_up()]
         return self._changes.settle(now_s)
 
+    def _give_up(self) -> effects.Halt:
+        """End this process: another one was registered under its name."""
+        name = self.options.session.name
+        return effects.Halt(errors.refuse(errors.Code.SUPERSEDED, name=name))
+
     def _take_claims(
         self, told: messages.ClaimsTold, now_s: float
     ) -> effects.Effects:
@@ -498,11 +503,8 @@
                     self._inquiries.hold(inquiry, now_s)
                 return []
             case contracts.ClaimSuperseded():
-                refusal = errors.refuse(errors.Code.STOPPING)
-                return [
-                    *self._drop_job(job, contracts.NotRun(refusal)),
-                    effects.Halt(refusal),
-                ]
+                undecided = answers.refuse_undecided(inquiries.CLAIM_WAIT_S)
+                return [*self._drop_job(job, undecided), self._give_up()]
             case _:
                 return self._drop_job(job, answers.refuse_verdict(verdict))
 
--- a/eelgrassworks/errors.py
+++ b/eelgrassworks/errors.py
@@ -35,6 +35,7 @@
     OWNER_UNREACHABLE = 'owner-unreachable'
     QUOTA = 'quota'
     STOPPING = 'stopping'
+    SUPERSEDED = 'superseded'
     TARGET_LOST = 'target-lost'
     TASK_FAILED = 'task-failed'
     UNAVAILABLE = 'unavailable'
@@ -211,6 +212,12 @@
         'the process is stopping and takes no new work',
         'send the request to another entry',
     ),
+    Code.SUPERSEDED: Wording(
+        500,
+        'Superseded',
+        'another process was registered under the name {name}',
+        'give each entry a name of its own, and stop one of the two',
+    ),
     Code.TARGET_LOST: Wording(
         502,
         'Target lost',
--- a/eelgrassworks/ledger.py
+++ b/eelgrassworks/ledger.py
@@ -20,6 +20,7 @@
 CLAIM_FUTURE_MS: Final = 60_000
 BUCKET_MS: Final = 10_000
 KEPT_CHANGES: Final = 10_000
+KEPT_RUNS: Final = 16
 
 
 class ClaimRecord(msgspec.Struct, array_like=True):
@@ -31,12 +32,13 @@
 
 
 class EntryRecord(msgspec.Struct, array_like=True):
-    """The current run of an entry."""
+    """The current run of an entry, and the runs that it replaced."""
 
     address: str
     nonce: int
     incarnation: int
     alive: bool
+    retired: list[int]
 
 
 class LedgerModel(msgspec.Struct):
@@ -210,8 +212,13 @@
             record.alive = True
             record.address = asked.address
             return
+        retired: list[int] = []
+        if record is not None:
+            if asked.nonce in record.retired:
+                return
+            retired = [*record.retired, record.nonce][-KEPT_RUNS:]
         self.entries[asked.name] = EntryRecord(
-            asked.address, asked.nonce, index, True
+            asked.address, asked.nonce, index, True, retired
         )
 
     # Snapshots.
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -169,6 +169,13 @@
         self.assertEqual(held.look_up(old), contracts.ClaimExpired(old))
         self.assertEqual(set(held.claims), {new})
 
+    def test_replaced_run_cannot_register_again(self) -> None:
+        held = ledger.Ledger()
+        for index, nonce in enumerate((5, 6, 5, 6, 5), start=1):
+            held.apply(index, commands.RegisterEntry('entry-1', 'a', nonce))
+        record = held.entries['entry-1']
+        self.assertEqual((record.nonce, record.incarnation), (6, 2))
+
     def test_snapshot_keeps_everything(self) -> None:
         held = ledger.Ledger()
 
