Ramp targets up that come or return

Cause: a target that returned was filled at once, also when it failed. Ruled out: a ramp by time (a success says more than a second). Change: two tasks at first, twice as many after each success; it begins anew with a new incarnation, after a pause and when a domain opens.

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -91,6 +91,15 @@
 
     def configure(self, configuration: contracts.Configuration) -> None:
         """Take a configuration revision."""
+        before = self._configuration
+        opened = (
+            frozenset()
+            if before is None
+            else before.closed - configuration.closed
+        )
+        for view in self.views.values():
+            if view.target.failure_domain in opened:
+                view.begin_ramp()
         self._configuration = configuration
         for quota in configuration.sheet.quotas.values():
             self.queue.set_quota(quota)
@@ -273,6 +282,8 @@
             self.views[peer] = view
         view.heard_s = now_s
         view.stamp_ms = max(view.stamp_ms, renewal.stamp_ms)
+        if renewal.accepting and not view.accepting:
+            view.begin_ramp()
         view.accepting = renewal.accepting
         view.report(renewal.free, renewal.starts_seen)
         asked: effects.Effects = []
@@ -355,6 +366,7 @@
         if not finished.succeeded:
             reason = finished.body.decode('utf-8', 'replace')
             return Taken([], [TaskBroke(key, view.target.name, reason)])
+        view.note_success()
         self._learn(view, sent.kind, finished.run_ms / 1000)
         return Taken([], [TaskDone(key, finished.body)])
 
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -12,6 +12,8 @@
 
 SPEED_SMOOTHING: Final = 0.1
 MIN_SPEED_SAMPLES: Final = 5
+# Tasks that a target may hold at first; each success doubles the number.
+FIRST_ALLOWANCE: Final = 2
 # Below any queue that a policy may fill.
 FULL: Final = -1_000_000
 
@@ -53,7 +55,9 @@
 
     ``free`` estimates the free slots: what the agent reported, less the
     starts still on their way; a negative number is the length of the queue
-    at the target.  ``suspect`` is set while the agent is silent.
+    at the target.  ``suspect`` is set while the agent is silent;
+    ``allowance`` bounds the outstanding tasks of a target that has just come
+    or returned.
     """
 
     target: target.Target
@@ -69,6 +73,7 @@
         default_factory=dict
     )
     suspect: bool = False
+    allowance: int = FIRST_ALLOWANCE
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
 
     @property
@@ -86,6 +91,20 @@
             self.starts_sent = starts_seen
         self._estimate_free()
 
+    @property
+    def is_ramping(self) -> bool:
+        """Tell whether the target may not take one more task yet."""
+        return len(self.outstanding) >= self.allowance
+
+    def begin_ramp(self) -> None:
+        """Give a returning target a few tasks first."""
+        self.allowance = FIRST_ALLOWANCE
+
+    def note_success(self) -> None:
+        """Allow a target more after each task that succeeded."""
+        if self.allowance <= self.target.slots * 2:
+            self.allowance *= 2
+
     def block(self) -> None:
         """Take the target for full until it reports again."""
         self.reported_free = FULL
--- a/eelgrassworks/placement.py
+++ b/eelgrassworks/placement.py
@@ -99,7 +99,7 @@
     least_wait = float('inf')
     for view in views:
         free = view.free
-        if free <= -prefetch:
+        if free <= -prefetch or view.is_ramping:
             continue
         slowness = view.slowness if learnt else 1.0
         if free > 0:
