Count no cancelled task against its target, and ramp up by time as well

Cause: a task stopped with its job came back as a failure; four cancelled jobs opened the breakers of three healthy targets. With a ramp by successes alone tasks of 5 s left slots empty for 5 s; that had hidden the first fault from its test. Ruled out: ignoring failures of ended jobs (a failing target ends its jobs with the first failure and would be found late). Change: the agent marks what it stopped; the allowance of a target also doubles every 0.25 s. Tables for breakers, shares, choices and ramps.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -304,6 +304,7 @@
             key.submission,
             key.index,
             succeeded,
+            not succeeded and key.submission in self.cancelled,
             body,
             round((now_s - occupant.started_s) * 1000),
             self._count_usable(occupant.entry, now_s),
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -361,12 +361,14 @@
             return Taken([], [])
         self.counters['results_received'] += 1
         breaker = self._find_breaker(view, sent.kind)
-        if breaker.note_outcome(finished.succeeded, now_s):
+        if finished.stopped:
+            breaker.note_unused(now_s)
+        elif breaker.note_outcome(finished.succeeded, now_s):
             self.counters['breakers_opened'] += 1
         if not finished.succeeded:
             reason = finished.body.decode('utf-8', 'replace')
             return Taken([], [TaskBroke(key, view.target.name, reason)])
-        view.note_success()
+        view.ramp()
         self._learn(view, sent.kind, finished.run_ms / 1000)
         return Taken([], [TaskDone(key, finished.body)])
 
@@ -445,6 +447,7 @@
             elif silence_s > AGENT_SILENCE_S:
                 view.suspect = True
             else:
+                view.ramp_by_time(now_s)
                 asked += self._probe(view, now_s, OVERDUE_MARGIN_S)
         asked += self._want_slots()
         return Taken(asked, outcomes)
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -38,11 +38,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskFinished:
-    """Outcome of a task that ran; ``free`` slots are left at the target."""
+    """Outcome of a task that ran; ``free`` slots are left at the target.
+
+    ``stopped`` is set when it failed because its job was cancelled.
+    """
 
     submission: str
     index: int
     succeeded: bool
+    stopped: bool
     body: bytes
     run_ms: int
     free: int
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -12,8 +12,10 @@
 
 SPEED_SMOOTHING: Final = 0.1
 MIN_SPEED_SAMPLES: Final = 5
-# Tasks that a target may hold at first; each success doubles the number.
+# Tasks that a target may hold at first; each success, and each step of time,
+# since tasks may be long, doubles the number.
 FIRST_ALLOWANCE: Final = 2
+RAMP_STEP_S: Final = 0.25
 # Below any queue that a policy may fill.
 FULL: Final = -1_000_000
 
@@ -74,6 +76,7 @@
     )
     suspect: bool = False
     allowance: int = FIRST_ALLOWANCE
+    ramped_s: float = float('-inf')
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
 
     @property
@@ -99,12 +102,21 @@
     def begin_ramp(self) -> None:
         """Give a returning target a few tasks first."""
         self.allowance = FIRST_ALLOWANCE
+        self.ramped_s = float('-inf')
 
-    def note_success(self) -> None:
-        """Allow a target more after each task that succeeded."""
+    def ramp(self) -> None:
+        """Allow a target twice as many tasks, up to what it can use."""
         if self.allowance <= self.target.slots * 2:
             self.allowance *= 2
 
+    def ramp_by_time(self, now_s: float) -> None:
+        """Allow a target more after each step of time."""
+        if self.ramped_s == float('-inf'):
+            self.ramped_s = now_s
+        elif now_s - self.ramped_s >= RAMP_STEP_S:
+            self.ramped_s = now_s
+            self.ramp()
+
     def block(self) -> None:
         """Take the target for full until it reports again."""
         self.reported_free = FULL
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,164 @@
+"""Queues, breakers, ramps and cancellations at an entry."""
+
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import health
+from eelgrassworks import machines
+from eelgrassworks import placement
+from eelgrassworks import queues
+from tests import worlds
+
+# Outcomes as letters (s succeeded, f failed), the time after them in
+# seconds, and whether a task may then be sent.
+BREAKERS: tuple[tuple[str, float, bool], ...] = (
+    ('', 0.0, True),
+    ('ff', 0.0, True),
+    ('fff', 0.0, False),
+    ('ffsff', 0.0, True),
+    ('fs' * 9 + 'f', 0.0, False),
+    ('sss' + 'fss' * 6, 0.0, True),
+    ('fff', 1.1, True),
+)
+
+# Shares of two teams, and how many of the first 30 tasks are of the first.
+SHARES: tuple[tuple[float, float, int], ...] = (
+    (1.0, 1.0, 15),
+    (2.0, 1.0, 20),
+    (1.0, 5.0, 5),
+)
+
+# Free slots and slowness of three targets, and which one is chosen.
+CHOICES: tuple[
+    tuple[tuple[int, int, int], tuple[float, float, float], int | None], ...
+] = (
+    ((1, 1, 1), (1.0, 0.5, 2.0), 1),
+    ((0, 0, 1), (0.5, 0.5, 2.0), 2),
+    ((0, -1, -2), (1.0, 1.0, 1.0), 0),
+    ((-1, -1, 0), (0.2, 1.0, 2.0), 0),
+    ((-3, -3, -3), (1.0, 1.0, 1.0), None),
+)
+
+
+def make_view(free: int, slowness: float) -> machines.TargetView:
+    """Return a view with an estimate of free slots and speed."""
+    view = machines.TargetView(worlds.make_target(0), 1)
+    view.report(free, 0)
+    view.speed.ratio, view.speed.samples = slowness, 100
+    return view
+
+
+@ddt.ddt
+class DispatchTest(unittest.TestCase):
+    @ddt.data(*BREAKERS)
+    @ddt.unpack
+    def test_breaker(self, outcomes: str, after_s: float, sends: bool) -> None:
+        breaker = health.Breaker()
+        for outcome in outcomes:
+            breaker.note_outcome(outcome == 's', 100.0)
+        self.assertEqual(breaker.allows(100.0 + after_s), sends)
+
+    def test_single_probe_whose_pause_doubles(self) -> None:
+        breaker = health.Breaker()
+        for _ in range(3):
+            breaker.note_outcome(False, 100.0)
+        breaker.note_sent(101.5)
+        self.assertFalse(breaker.allows(101.5))
+        breaker.note_outcome(False, 102.0)
+        self.assertFalse(breaker.allows(103.9))
+        self.assertTrue(breaker.allows(104.1))
+        breaker.note_sent(104.1)
+        breaker.note_outcome(True, 104.2)
+        self.assertTrue(breaker.allows(104.2))
+
+    @ddt.data(*SHARES)
+    @ddt.unpack
+    def test_share(self, one: float, two: float, expected: int) -> None:
+        queue = queues.FairQueue()
+        for name, share in (('one', one), ('two', two)):
+            queue.set_quota(contracts.Quota(name, share, 1000, 0))
+            queue.add(name, f'job-{name}', 'kind', 100)
+        taken = []
+        for _ in range(30):
+            picked = queue.pick(set())
+            if picked is None:
+                self.fail('the queue is empty')
+            queue.take(*picked)
+            taken.append(picked[0])
+        self.assertAlmostEqual(taken.count('one'), expected, delta=1)
+
+    def test_running_limit(self) -> None:
+        queue = queues.FairQueue()
+        queue.set_quota(contracts.Quota('one', 1.0, 1000, 2))
+        queue.add('one', 'job', 'kind', 5)
+        for _ in range(2):
+            picked = queue.pick(set())
+            if picked is None:
+                self.fail('the queue is empty')
+            queue.take(*picked)
+        self.assertIsNone(queue.pick(set()))
+        queue.end('one')
+        self.assertIsNotNone(queue.pick(set()))
+
+    @ddt.data(*CHOICES)
+    @ddt.unpack
+    def test_choice(
+        self,
+        free: tuple[int, int, int],
+        slownesses: tuple[float, float, float],
+        chosen: int | None,
+    ) -> None:
+        views = [
+            make_view(*each) for each in zip(free, slownesses, strict=True)
+        ]
+        key = contracts.TaskKey('job', 0)
+        found = placement.choose(placement.LateBinding(), views, key)
+        expected = None if chosen is None else views[chosen]
+        self.assertIs(found, expected)
+
+    def test_ramp(self) -> None:
+        view = make_view(8, 1.0)
+        allowances = [view.allowance]
+        for _ in range(6):
+            view.ramp()
+            allowances.append(view.allowance)
+        self.assertEqual(allowances, [2, 4, 8, 16, 32, 32, 32])
+
+    def test_ramp_by_time(self) -> None:
+        view = make_view(8, 1.0)
+        allowances = []
+        for step in range(7):
+            view.ramp_by_time(100.0 + step * 0.125)
+            allowances.append(view.allowance)
+        self.assertEqual(allowances, [2, 2, 4, 4, 8, 8, 16])
+
+    def test_long_tasks_fill_every_slot(self) -> None:
+        world = worlds.make_world()
+        world.run_model = lambda *_: (5.0, True)
+        submission = worlds.make_submission(worlds.make_id(world), 24)
+        worlds.submit(world, 'entry-1', submission)
+        world.run(1.5)
+        self.assertEqual(len(world.tally.starts), 24)
+
+    def test_cancellations_do_not_open_breakers(self) -> None:
+        world = worlds.make_world()
+        world.run_model = lambda *_: (5.0, True)
+        submissions = [
+            worlds.make_submission(worlds.make_id(world), 8) for _ in range(4)
+        ]
+        for submission in submissions:
+            worlds.submit(world, 'entry-1', submission)
+        world.run(1.0)
+        for submission in submissions:
+            world.ask(
+                'entry-1',
+                lambda n, s=submission: entry.CancelAsked(n, s.id, s.team),
+            )
+        before = world.tally.messages['JobCancel']
+        world.run(1.0)
+        core = world.nodes['entry-1'].core
+        self.assertEqual(core.dispatcher.counters['breakers_opened'], 0)
+        self.assertEqual(world.tally.messages['JobCancel'] - before, 3)
