Show one, three and five replicas under loss of a minority

Cause: only three replicas had been run. Change: a table of 1, 3 and 5 replicas whose leaders are killed in turn, and a majority that is lost: no task starts, and the answer says so.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -96,6 +96,34 @@
         self.assertTrue(worlds.await_leader(world))
         self.assertLess(world.now_s - began_s, 2.0)
 
+    @ddt.data(1, 3, 5)
+    def test_minority_of_replicas_may_fail(self, count: int) -> None:
+        names = tuple(f'control-{number + 1}' for number in range(count))
+        world = worlds.make_world(controls=names)
+        asked = {}
+        for _ in range(count // 2 + 1):
+            submission = worlds.make_submission(worlds.make_id(world), 5)
+            request = worlds.submit(world, 'entry-1', submission)
+            asked[request] = submission
+            answer = worlds.await_answer(world, request)
+            self.assertIsInstance(answer, contracts.Complete)
+            if len(asked) <= count // 2:
+                world.kill(worlds.find_leader(world))
+                self.assertTrue(worlds.await_leader(world))
+                world.run(1.0)
+        self.assertEqual(scenarios.find_repeated(world), [])
+
+    def test_majority_lost_is_told_truthfully(self) -> None:
+        world = worlds.make_world()
+        for name in worlds.CONTROLS[:2]:
+            world.kill(name)
+        world.run(3.0)
+        submission = worlds.make_submission(worlds.make_id(world), 5)
+        request = worlds.submit(world, 'entry-1', submission)
+        answer = worlds.await_answer(world, request)
+        self.assertIsInstance(answer, contracts.Failed)
+        self.assertEqual(world.tally.starts, {})
+
     @ddt.data(0.0, 0.3, 1.0, 3.0)
     def test_killed_leader_comes_back(self, away_s: float) -> None:
         world = worlds.make_world()
