Take the ports of process tests below the outgoing range

Its ports were looked up in the range from which the system also takes ports for outgoing connections, so a connection can take one between the look and the use; other deployments ran beside at that moment. Ruled out: the code under test (the run before passed 239 of 239, and this test passes alone); the log of the daemon that could not start is gone with its folder, so the port is the cause by reading, not by a trace. Change: ports from 10,000 to 19,999, each look gives others, and each process begins elsewhere. Before: 273 of 274. After: process tests of two deployments at a time pass (two and ten tests side by side).

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -32,15 +33,29 @@
 READY_TIMEOUT_S = 30.0
 
 
+# Below the range from which the system takes ports for outgoing connections:
+# one of those could take a port between the look at it and its use.
+FIRST_PORT = 10_000
+LAST_PORT = 20_000
+_PORTS = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+
+
 def find_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            holder = stack.enter_context(socket.socket())
-            holder.bind(('127.0.0.1', 0))
-            ports.append(holder.getsockname()[1])
-        return ports
+    """Return free ports, each time others."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with socket.socket() as holder:
+            try:
+                holder.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+for _ in range(os.getpid() * 61 % (LAST_PORT - FIRST_PORT)):
+    next(_PORTS)
 
 
 class Deployment:
