End the processes of a deployment that did not become ready

Cause: the failed deployment left its seven other processes running; of its daemons only the agent runner-1 was missing, so it had ended at its start, as a taken port makes it. Ruled out: a daemon that ran and was not ready (all others still ran). Change: a deployment that fails while it starts ends what it started. Before: seven processes left. After: two process tests pass; the failing start itself was not repeated.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -85,6 +85,14 @@
             self.standins[name] = ports[position * 3 + 2]
 
     async def __aenter__(self) -> 'Deployment':
+        try:
+            await self._enter()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _enter(self) -> None:
         for name in self.agents:
             await self.start_standin(name)
         for name in self.controls:
@@ -95,7 +103,6 @@
             await self.start(name)
         await self.apply_sheet()
         await self.wait_ready(self.names)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         for process in self.processes.values():
