Drop a hook that nothing uses, and read memory in one place

Cause: reading the whole change again: the virtual world carried an observer that nobody sets, and the slopes read the memory of a process with a loop that the measurements already had. Ruled out: joining the pairs of messages, contracts and models of like shape (each states another thing; a shared maker would hide the fields); the like events of agent and control (each role's events are its own, as its match is). Change: the observer is gone; slopes call the reader of measure. Conclusion: nothing else in the reading was worth a change now.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -5,10 +5,12 @@
 """
 
 import json
+import os
 import sys
 import time
 from typing import Any
 
+from benchmarks import measure
 from eelgrassworks import commands
 from eelgrassworks import contracts
 from eelgrassworks import ids
@@ -27,11 +29,7 @@
 
 def read_memory_bytes() -> int:
     """Return the anonymous memory of this process."""
-    with open('/proc/self/status') as status:
-        for line in status:
-            if line.startswith('RssAnon'):
-                return int(line.split()[1]) * 1024
-    return 0
+    return measure.read_memory_kb(os.getpid())['RssAnon'] * 1024
 
 
 def measure_claims() -> dict[str, float]:
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -121,7 +121,6 @@
         self.router: Router = self._route
         self.cut: set[tuple[str, str]] = set()
         self.run_model: RunModel = _run_short
-        self.observer: Callable[[str, object], None] | None = None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._requests = itertools.count(1)
@@ -343,8 +342,6 @@
         self.tally.frames += 1
         for message in posted:
             self.tally.messages[type(message).__name__] += 1
-            if self.observer is not None:
-                self.observer(node.name, message)
             for delay_s in self.router(node.name, peer, message):
                 self._deliver(node, peer, message, delay_s)
 
