--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -32,12 +32,16 @@
 
     ``incarnation`` tells this run of the agent from any other;
     ``queue_limit`` bounds the starts that wait for a slot of the target.
+    Tasks of an entry end once it has confirmed nothing for ``entry_ttl_s``,
+    counted from the sending of what it confirmed.
     """
 
     target: machines.Target
     incarnation: int
     entries: tuple[str, ...]
     queue_limit: int
+    entry_ttl_s: float = float('inf')
+    renewal_interval_s: float = RENEWAL_INTERVAL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,11 +55,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnded:
-    """The target ended a task; ``body`` is its result or the reason."""
+    """The target ended a task; ``body`` is its result or the reason.
+
+    ``stopped`` is set when it did not fail by itself.
+    """
 
     key: contracts.TaskKey
     succeeded: bool
     body: bytes
+    stopped: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRejected:
+    """The target did not start a task and never will start the attempt."""
+
+    key: contracts.TaskKey
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetDraining:
+    """The target said that it is about to leave."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesFound:
+    """These entries are alive, as far as is known."""
+
+    entries: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +103,16 @@
     """A planned stop begins."""
 
 
-AgentEvent = Received | TaskEnded | TargetChecked | Ticked | StopAsked
+AgentEvent = (
+    Received
+    | TaskEnded
+    | TaskRejected
+    | TargetChecked
+    | TargetDraining
+    | EntriesFound
+    | Ticked
+    | StopAsked
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +130,8 @@
     running: int = 0
     offered: int = 0
     offered_until_s: float = 0.0
+    # Sending time of the latest renewal that the entry has answered.
+    confirmed_s: float = float('-inf')
 
     def hold(self, now_s: float) -> int:
         """Return the number of slots that are kept for the entry."""
@@ -110,7 +149,9 @@
 
     def __init__(self, options: AgentOptions) -> None:
         self.options = options
-        self.slots = machines.Slots(options.target.slots)
+        self.slots = machines.Slots(options.target.slots, options.target.room)
+        self.known_entries = options.entries
+        self.draining = False
         self.lease = zones.Lease()
         self.policy = zones.DomainPolicy(0, False, False, frozenset())
         self.healthy = True
@@ -120,16 +161,27 @@
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self._queue: collections.deque[contracts.TaskKey] = collections.deque()
+        # Attempt of each task that occupies a slot.
+        self._attempts: dict[contracts.TaskKey, int] = {}
         self._renewed_s = float('-inf')
+        self._now_s = float('-inf')
         self._left = False
 
     def handle(self, event: AgentEvent, now_s: float) -> effects.Effects:
         """Take one event and return the effects it has."""
+        self._now_s = now_s
         match event:
             case Received(peer, incarnation, message):
                 return self._receive(peer, incarnation, message, now_s)
-            case TaskEnded(key, succeeded, body):
-                return self._end_task(key, succeeded, body, now_s)
+            case TaskEnded(key, succeeded, body, stopped):
+                return self._end_task(key, succeeded, body, stopped, now_s)
+            case TaskRejected(key, reason):
+                return self._reject_task(key, reason, now_s)
+            case TargetDraining():
+                return self._begin_drain(now_s)
+            case EntriesFound(found):
+                self.known_entries = found
+                return []
             case TargetChecked(healthy):
                 return self._note_health(healthy, now_s)
             case Ticked():
@@ -147,6 +199,14 @@
             running = view.running
             view = EntryView(incarnation, running=running)
             self.entries[peer] = view
+            return self._end_earlier_run(peer) + self._take_message(
+                peer, view, message, now_s
+            )
+        return self._take_message(peer, view, message, now_s)
+
+    def _take_message(
+        self, peer: str, view: EntryView, message: object, now_s: float
+    ) -> effects.Effects:
         match message:
             case messages.TaskStart():
                 view.starts_seen += 1
@@ -154,6 +214,9 @@
                 view.waiting = max(0, message.waiting - view.hold(now_s))
                 return self._take_start(peer, message, now_s)
             case messages.AgentTerms():
+                sent_s = message.stamp_ms / 1000
+                if sent_s <= now_s:
+                    view.confirmed_s = max(view.confirmed_s, sent_s)
                 return self._take_terms(message, now_s)
             case messages.TaskFence():
                 return self._fence(peer, message, now_s)
@@ -175,24 +238,30 @@
                 pass
             case keyrecords.KeyFenced(attempt) if attempt < start.attempt:
                 pass
+            case keyrecords.KeyEnded() as ended if (
+                start.transient and ended.attempt < start.attempt
+            ):
+                pass
             case record:
                 self.counters['starts_repeated'] += 1
                 return self._tell_record(peer, key, start.attempt, record)
         if self._is_stale(start.incarnation, start.stamp_ms, now_s):
             self.counters['starts_stale'] += 1
             return [self._tell_unknown(peer, key, start.attempt)]
-        objection = self._find_objection(start, now_s)
+        objection = self._find_objection(peer, start, now_s)
         if objection:
             return self._decline(peer, start, objection, now_s)
-        if self.slots.free > 0:
+        if self.slots.fits(start.demand):
             return self._run(peer, start, now_s)
-        if len(self._queue) >= self.options.queue_limit:
+        if not start.patient or len(self._queue) >= self.options.queue_limit:
             return self._decline(peer, start, messages.BUSY, now_s)
         self.records.hold(key, keyrecords.KeyQueued(peer, start))
         self._queue.append(key)
         return []
 
-    def _find_objection(self, start: messages.TaskStart, now_s: float) -> str:
+    def _find_objection(
+        self, peer: str, start: messages.TaskStart, now_s: float
+    ) -> str:
         """Return why the start must not happen; empty when it may."""
         if self.stopping:
             return 'stopping'
@@ -200,13 +269,15 @@
             return 'no-lease'
         if not self.policy.open:
             return 'closed'
-        if self.policy.draining:
+        if self.policy.draining or self.draining:
             return 'draining'
+        if not self._is_confirmed(peer, now_s):
+            return 'entry-silent'
         if not self.healthy:
             return 'unhealthy'
         if start.submission in self.cancelled:
             return 'cancelled'
-        if start.kind not in self.policy.kinds:
+        if not self.policy.any_kind and start.kind not in self.policy.kinds:
             return 'kind'
         kinds = self.options.target.kinds
         if kinds and start.kind not in kinds:
@@ -231,6 +302,7 @@
                 terms.open,
                 terms.draining,
                 frozenset(terms.kinds),
+                terms.any_kind,
             )
         return self._fill_slots(now_s)
 
@@ -273,13 +345,18 @@
         now_s: float,
     ) -> effects.Effects:
         key = contracts.TaskKey(start.submission, start.index)
-        self.slots.occupy(key, peer, now_s)
+        self.slots.occupy(key, peer, now_s, start.demand)
+        self._attempts[key] = start.attempt
         self.entries[peer].running += 1
         self.records.hold(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
         return [
             effects.StartTask(
-                key, start.kind, start.payload, start.limit_ms / 1000
+                key,
+                start.kind,
+                start.payload,
+                start.limit_ms / 1000,
+                start.attempt,
             )
         ]
 
@@ -288,9 +365,11 @@
         key: contracts.TaskKey,
         succeeded: bool,
         body: bytes,
+        stopped: bool,
         now_s: float,
     ) -> effects.Effects:
         occupant = self.slots.release(key)
+        attempt = self._attempts.pop(key, 0)
         if occupant is None:
             self.counters['ends_unexpected'] += 1
             return []
@@ -304,11 +383,13 @@
             key.submission,
             key.index,
             succeeded,
-            not succeeded and key.submission in self.cancelled,
+            not succeeded and (stopped or key.submission in self.cancelled),
             body,
             round((now_s - occupant.started_s) * 1000),
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
+            attempt,
+            self._measure_room(),
         )
         self.records.end(key, finished, now_s)
         asked.append(effects.Send(occupant.entry, finished))
@@ -316,6 +397,22 @@
             asked += offers
         return asked + self._finish_stop()
 
+    def _reject_task(
+        self, key: contracts.TaskKey, reason: str, now_s: float
+    ) -> effects.Effects:
+        """Take back a start that the target did not carry out."""
+        occupant = self.slots.release(key)
+        attempt = self._attempts.pop(key, 0)
+        if occupant is None:
+            self.counters['ends_unexpected'] += 1
+            return []
+        view = self.entries[occupant.entry]
+        view.running = max(0, view.running - 1)
+        self.counters['starts_rejected'] += 1
+        self.records.fence(key, attempt, reason, now_s)
+        declined = self._tell_declined(occupant.entry, key, attempt, reason)
+        return [declined, *self._fill_slots(now_s), *self._finish_stop()]
+
     def _fill_slots(self, now_s: float) -> effects.Effects:
         """Start queued tasks while slots are free."""
         asked: effects.Effects = []
@@ -323,11 +420,11 @@
             record = self.records.find(key)
             if not isinstance(record, keyrecords.KeyQueued):
                 raise TypeError(f'queued key {key} is recorded as {record}')
-            objection = self._find_objection(record.start, now_s)
-            if not objection and self.slots.free <= 0:
+            peer, start = record.entry, record.start
+            objection = self._find_objection(peer, start, now_s)
+            if not objection and not self.slots.fits(start.demand):
                 continue
             self._queue.remove(key)
-            peer, start = record.entry, record.start
             if objection:
                 asked += self._decline(peer, start, objection, now_s)
             else:
@@ -383,8 +480,11 @@
             key.index,
             attempt,
             reason,
-            -len(self._queue),
+            self._count_usable(peer, self._now_s)
+            if self.options.target.has_room
+            else -len(self._queue),
             self.entries[peer].starts_seen,
+            self._measure_room(),
         )
         return effects.Send(peer, declined)
 
@@ -397,8 +497,14 @@
             for name, view in self.entries.items()
             if name != peer
         )
+        if self.options.target.has_room:
+            return -len(self._queue) if self._queue else self.slots.free
         return max(0, self.slots.free - kept) - len(self._queue)
 
+    def _measure_room(self) -> contracts.Room:
+        """Return the room that no running task has taken."""
+        return self.slots.free_room
+
     def _choose_waiting(self, owner: str, now_s: float) -> str:
         """Return the entry to offer a free slot to; empty for none.
 
@@ -426,6 +532,7 @@
             self.stopping
             or not self.policy.open
             or self.policy.draining
+            or self.draining
             or not self.healthy
         )
 
@@ -435,7 +542,9 @@
         view.offer(min(self._count_usable('', now_s), view.waiting), now_s)
         self.counters['slots_offered'] += 1
         offered = messages.SlotsOffered(
-            self._count_usable(peer, now_s), view.starts_seen
+            self._count_usable(peer, now_s),
+            view.starts_seen,
+            self._measure_room(),
         )
         return [effects.Send(peer, offered)]
 
@@ -451,15 +560,55 @@
 
     def _tick(self, now_s: float) -> effects.Effects:
         self._forget(now_s)
-        asked = self._fill_slots(now_s)
-        if now_s - self._renewed_s >= RENEWAL_INTERVAL_S:
+        asked = self._end_unconfirmed(now_s)
+        asked += self._fill_slots(now_s)
+        if now_s - self._renewed_s >= self.options.renewal_interval_s:
             asked += self._renew(now_s)
         return asked + self._finish_stop()
 
+    # Entries that may be gone.
+
+    def _is_confirmed(self, peer: str, now_s: float) -> bool:
+        """Tell whether an entry has shown in time that it is there."""
+        ttl_s = self.options.entry_ttl_s
+        if ttl_s == float('inf'):
+            return True
+        return now_s - self.entries[peer].confirmed_s < ttl_s
+
+    def _end_unconfirmed(self, now_s: float) -> effects.Effects:
+        """Stop the tasks of entries that have fallen silent."""
+        silent = {
+            name
+            for name in self.entries
+            if not self._is_confirmed(name, now_s)
+        }
+        return self._stop_tasks(silent) if silent else []
+
+    def _end_earlier_run(self, peer: str) -> effects.Effects:
+        """Stop what an earlier run of an entry has left here."""
+        if self.options.entry_ttl_s == float('inf'):
+            return []
+        return self._stop_tasks({peer})
+
+    def _stop_tasks(self, names: set[str]) -> effects.Effects:
+        return [
+            effects.StopTask(key)
+            for key, occupant in self.slots.occupants.items()
+            if occupant.entry in names
+        ]
+
+    def _begin_drain(self, now_s: float) -> effects.Effects:
+        if self.draining:
+            return []
+        self.draining = True
+        return self._fill_slots(now_s) + self._renew(now_s)
+
     def _renew(self, now_s: float) -> effects.Effects:
         self._renewed_s = now_s
         target = self.options.target
-        accepting = not self.stopping and self.healthy
+        accepting = (
+            not self.stopping and self.healthy and not self.draining
+        )
         return [
             effects.Send(
                 entry,
@@ -474,9 +623,12 @@
                     int(now_s * 1000),
                     self.policy.revision,
                     accepting,
+                    target.service,
+                    target.room,
+                    self._measure_room(),
                 ),
             )
-            for entry in self.options.entries
+            for entry in self.known_entries
         ]
 
     def _count_starts(self, entry: str) -> int:
--- a/eelgrassworks/commands.py
+++ b/eelgrassworks/commands.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetMembers:
-    """Replaces the members of the log: names and the disks they hold."""
+    """Replaces the members of the log: names and the disks they hold.
+
+    ``addresses`` says where members are that the settings do not name.
+    """
 
     voters: dict[str, str]
     learners: dict[str, str]
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -14,6 +14,7 @@
 from eelgrassworks.contracts.claim import ClaimSuperseded
 from eelgrassworks.contracts.claim import ClaimTaken
 from eelgrassworks.contracts.claim import ClaimVerdict
+from eelgrassworks.contracts.configuration import ANY_REVISION
 from eelgrassworks.contracts.configuration import ApplySheet
 from eelgrassworks.contracts.configuration import Change
 from eelgrassworks.contracts.configuration import ChangeAccepted
@@ -26,9 +27,12 @@
 from eelgrassworks.contracts.configuration import DrainTarget
 from eelgrassworks.contracts.configuration import Kind
 from eelgrassworks.contracts.configuration import OpenDomain
+from eelgrassworks.contracts.configuration import ReplaceSheet
 from eelgrassworks.contracts.configuration import Sheet
 from eelgrassworks.contracts.configuration import UndrainTarget
 from eelgrassworks.contracts.quota import Quota
+from eelgrassworks.contracts.room import NO_ROOM
+from eelgrassworks.contracts.room import Room
 from eelgrassworks.contracts.submission import Answer
 from eelgrassworks.contracts.submission import Complete
 from eelgrassworks.contracts.submission import Failed
@@ -38,6 +42,7 @@
 from eelgrassworks.contracts.submission import TaskKey
 
 __all__ = [
+    'ANY_REVISION',
     'Answer',
     'ApplySheet',
     'Change',
@@ -62,9 +67,12 @@
     'Failed',
     'Kind',
     'MAX_TASKS',
+    'NO_ROOM',
     'NotRun',
     'OpenDomain',
     'Quota',
+    'ReplaceSheet',
+    'Room',
     'Sheet',
     'Submission',
     'TaskKey',
--- a/eelgrassworks/contracts/configuration.py
+++ b/eelgrassworks/contracts/configuration.py
@@ -6,18 +6,36 @@
 """
 
 import dataclasses
+from typing import Final
 
 from eelgrassworks.contracts import quota
 
+# Expected by a change that holds whatever the current revision is.
+ANY_REVISION: Final = -1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
-    """A kind of request, and the failure domains that may serve it."""
+    """A kind of request, and the failure domains that may serve it.
+
+    ``service`` names the pool of targets; empty means every target.
+    ``host`` and ``prefix`` are where callers of an HTTP front end find the
+    kind.  A task may fail ``attempts`` times before its job fails.  A job
+    meets its objective when it ends within ``stretch`` times its run time
+    and ``objective_s`` more.
+    """
 
     name: str
     failure_domains: frozenset[str]
     repeatable: bool
     time_limit_s: float
+    service: str = ''
+    host: str = ''
+    prefix: str = ''
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    objective_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,12 +48,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """Everything operators decide, at one revision."""
+    """Everything operators decide, at one revision.
+
+    ``version`` is the number that operators gave the sheet, where they
+    number it themselves, and ``document`` the text that they sent.
+    """
 
     revision: int
     sheet: Sheet
     closed: frozenset[str]
     draining: frozenset[str]
+    version: int = 0
+    document: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +69,19 @@
     sheet: Sheet
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceSheet:
+    """Replaces the sheet if ``version`` is higher than the one held.
+
+    A lower or equal version is accepted and changes nothing, so that late
+    and repeated copies are harmless.
+    """
+
+    version: int
+    sheet: Sheet
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseDomain:
     """Takes a failure domain out of service."""
@@ -73,7 +110,14 @@
     target: str
 
 
-Change = ApplySheet | CloseDomain | OpenDomain | DrainTarget | UndrainTarget
+Change = (
+    ApplySheet
+    | ReplaceSheet
+    | CloseDomain
+    | OpenDomain
+    | DrainTarget
+    | UndrainTarget
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/eelgrassworks/contracts/room.py
@@ -0,0 +1,35 @@
+"""Room: processor and memory that a task needs or a target offers."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """Processor in thousandths of a core, memory in mebibytes."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+
+    def covers(self, other: 'Room') -> bool:
+        """Tell whether ``other`` fits into this room."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mib >= other.memory_mib
+        )
+
+    def add(self, other: 'Room') -> 'Room':
+        """Return the sum of both."""
+        return Room(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+        )
+
+    def subtract(self, other: 'Room') -> 'Room':
+        """Return what is left without ``other``; it may be negative."""
+        return Room(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+        )
+
+
+NO_ROOM = Room()
--- a/eelgrassworks/contracts/submission.py
+++ b/eelgrassworks/contracts/submission.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from eelgrassworks import errors
+from eelgrassworks.contracts import room
 
 MAX_TASKS: Final = 1200
 
@@ -27,6 +28,11 @@
 
     ``claimed`` is False for a request without a caller's id: no resubmission
     can name it, so no claim is needed.  Payloads and results are JSON texts.
+
+    A ``transient`` job lives as long as a caller waits for it.  It is not
+    stored, its tasks may start again once no earlier run is left, and never
+    two runs of a task exist at a time.  Each of its tasks needs ``demand``;
+    ``estimate_s`` is the caller's rough estimate of one task's run time.
     """
 
     id: str
@@ -36,6 +42,9 @@
     payloads: tuple[bytes, ...]
     time_limit_s: float
     claimed: bool
+    transient: bool = False
+    demand: room.Room = room.NO_ROOM
+    estimate_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -18,6 +18,7 @@
 from eelgrassworks import moments
 from eelgrassworks import replica
 from eelgrassworks import roles
+from eelgrassworks import zones
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 
@@ -36,6 +37,9 @@
     replica: roles.ReplicaOptions
     group_commit: bool = True
     snapshot_interval: int = SNAPSHOT_INTERVAL
+    lease_ttl_s: float = zones.LEASE_TTL_S
+    # Where the replicas are that the settings name.
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +68,36 @@
     """A planned stop begins."""
 
 
-ControlEvent = Received | Synced | Ticked | StopAsked
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeOrdered:
+    """An operator asks this process for a change."""
+
+    request: int
+    change: contracts.ChangeRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationWanted:
+    """An operator asks this process for the newest configuration."""
+
+    request: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedElsewhere:
+    """Only the leader can answer; its name is empty when unknown."""
+
+    leader: str
+
+
+ControlEvent = (
+    Received
+    | Synced
+    | Ticked
+    | StopAsked
+    | ChangeOrdered
+    | ConfigurationWanted
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +116,21 @@
     peer: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedOrder:
+    """A change of this process's own front end that waits likewise."""
+
+    request: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedReading:
+    """A read of the configuration that waits for a quorum's confirmation."""
+
+    request: int
+    arrived_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskedLookups:
     """Lookups that wait until a quorum confirms the leader."""
@@ -109,7 +157,7 @@
         if snapshot:
             self.ledger.load(snapshot)
             self.replica.snapshot = snapshot
-        self.grants = grants.Grants()
+        self.grants = grants.Grants(options.lease_ttl_s)
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
         self._left = False
@@ -118,7 +166,12 @@
         self._batch: list[AskedClaims] = []
         # Requests that wait here already; an entry sends them again.
         self._asked: set[tuple[str, int]] = set()
-        self._committing: dict[int, list[AskedClaims] | AskedChange] = {}
+        self._committing: dict[
+            int, list[AskedClaims] | AskedChange | AskedOrder
+        ] = {}
+        self._readings: collections.deque[AskedReading] = collections.deque()
+        self._told_rosters: dict[str, messages.RosterTold] = {}
+        self._connected: dict[str, str] = {}
         self._lookups: collections.deque[AskedLookups] = collections.deque()
         self._entry_heard: dict[str, float] = {}
         self._registering: dict[str, int] = {}
@@ -130,6 +183,10 @@
         match event:
             case Received(peer, _, message):
                 asked = self._receive(peer, message, moment)
+            case ChangeOrdered(request, change):
+                asked = self._order_change(request, change, moment)
+            case ConfigurationWanted(request):
+                asked = self._want_configuration(request, moment)
             case Synced(sequence):
                 asked = self.replica.note_synced(sequence, moment)
             case Ticked():
@@ -141,9 +198,11 @@
                 self._stop_s = moment.now_s
                 asked = self.replica.transfer(moment)
         asked += self._apply(moment)
+        asked += self._connect_members()
         asked += self._note_leadership(moment)
         asked += self._append_batch(moment)
         asked += self._answer_lookups(moment)
+        asked += self._answer_readings(moment)
         return asked + self._finish_stop(moment)
 
     # Messages.
@@ -152,6 +211,8 @@
         self, peer: str, message: object, moment: moments.Moment
     ) -> effects.Effects:
         match message:
+            case messages.RosterAsked():
+                return [effects.Send(peer, self._list_roster())]
             case messages.EntryRenewal():
                 return self._take_renewal(peer, message, moment)
             case messages.ClaimsAsked(request, claims):
@@ -225,7 +286,7 @@
         configuration = self.ledger.configuration
         asked: effects.Effects = []
         if renewal.revision != configuration.revision:
-            told = messages.ConfigurationTold(configuration)
+            told = self._tell_configuration()
             asked.append(effects.Send(peer, told))
         terms = messages.EntryTerms(
             renewal.sent_ms,
@@ -235,6 +296,111 @@
             incarnation,
         )
         asked.append(effects.Send(peer, terms))
+        return asked + self._tell_roster(peer)
+
+    def _list_roster(self) -> messages.RosterTold:
+        """Return the members with known addresses and the live entries."""
+        members = self.replica.members
+        known = {**self.options.addresses, **members.addresses}
+        return messages.RosterTold(
+            {
+                name: known[name]
+                for name in (*members.voters, *members.learners)
+                if name in known
+            },
+            {
+                name: record.address
+                for name, record in self.ledger.entries.items()
+                if record.alive
+            },
+        )
+
+    def _tell_roster(self, peer: str) -> effects.Effects:
+        """Tell an entry the roster when it differs from what it was told."""
+        if not self.options.replica.is_open:
+            return []
+        roster = self._list_roster()
+        if self._told_rosters.get(peer) == roster:
+            return []
+        self._told_rosters[peer] = roster
+        return [effects.Send(peer, roster)]
+
+    def _connect_members(self) -> effects.Effects:
+        """Connect to members that the settings do not name."""
+        addresses = self.replica.members.addresses
+        if addresses == self._connected:
+            return []
+        self._connected = dict(addresses)
+        return [
+            effects.Connect(name, address)
+            for name, address in addresses.items()
+            if name != self.options.replica.name
+        ]
+
+    def _tell_configuration(self) -> messages.ConfigurationTold:
+        """Return the configuration without the text that made it."""
+        return messages.ConfigurationTold(
+            dataclasses.replace(self.ledger.configuration, document=b'')
+        )
+
+    def _push_configuration(self) -> effects.Effects:
+        """Send a new revision to every live entry without being asked."""
+        if not self.replica.is_leader:
+            return []
+        told = self._tell_configuration()
+        return [
+            effects.Send(name, told)
+            for name, record in self.ledger.entries.items()
+            if record.alive
+        ]
+
+    # Operators.
+
+    def _order_change(
+        self,
+        request: int,
+        change: contracts.ChangeRequest,
+        moment: moments.Moment,
+    ) -> effects.Effects:
+        if not self.replica.is_settled():
+            return [self._send_elsewhere(request)]
+        command = commands.CommitChange(
+            change.id,
+            change.operator,
+            change.expected_revision,
+            codec.pack(change.change),
+        )
+        index, sent = self.replica.propose([codec.pack(command)], moment)
+        if not index:
+            return [self._send_elsewhere(request)]
+        self._committing[index] = AskedOrder(request)
+        return sent
+
+    def _want_configuration(
+        self, request: int, moment: moments.Moment
+    ) -> effects.Effects:
+        if not self.replica.is_settled():
+            return [self._send_elsewhere(request)]
+        self._readings.append(AskedReading(request, moment.now_s))
+        return self.replica.beat(moment)
+
+    def _send_elsewhere(self, request: int) -> effects.Reply:
+        leader = self.replica.leader
+        if leader == self.options.replica.name:
+            leader = ''
+        return effects.Reply(request, LedElsewhere(leader))
+
+    def _answer_readings(self, moment: moments.Moment) -> effects.Effects:
+        """Answer reads that came before a quorum's last confirmation."""
+        if not self._readings or not self.replica.is_settled():
+            return []
+        contact_s = self.replica.measure_contact(moment.now_s)
+        asked: effects.Effects = []
+        while self._readings and self._readings[0].arrived_s <= contact_s:
+            waiting = self._readings.popleft()
+            asked.append(
+                effects.Reply(waiting.request, self.ledger.configuration)
+            )
         return asked
 
     def _take_change(
@@ -301,6 +467,7 @@
             self.grants.note_commit(
                 self.ledger.configuration.revision, moment.now_s
             )
+            asked += self._push_configuration()
         return asked + self._compact()
 
     def _compact(self) -> effects.Effects:
@@ -315,6 +482,7 @@
         if settled and not self._led:
             self._led = True
             self._registering = {}
+            self._told_rosters = {}
             self._entry_heard = dict.fromkeys(
                 self.ledger.entries, moment.now_s
             )
@@ -324,7 +492,9 @@
             ]
         if self.replica.is_leader:
             return []
-        if not (self._led or self._committing or self._lookups):
+        if not (
+            self._led or self._committing or self._lookups or self._readings
+        ):
             return []
         self._led = False
         return self._abandon()
@@ -333,8 +503,14 @@
         """Send waiting entries on after leadership was lost."""
         peers = {asked.peer for asked in self._batch}
         peers |= {asked.peer for asked in self._lookups}
+        elsewhere: effects.Effects = [
+            self._send_elsewhere(reading.request) for reading in self._readings
+        ]
         for waiting in self._committing.values():
             match waiting:
+                case AskedOrder(request):
+                    # It may still be committed by the next leader.
+                    elsewhere.append(effects.Reply(request, LedElsewhere('')))
                 case AskedChange(peer):
                     peers.add(peer)
                 case list():
@@ -343,7 +519,9 @@
         self._asked = set()
         self._committing = {}
         self._lookups.clear()
-        return [self._tell_not_leader(peer) for peer in sorted(peers)]
+        self._readings.clear()
+        told = [self._tell_not_leader(peer) for peer in sorted(peers)]
+        return elsewhere + told
 
     # Lookups.
 
@@ -413,10 +591,13 @@
 
 
 def _tell_verdicts(
-    waiting: list[AskedClaims] | AskedChange | None, verdicts: list[Any]
+    waiting: list[AskedClaims] | AskedChange | AskedOrder | None,
+    verdicts: list[Any],
 ) -> effects.Effects:
     """Answer the requests that a committed command came from."""
     match waiting:
+        case AskedOrder(request):
+            return [effects.Reply(request, verdicts[0])]
         case AskedChange(peer):
             told = messages.ChangeTold(codec.pack(verdicts[0]))
             return [effects.Send(peer, told)]
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -29,6 +29,9 @@
 from eelgrassworks.links import transport
 
 DISK_ID_BYTES: Final = 8
+# A full disk gets room again by others; a restart takes about as long.
+REOPEN_INTERVAL_S: Final = 0.5
+FIRST_CLUSTER: Final = 'first'
 
 
 class ControlProcess(process.Process):
@@ -51,7 +54,40 @@
         self._journal = journal.Journal(pathlib.Path(model.data_folder), disk)
         self._sequence = 0
         self._sync_asked = False
-        self.control = self._recover()
+        self.control: control.Control | None = None
+        self._open_folder()
+
+    def _open_folder(self) -> None:
+        """Begin with what the folder holds, or try again in a while."""
+        try:
+            self.control = self._recover()
+        except errors.Fault as fault:
+            if not self.model.repair_folder:
+                raise
+            self._repair(fault.refusal)
+
+    def _repair(self, refusal: errors.Refusal) -> None:
+        """Step down after a failed write or a damaged folder.
+
+        What the folder holds is not known after a failed write, so it is
+        read again; one that cannot be used is emptied, and the replica
+        joins anew as a learner.
+        """
+        logs.log('folder_failed', reason=errors.word(refusal))
+        self.control = None
+        self._sync_asked = False
+        self._abandon_requests()
+        self._journal.abandon()
+        if refusal.values.get('damaged'):
+            logs.log('folder_emptied', folder=self.model.data_folder)
+            self._journal.empty()
+        asyncio.get_running_loop().call_later(
+            REOPEN_INTERVAL_S, self._open_folder
+        )
+
+    def _abandon_requests(self) -> None:
+        for request in list(self._requests):
+            self.reply(request, control.LedElsewhere(''))
 
     def _recover(self) -> control.Control:
         """Read the data folder; a new folder gets a new disk identity."""
@@ -74,7 +110,11 @@
                     model.name,
                     recovered.identity.disk,
                     tuple(model.replicas),
-                )
+                    model.listen if model.open_members else '',
+                    model.voters,
+                ),
+                lease_ttl_s=model.lease_ttl_s,
+                addresses=dict(model.replicas),
             ),
             recovered.stored,
             recovered.snapshot,
@@ -94,8 +134,30 @@
 
     def decide(self, event: Any, now_s: float) -> effects.Effects:
         """Give an event to the decision class."""
+        if self.control is None:
+            return self._refuse_event(event)
         return self.control.handle(event, clock.read_moment(self._random))
 
+    def _refuse_event(self, event: Any) -> effects.Effects:
+        """Answer what waits for an answer while the folder is repaired."""
+        match event:
+            case control.StopAsked():
+                return [effects.Leave()]
+            case (
+                control.ChangeOrdered(request=request)
+                | control.ConfigurationWanted(request=request)
+            ):
+                return [effects.Reply(request, control.LedElsewhere(''))]
+            case _:
+                return []
+
+    def halt(self, refusal: errors.Refusal) -> None:
+        """End because of a fault, unless the folder can be repaired."""
+        if self.model.repair_folder:
+            self._repair(refusal)
+            return
+        super().halt(refusal)
+
     def perform(self, effect: effects.Effect) -> None:
         """Write to the journal."""
         match effect:
@@ -116,7 +178,7 @@
 
     def _sync(self) -> None:
         self._sync_asked = False
-        if self.ended.is_set():
+        if self.ended.is_set() or self.control is None:
             return
         self.link.flush()
         began_s = clock.read_now()
@@ -163,10 +225,14 @@
     def is_ready(self) -> bool:
         """Tell whether the replica follows or leads."""
         decisions = self.control
+        if decisions is None:
+            return False
         return bool(decisions.replica.leader) and not decisions.stopping
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
+        if self.control is None:
+            return {'folder': 'in repair'}
         state = self.control.describe(clock.read_now())
         state['longest_stall_ms'] = round(self.stall_s * 1000, 2)
         state['syncs'] = self._journal.syncs
@@ -175,12 +241,16 @@
 
     def count(self) -> dict[str, int]:
         """Return the counters."""
+        if self.control is None:
+            return {}
         counters = dict(self.control.counters)
         counters.update(self.control.replica.counters)
         return counters
 
     def gauge(self) -> dict[str, float]:
         """Return the gauges."""
+        if self.control is None:
+            return {}
         return {
             'claims_held': len(self.control.ledger.claims),
             'commit_index': self.control.replica.commit,
@@ -189,7 +259,7 @@
 
     async def close(self) -> None:
         """Close the journal; a planned stop leaves nothing unsynced."""
-        if self.fault is None:
+        if self.fault is None and self.control is not None:
             self._journal.sync()
         self._journal.close()
 
@@ -207,3 +277,28 @@
     folder.format(
         journal.Identity(cluster, model.name, voters[model.name], voters)
     )
+
+
+def form_cluster(
+    model: settings.ControlSettings, replicas: dict[str, str]
+) -> None:
+    """Prepare a new folder at the first start of a whole deployment.
+
+    Every named replica writes the same members.  A folder that is in use
+    stays as it is.
+    """
+    folder = journal.Journal(
+        pathlib.Path(model.data_folder), journal.SystemDisk()
+    )
+    if not folder.is_new():
+        return
+    voters = {name: f'{FIRST_CLUSTER}-{name}' for name in replicas}
+    try:
+        folder.format(
+            journal.Identity(
+                FIRST_CLUSTER, model.name, voters[model.name], voters
+            )
+        )
+    except errors.Fault as fault:
+        # The start reads the folder again and repairs it.
+        logs.log('folder_failed', reason=str(fault))
--- /dev/null
+++ b/eelgrassworks/discovery.py
@@ -0,0 +1,70 @@
+"""How an agent finds the entries when its settings name none.
+
+It asks one process at a time for the roster of live entries: an entry that
+it knows, or a control replica while it knows none, so that the load of a
+large deployment stays off the control replicas.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import effects
+from eelgrassworks.links import messages
+
+# New entries take callers within this time; the answer is a small message.
+ROSTER_INTERVAL_S: Final = 1.0
+# While no entry is known nothing can start, so the replicas are asked often.
+SEARCH_INTERVAL_S: Final = 0.15
+# Longer than a replica needs to be asked three times.
+ENTRIES_STALE_S: Final = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The live entries, and the connections that reach them."""
+
+    entries: tuple[str, ...]
+    effects: effects.Effects
+
+
+class Discovery:
+    """Keeps an agent's list of live entries."""
+
+    def __init__(self, replicas: tuple[str, ...]) -> None:
+        self.entries: tuple[str, ...] = ()
+        self._replicas = replicas
+        self._asked_s = float('-inf')
+        self._told_s = float('-inf')
+        self._turn = 0
+
+    def tick(self, now_s: float) -> effects.Effects:
+        """Ask for the roster when it is time."""
+        fresh = self.entries and now_s - self._told_s < ENTRIES_STALE_S
+        interval_s = ROSTER_INTERVAL_S if fresh else SEARCH_INTERVAL_S
+        if now_s - self._asked_s < interval_s:
+            return []
+        self._asked_s = now_s
+        self._turn += 1
+        asked = self.entries if fresh else (*self._replicas, *self.entries)
+        if not asked:
+            return []
+        peer = asked[self._turn % len(asked)]
+        return [effects.Send(peer, messages.RosterAsked())]
+
+    def take(self, roster: messages.RosterTold, now_s: float) -> Found:
+        """Take a roster; an empty one comes from a process that just began."""
+        if not roster.entries:
+            return Found(self.entries, [])
+        self._told_s = now_s
+        self.entries = tuple(sorted(roster.entries))
+        if roster.replicas:
+            known = dict.fromkeys((*self._replicas, *roster.replicas))
+            self._replicas = tuple(known)
+        addresses = {**roster.replicas, **roster.entries}
+        return Found(
+            self.entries,
+            [
+                effects.Connect(name, address)
+                for name, address in addresses.items()
+            ],
+        )
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -27,6 +27,9 @@
 MAX_OBJECTIONS: Final = 16
 DEFAULT_RUN_S: Final = 0.3
 RUN_SMOOTHING: Final = 0.02
+# A lease of an entry at an agent, one of an agent at its target, the time
+# of a stop and of the messages between.
+HOLD_CHAIN_S: Final = 1.35
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,9 +124,24 @@
             and not view.suspect
             and view.target.failure_domain in allowed
             and view.target.name not in draining
+            and kind.service in ('', view.target.service)
             and (not view.target.kinds or kind_name in view.target.kinds)
         ]
 
+    def count_waiting(self, kind: str) -> int:
+        """Return the jobs of a kind of which no task was sent yet."""
+        return sum(
+            job.submission.kind == kind and not job.may_have_run()
+            for job in self._table.list_open()
+        )
+
+    def can_hold(self, kind: str, demand: contracts.Room) -> bool:
+        """Tell whether any target that serves a kind is large enough."""
+        return any(
+            not view.target.has_room or view.target.room.covers(demand)
+            for view in self.list_serving(kind)
+        )
+
     def estimate_run(self, kind: str) -> float:
         """Return the smoothed run time of a kind in seconds."""
         return self.run_s.get(kind, DEFAULT_RUN_S)
@@ -152,6 +170,20 @@
             submission.id,
             submission.kind,
             len(submission.payloads),
+            job.due_s,
+            submission.demand,
+        )
+
+    def put_back(self, job: jobs.Job, index: int) -> None:
+        """Queue a task of a job again, after its attempt has ended."""
+        submission = job.submission
+        self.queue.put_back(
+            submission.team,
+            submission.id,
+            submission.kind,
+            index,
+            job.due_s,
+            submission.demand,
         )
 
     def remove(self, job: jobs.Job) -> None:
@@ -188,7 +220,9 @@
             if kind not in serving:
                 serving[kind] = self._list_usable(kind, now_s)
             key = contracts.TaskKey(queued.submission, queued.indices[0])
-            view = placement.choose(self.policy, serving[kind], key)
+            view = placement.choose(
+                self.policy, serving[kind], key, queued.demand
+            )
             if view is None:
                 blocked.add(kind)
                 continue
@@ -228,10 +262,21 @@
         job.note_sent(key.index, view.target.name)
         attempt = job.attempts.get(key.index, 0) + 1
         limit_s = max(0.001, job.deadline_s - now_s)
+        submission = job.submission
+        patient = not submission.transient or not view.covers(
+            submission.demand
+        )
         view.send(
             key,
             machines.Outstanding(
-                team, kind, attempt, view.stamp_ms, limit_s, now_s, now_s
+                team,
+                kind,
+                attempt,
+                view.stamp_ms,
+                limit_s,
+                now_s,
+                now_s,
+                submission.demand,
             ),
         )
         self._find_breaker(view, kind).note_sent(now_s)
@@ -242,10 +287,13 @@
             attempt,
             view.incarnation,
             kind,
-            job.submission.payloads[key.index],
+            submission.payloads[key.index],
             max(1, int(limit_s * 1000)),
             view.stamp_ms,
             self._share_waiting(),
+            submission.transient,
+            patient,
+            submission.demand,
         )
         return effects.Send(view.target.name, start)
 
@@ -276,6 +324,8 @@
                     renewal.failure_domain,
                     renewal.slots,
                     frozenset(renewal.kinds),
+                    renewal.service,
+                    renewal.room,
                 ),
                 incarnation,
             )
@@ -285,7 +335,7 @@
         if renewal.accepting and not view.accepting:
             view.begin_ramp()
         view.accepting = renewal.accepting
-        view.report(renewal.free, renewal.starts_seen)
+        view.report(renewal.free, renewal.starts_seen, renewal.free_room)
         asked: effects.Effects = []
         if view.suspect:
             view.suspect = False
@@ -307,6 +357,8 @@
             configuration, renewal.failure_domain, renewal.target
         )
         known = renewal.revision == policy.revision
+        # A target with room serves by its service, so names are not needed.
+        any_kind = policy.any_kind and renewal.room != contracts.NO_ROOM
         return [
             effects.Send(
                 peer,
@@ -316,7 +368,10 @@
                     policy.revision,
                     policy.open,
                     policy.draining,
-                    () if known else tuple(sorted(policy.kinds)),
+                    ()
+                    if known or any_kind
+                    else tuple(sorted(policy.kinds)),
+                    any_kind,
                 ),
             )
         ]
@@ -340,9 +395,9 @@
                 if self._settle_attempt(view, key, attempt) is None:
                     return Taken([], [])
                 return Taken([], [TaskLost(key, view.target.name)])
-            case messages.SlotsOffered(free, starts_seen):
+            case messages.SlotsOffered(free, starts_seen, free_room):
                 self.counters['offers_received'] += 1
-                view.report(free, starts_seen)
+                view.report(free, starts_seen, free_room)
                 return Taken([], [])
             case _:
                 return Taken([], [])
@@ -353,9 +408,9 @@
         finished: messages.TaskFinished,
         now_s: float,
     ) -> Taken:
-        view.report(finished.free, finished.starts_seen)
+        view.report(finished.free, finished.starts_seen, finished.free_room)
         key = contracts.TaskKey(finished.submission, finished.index)
-        sent = self._settle(view, key)
+        sent = self._settle_end(view, key, finished.attempt)
         if sent is None:
             self.counters['results_repeated'] += 1
             return Taken([], [])
@@ -365,6 +420,11 @@
             breaker.note_unused(now_s)
         elif breaker.note_outcome(finished.succeeded, now_s):
             self.counters['breakers_opened'] += 1
+        job = self._table.find(key.submission)
+        if job is not None:
+            job.attempts[key.index] = sent.attempt
+        if finished.stopped and self._restart(job, key):
+            return Taken([], [])
         if not finished.succeeded:
             reason = finished.body.decode('utf-8', 'replace')
             return Taken([], [TaskBroke(key, view.target.name, reason)])
@@ -379,9 +439,12 @@
         now_s: float,
     ) -> Taken:
         self.counters['starts_declined'] += 1
-        view.report(declined.free, declined.starts_seen)
+        view.report(declined.free, declined.starts_seen, declined.free_room)
         if declined.reason == messages.BUSY:
-            view.block()
+            if not view.target.has_room:
+                view.block()
+        elif declined.reason in messages.ATTEMPT_REASONS:
+            pass
         else:
             view.accepting = False
         key = contracts.TaskKey(declined.submission, declined.index)
@@ -395,14 +458,33 @@
         job.note_unsent(key.index)
         job.attempts[key.index] = sent.attempt
         # A busy target is a matter of flow, not an objection.
-        if declined.reason != messages.BUSY:
+        if declined.reason != messages.BUSY and not job.submission.transient:
             objections = job.objections.get(key.index, 0) + 1
             job.objections[key.index] = objections
             if objections >= MAX_OBJECTIONS:
                 return Taken([], [TaskStuck(key)])
-        self.queue.put_back(sent.team, key.submission, sent.kind, key.index)
+        self.put_back(job, key.index)
         return Taken([], [])
 
+    def _restart(self, job: jobs.Job | None, key: contracts.TaskKey) -> bool:
+        """Queue a transient task again of which nothing runs any more."""
+        if job is None or job.state != jobs.JobState.ACTIVE:
+            return False
+        if not job.submission.transient:
+            return False
+        self.counters['tasks_restarted'] += 1
+        job.note_unsent(key.index)
+        self.put_back(job, key.index)
+        return True
+
+    def _settle_end(
+        self, view: machines.TargetView, key: contracts.TaskKey, attempt: int
+    ) -> machines.Outstanding | None:
+        """Settle a key whose attempt ended; 0 stands for any attempt."""
+        if not attempt:
+            return self._settle(view, key)
+        return self._settle_attempt(view, key, attempt)
+
     def _settle(
         self, view: machines.TargetView, key: contracts.TaskKey
     ) -> machines.Outstanding | None:
@@ -442,7 +524,9 @@
         outcomes: list[Outcome] = []
         for peer, view in list(self.views.items()):
             silence_s = now_s - view.heard_s
-            if silence_s > AGENT_LOST_S:
+            if view.target.has_room and silence_s > HOLD_CHAIN_S:
+                outcomes += self._lose(peer)
+            elif silence_s > AGENT_LOST_S:
                 outcomes += self._lose(peer)
             elif silence_s > AGENT_SILENCE_S:
                 view.suspect = True
@@ -487,8 +571,12 @@
             del self._breakers[breaker]
         outcomes: list[Outcome] = []
         for key in list(view.outstanding):
-            self._settle(view, key)
-            outcomes.append(TaskLost(key, view.target.name))
+            sent = self._settle(view, key)
+            job = self._table.find(key.submission)
+            if job is not None and sent is not None:
+                job.attempts[key.index] = sent.attempt
+            if not self._restart(job, key):
+                outcomes.append(TaskLost(key, view.target.name))
         return outcomes
 
     def _want_slots(self) -> effects.Effects:
--- a/eelgrassworks/effects.py
+++ b/eelgrassworks/effects.py
@@ -35,6 +35,7 @@
     kind: str
     payload: bytes
     limit_s: float
+    attempt: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -25,6 +25,11 @@
 from eelgrassworks.links import messages
 
 MAX_QUEUED_TASKS: Final = 50_000
+# A gap between two ticks after which callers may have turned elsewhere:
+# shorter than a lease of an entry at an agent.
+PAUSE_S: Final = 0.5
+# Transient jobs are worth something until this many times their objective.
+LATE_FACTOR: Final = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestLeft:
-    """The caller of a request went away; the job goes on."""
+    """The caller of a request went away; only a transient job ends by it."""
 
     request: int
 
@@ -125,9 +130,20 @@
         self._inquiries = inquiries.Inquiries(self.session)
         self._changes = changes.Changes(self.session)
         self._deadlines: list[tuple[float, str]] = []
+        # Open transient jobs by the id that callers gave.
+        self._transient: dict[str, str] = {}
+        self._next_scope = 0
+        self._awake_s = float('-inf')
 
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
         """Take one event and return the effects it has."""
+        # Before anything else, since any event may come first after a pause.
+        paused = self._end_after_pause(now_s)
+        return paused + self._take_event(event, now_s)
+
+    def _take_event(
+        self, event: EntryEvent, now_s: float
+    ) -> effects.Effects:
         match event:
             case Received(peer, incarnation, received):
                 asked = []
@@ -140,7 +156,7 @@
             case CancelAsked(request, submission, team):
                 asked = self._cancel(request, submission, team, now_s)
             case RequestLeft(request):
-                return self._drop_request(request)
+                asked = self._drop_request(request, now_s)
             case ChangeAsked(request, change):
                 return self._changes.begin(request, change, now_s)
             case Ticked():
@@ -156,6 +172,8 @@
         self, request: int, submission: contracts.Submission, now_s: float
     ) -> effects.Effects:
         self.counters['submissions'] += 1
+        if submission.transient:
+            submission = self._scope(submission)
         job = self.table.find(submission.id)
         if job is not None:
             self.counters['resubmissions'] += 1
@@ -178,6 +196,21 @@
             now_s,
         )
 
+    def _scope(
+        self, submission: contracts.Submission
+    ) -> contracts.Submission:
+        """Give a transient job an id that no other owner uses.
+
+        A caller's id may be submitted again here or elsewhere once the
+        caller has left; while it is open here it stays one job.
+        """
+        known = self._transient.get(submission.id)
+        if known is None:
+            self._next_scope += 1
+            run = self.options.session.nonce
+            known = f'{submission.id}/{run:x}-{self._next_scope}'
+        return dataclasses.replace(submission, id=known)
+
     def _attach_local(
         self, request: int, digest: str, job: jobs.Job
     ) -> effects.Effects:
@@ -217,6 +250,8 @@
                 team=submission.team,
                 revision=configuration.revision,
             )
+        if submission.transient:
+            return self._find_transient_refusal(submission, count)
         if not kind.repeatable and not submission.claimed:
             return errors.refuse(errors.Code.ID_REQUIRED, kind=kind.name)
         queue = self.dispatcher.queue
@@ -226,6 +261,21 @@
             )
         return self._find_overload(submission, count)
 
+    def _find_transient_refusal(
+        self, submission: contracts.Submission, count: int
+    ) -> errors.Refusal | None:
+        """Return why a transient job cannot be served now."""
+        queued = self.dispatcher.queue.length
+        if queued + count > MAX_QUEUED_TASKS:
+            return errors.refuse(
+                errors.Code.OVERLOADED,
+                queued=queued,
+                limit_s=submission.time_limit_s,
+            )
+        if not self.dispatcher.can_hold(submission.kind, submission.demand):
+            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
+        return None
+
     def _find_overload(
         self, submission: contracts.Submission, count: int
     ) -> errors.Refusal | None:
@@ -250,6 +300,8 @@
     ) -> effects.Effects:
         deadline_s = now_s + submission.time_limit_s
         job = jobs.Job(submission, now_s, deadline_s, waiters=[request])
+        if submission.transient:
+            self._time_transient(job, now_s)
         self.table.add(job)
         if not submission.claimed:
             self._activate(job)
@@ -264,6 +316,15 @@
         heapq.heappush(self._deadlines, (wait_s, submission.id))
         return self.session.claim((claim,), now_s)
 
+    def _time_transient(self, job: jobs.Job, now_s: float) -> None:
+        """Set when a transient job is due."""
+        submission = job.submission
+        kind = self.session.configuration.sheet.kinds[submission.kind]
+        slack_s = (kind.stretch - 1.0) * submission.estimate_s
+        job.due_s = now_s + slack_s + kind.objective_s
+        caller_id = submission.id.partition('/')[0]
+        self._transient[caller_id] = submission.id
+
     def _activate(self, job: jobs.Job) -> None:
         job.activate()
         self.dispatcher.add(job)
@@ -313,12 +374,17 @@
         self.counters['jobs_cancelled'] += 1
         return self._break_job(job, errors.Code.CANCELLED, now_s)
 
-    def _drop_request(self, request: int) -> effects.Effects:
+    def _drop_request(self, request: int, now_s: float) -> effects.Effects:
         self._inquiries.drop(request)
+        asked: effects.Effects = []
         for job in self.table.list_open():
-            if request in job.waiters:
-                job.waiters.remove(request)
-        return []
+            if request not in job.waiters:
+                continue
+            job.waiters.remove(request)
+            if job.submission.transient and not job.waiters:
+                self.counters['jobs_abandoned'] += 1
+                asked += self._break_job(job, errors.Code.CANCELLED, now_s)
+        return asked + self.dispatcher.flush_cancels()
 
     # Jobs of this entry that others ask for.
 
@@ -371,6 +437,10 @@
                 return self._take_claims(message, now_s)
             case messages.ChangeTold():
                 return self._take_change(message, now_s)
+            case messages.RosterTold():
+                return self.session.take_roster(message)
+            case messages.RosterAsked():
+                return [effects.Send(peer, self.session.roster)]
             case messages.NotLeader(leader):
                 return self.session.follow(leader, now_s)
             case messages.AttachAsked():
@@ -433,6 +503,8 @@
                 self.counters['jobs_complete'] += 1
                 complete = contracts.Complete(tuple(job.results))
                 return self._end_job(job, complete, now_s)
+            case dispatcher.TaskBroke() if self._try_again(job, index):
+                return []
             case dispatcher.TaskBroke(_, target, reason):
                 return self._break_job(
                     job,
@@ -458,6 +530,19 @@
                     kind=job.submission.kind,
                 )
 
+    def _try_again(self, job: jobs.Job, index: int) -> bool:
+        """Queue a failed task again while its kind allows attempts."""
+        if not job.submission.transient:
+            return False
+        failures = job.failures.get(index, 0) + 1
+        job.failures[index] = failures
+        kind = self.session.configuration.sheet.kinds.get(job.submission.kind)
+        if kind is None or failures >= kind.attempts:
+            return False
+        job.note_unsent(index)
+        self.dispatcher.put_back(job, index)
+        return True
+
     def _take_terms(
         self, peer: str, terms: messages.EntryTerms, now_s: float
     ) -> effects.Effects:
@@ -520,13 +605,20 @@
         self, job: jobs.Job, answer: contracts.Answer, now_s: float
     ) -> effects.Effects:
         asked = _tell_waiters(job, answer)
+        self._forget_transient(job)
         self.table.end(job, answer, now_s)
         return asked
 
+    def _forget_transient(self, job: jobs.Job) -> None:
+        if job.submission.transient:
+            caller_id = job.submission.id.partition('/')[0]
+            self._transient.pop(caller_id, None)
+
     def _drop_job(
         self, job: jobs.Job, answer: contracts.Answer
     ) -> effects.Effects:
         """Answer a job of which nothing was sent, and forget it."""
+        self._forget_transient(job)
         self.table.drop(job.submission.id)
         return _tell_waiters(job, answer)
 
@@ -559,6 +651,25 @@
         self.table.expire(now_s)
         return asked
 
+    def _end_after_pause(self, now_s: float) -> effects.Effects:
+        """End transient jobs that were open while this process stood still.
+
+        Their callers may have turned elsewhere meanwhile, so their tasks
+        must not start again here.
+        """
+        paused_s = now_s - self._awake_s
+        self._awake_s = now_s
+        if not PAUSE_S < paused_s < float('inf'):
+            return []
+        asked: effects.Effects = []
+        for job in self.table.list_open():
+            if job.submission.transient:
+                self.counters['jobs_paused'] += 1
+                asked += self._break_job(
+                    job, errors.Code.PAUSED, now_s, pause_s=round(paused_s, 1)
+                )
+        return asked + self.dispatcher.flush_cancels()
+
     def _expire_jobs(self, now_s: float) -> effects.Effects:
         asked: effects.Effects = []
         while self._deadlines and self._deadlines[0][0] <= now_s:
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -1,6 +1,5 @@
 """The process of an entry: its decisions, its HTTP borders and its links."""
 
-import asyncio
 from typing import Any
 
 from aiohttp import web
@@ -44,8 +43,6 @@
                 model.max_wait_s,
             )
         )
-        self._next_request = 0
-        self._requests: dict[int, asyncio.Future[Any]] = {}
 
     async def start(self) -> None:
         """Connect to control and begin to serve."""
@@ -61,39 +58,17 @@
         http = self.model.http
         self.port = await self.serve(application, http.host, http.port)
 
-    def open_request(self) -> tuple[int, asyncio.Future[Any]]:
-        """Return the number of a new request and its future response."""
-        self._next_request += 1
-        future: asyncio.Future[Any] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._requests[self._next_request] = future
-        return self._next_request, future
-
-    async def await_reply(
-        self, request: int, future: asyncio.Future[Any]
-    ) -> Any:
-        """Wait for a response; tell the decisions if the caller leaves."""
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self._requests.pop(request, None)
-            self.dispatch(entry.RequestLeft(request))
-            raise
-
     def decide(self, event: Any, now_s: float) -> effects.Effects:
         """Give an event to the decision class."""
         return self.entry.handle(event, now_s)
 
     def perform(self, effect: effects.Effect) -> None:
-        """Answer a request."""
-        match effect:
-            case effects.Reply(request, response):
-                future = self._requests.pop(request, None)
-                if future is not None and not future.done():
-                    future.set_result(response)
-            case _:
-                raise TypeError(f'unexpected effect {effect}')
+        """Refuse; an entry has no effects of its own."""
+        raise TypeError(f'unexpected effect {effect}')
+
+    def make_left(self, request: int) -> object:
+        """Return the event for a caller that left."""
+        return entry.RequestLeft(request)
 
     def make_tick(self) -> object:
         """Return the event for the passing of time."""
--- a/eelgrassworks/errors.py
+++ b/eelgrassworks/errors.py
@@ -33,6 +33,7 @@
     OVERLOADED = 'overloaded'
     OWNER_LOST = 'owner-lost'
     OWNER_UNREACHABLE = 'owner-unreachable'
+    PAUSED = 'paused'
     QUOTA = 'quota'
     STOPPING = 'stopping'
     SUPERSEDED = 'superseded'
@@ -40,6 +41,7 @@
     TASK_FAILED = 'task-failed'
     UNAVAILABLE = 'unavailable'
     UNKNOWN_KIND = 'unknown-kind'
+    UNSUPPORTED = 'unsupported'
     UNKNOWN_TEAM = 'unknown-team'
 
 
@@ -200,6 +202,12 @@
         'process {owner} that owns job {submission} does not answer',
         'submit the same id again later',
     ),
+    Code.PAUSED: Wording(
+        504,
+        'Entry paused',
+        'the process stood still for {pause_s} s during job {submission}',
+        'submit the job again',
+    ),
     Code.QUOTA: Wording(
         429,
         'Quota reached',
@@ -242,6 +250,12 @@
         'kind {kind} is not in the sheet at revision {revision}',
         'correct the kind, or apply a sheet that has it',
     ),
+    Code.UNSUPPORTED: Wording(
+        503,
+        'Not supported',
+        'jobs with {feature} are not supported by this version',
+        'submit the work without it',
+    ),
     Code.UNKNOWN_TEAM: Wording(
         403,
         'Unknown team',
--- a/eelgrassworks/grants.py
+++ b/eelgrassworks/grants.py
@@ -1,23 +1,22 @@
 """When a configuration revision is in force at every node.
 
-Work starts only under a lease, and every lease ends within LEASE_TTL_S of a
+Work starts only under a lease, and every lease ends within its ttl of a
 moment at which a quorum followed the granting leader.  A revision is in
 force once every lease that was granted before its commit has run out.
 """
 
 import collections
-from typing import Final
 
 from eelgrassworks import zones
 
-IN_FORCE_DELAY_S: Final = zones.LEASE_TTL_S * (1 + zones.DRIFT_RATIO)
-
 
 class Grants:
     """What the leader may grant, and which revision is in force."""
 
-    def __init__(self) -> None:
+    def __init__(self, lease_ttl_s: float = zones.LEASE_TTL_S) -> None:
         self.in_force_revision = 0
+        self._lease_ttl_s = lease_ttl_s
+        self._in_force_delay_s = lease_ttl_s * (1 + zones.DRIFT_RATIO)
         self._pending: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
@@ -30,7 +29,7 @@
 
     def note_commit(self, revision: int, now_s: float) -> None:
         """Record that a revision was committed."""
-        self._pending.append((now_s + IN_FORCE_DELAY_S, revision))
+        self._pending.append((now_s + self._in_force_delay_s, revision))
 
     def advance(self, now_s: float) -> int:
         """Return the revision that is in force everywhere."""
@@ -43,4 +42,4 @@
 
         ``contact_s`` is when a quorum last followed this leader.
         """
-        return max(0.0, contact_s + zones.LEASE_TTL_S - now_s)
+        return max(0.0, contact_s + self._lease_ttl_s - now_s)
--- /dev/null
+++ b/eelgrassworks/heldtarget.py
@@ -0,0 +1,558 @@
+"""Decisions about a target that keeps tasks only while they are held.
+
+Everything that runs at such a target has a lease on the target's own clock
+and ends when the lease does.  The agent renews it with holds; the answer to
+a hold lists what runs and what has ended.  An order that got no answer may
+still be carried out, so it is fenced by a stop, or by its own deadline,
+before the attempt counts as not started.  Answers may overtake each other.
+
+The class takes events and a time and returns effects; what calls the target
+is a ``TargetLink``.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+
+# Lease that each hold and each start asks for.  With the silence after which
+# an agent stops the tasks of an entry it stays below the time after which
+# callers submit again.
+HOLD_LEASE_S: Final = 0.6
+# A hold returns at the latest after this time, so that several fit a lease.
+HOLD_WAIT_S: Final = 0.1
+# Round trip on one machine, with a margin for a busy processor.
+ANSWER_PATIENCE_S: Final = 0.08
+STOP_PATIENCE_S: Final = 0.1
+# How much slower the target's clock may run than the agent's.
+CLOCK_RATIO: Final = 1.02
+# Time of a kill after a lease has ended, and of reading a clock.
+LAPSE_MARGIN_S: Final = 0.1
+# Beyond this silence the target takes no new tasks.
+SILENCE_S: Final = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Life:
+    """One life of a target, from its start to its end."""
+
+    name: str
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskName:
+    """What a target calls a task: the caller's job and the task's index."""
+
+    job: str
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target says about itself.
+
+    ``sequence`` grows with each report of one life; ``clock_ms`` is the
+    target's own steady clock.
+    """
+
+    life: Life
+    sequence: int
+    service: str
+    failure_domain: str
+    room: contracts.Room
+    labels: tuple[str, ...]
+    clock_ms: int
+    draining: bool
+
+
+# Calls.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartCall:
+    """Start an attempt unless ``deadline_ms`` of the target has passed."""
+
+    name: TaskName
+    attempt: int
+    payload: bytes
+    deadline_ms: int
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopCall:
+    """Stop an attempt, or keep it from ever starting."""
+
+    name: TaskName
+    attempt: int
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldCall:
+    """Renew the lease and ask what runs and what has ended.
+
+    Without ``deadline_ms`` the lease stays as it is.  ``seen`` is the number
+    of the last end that was taken.
+    """
+
+    number: int
+    deadline_ms: int | None
+    fence: int
+    seen: int
+    wait_s: float
+
+
+# Answers.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartTold:
+    """The target took the start, or refused it for a reason."""
+
+    name: TaskName
+    attempt: int
+    accepted: bool
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTold:
+    """The target took the stop."""
+
+    name: TaskName
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderUnanswered:
+    """A start or stop got no answer; it may still be carried out."""
+
+    name: TaskName
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """End number ``number``: an attempt is over.
+
+    ``failed`` is set when the run failed by itself, ``succeeded`` when it
+    is done; otherwise it was stopped or its lease ended.
+    """
+
+    number: int
+    name: TaskName
+    attempt: int
+    succeeded: bool
+    failed: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldTold:
+    """What runs and what has ended, as of one hold."""
+
+    number: int
+    life: Life
+    clock_ms: int
+    running: tuple[tuple[TaskName, int], ...]
+    ended: tuple[Ended, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldFenced:
+    """Another agent process has used a higher fence."""
+
+    clock_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldUnanswered:
+    """A hold got no answer; ``refused`` when nobody listens there."""
+
+    refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLeft:
+    """The target said that it ends now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartWanted:
+    """The agent wants a task to start; it has room for it."""
+
+    key: contracts.TaskKey
+    attempt: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopWanted:
+    """The agent wants a task to end."""
+
+    key: contracts.TaskKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+
+HeldEvent = (
+    StartWanted
+    | StopWanted
+    | StartTold
+    | StopTold
+    | OrderUnanswered
+    | HoldTold
+    | HoldFenced
+    | HoldUnanswered
+    | TargetLeft
+    | Ticked
+)
+
+# What the agent hears.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunOver:
+    """An attempt has ended and holds no room any more."""
+
+    key: contracts.TaskKey
+    succeeded: bool
+    stopped: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunRejected:
+    """An attempt never started and never will."""
+
+    key: contracts.TaskKey
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoundnessChanged:
+    """The target answers again, or no longer does."""
+
+    sound: bool
+
+
+HeldEffect = StartCall | StopCall | RunOver | RunRejected | SoundnessChanged
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """An attempt that was ordered and is not known to be over.
+
+    A hold numbered above ``settled_after`` that does not list the attempt
+    shows that it is over, or never started unless ``confirmed``.
+    """
+
+    key: contracts.TaskKey
+    attempt: int
+    deadline_ms: int
+    confirmed: bool = False
+    settled_after: int | None = None
+    stopped_s: float | None = None
+
+
+class HeldTarget:
+    """What an agent knows of one life of its target."""
+
+    def __init__(self, life: Life, clock_ms: int, now_s: float) -> None:
+        self.life = life
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.clean = False
+        self.sound = False
+        self._runs: dict[TaskName, Run] = {}
+        # Runs that this process did not order, by when they were stopped.
+        self._strange: dict[tuple[TaskName, int], float] = {}
+        self._clock_ms = clock_ms
+        self._clock_read_s = now_s
+        self._fence = life.born_ms + clock_ms
+        self._seen = 0
+        self._hold_number = 0
+        self._listed_number = 0
+        self._heard_s = now_s
+        self._lease_end_s = now_s
+        self._refusals = 0
+        self.over = False
+
+    @property
+    def needs_hold(self) -> bool:
+        """Tell whether the target has to be held or looked at."""
+        return bool(
+            not self.over
+            and (
+                self._runs
+                or self._strange
+                or not self.clean
+                or not self.sound
+            )
+        )
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return the numbers of known and strange runs."""
+        return {'runs': len(self._runs), 'strange': len(self._strange)}
+
+    def handle(self, event: HeldEvent, now_s: float) -> list[HeldEffect]:
+        """Take one event and return the effects it has."""
+        match event:
+            case StartWanted(key, attempt, payload):
+                return self._start(key, attempt, payload, now_s)
+            case StopWanted(key):
+                return self._stop_key(key, now_s)
+            case StartTold():
+                return self._take_start_told(event, now_s)
+            case StopTold(name, attempt):
+                return self._take_stop_told(name, attempt)
+            case OrderUnanswered(name, attempt):
+                return self._take_unanswered(name, attempt, now_s)
+            case HoldTold():
+                return self._take_hold(event, now_s)
+            case HoldFenced(clock_ms):
+                self._read_clock(clock_ms, now_s)
+                fence = self.life.born_ms + clock_ms
+                self._fence = max(self._fence + 1, fence)
+                self.counters['fenced'] += 1
+                return []
+            case HoldUnanswered(refused):
+                return self._take_silence(refused, now_s)
+            case TargetLeft():
+                return self._end_life('left')
+            case Ticked():
+                return self._tick(now_s)
+
+    # Calls.
+
+    def begin_hold(self, now_s: float) -> HoldCall:
+        """Return the next hold to send."""
+        self._hold_number += 1
+        deadline_ms: int | None = None
+        # A silent target's lease must run out, so that its runs are over
+        # whether or not it hears the holds.
+        if self._runs and now_s - self._heard_s < SILENCE_S:
+            deadline_ms = self._make_deadline(now_s)
+        return HoldCall(
+            self._hold_number,
+            deadline_ms,
+            self._fence,
+            self._seen,
+            HOLD_WAIT_S if self._runs else 0.0,
+        )
+
+    def _make_deadline(self, now_s: float) -> int:
+        """Return the end of a new lease on the target's clock."""
+        self._lease_end_s = now_s + HOLD_LEASE_S * CLOCK_RATIO
+        passed_ms = (now_s - self._clock_read_s) * 1000
+        return int(self._clock_ms + passed_ms + HOLD_LEASE_S * 1000)
+
+    def _read_clock(self, clock_ms: int, now_s: float) -> None:
+        # A late answer must not set the clock back.
+        passed_ms = (now_s - self._clock_read_s) * 1000
+        if clock_ms >= self._clock_ms or passed_ms < 0:
+            self._clock_ms = clock_ms
+            self._clock_read_s = now_s
+
+    # Orders.
+
+    def _start(
+        self,
+        key: contracts.TaskKey,
+        attempt: int,
+        payload: bytes,
+        now_s: float,
+    ) -> list[HeldEffect]:
+        name = make_name(key)
+        if self.over or not self.clean:
+            return [RunRejected(key, 'unhealthy')]
+        if name in self._runs:
+            # An earlier owner's run of the same task is not over yet.
+            return [RunRejected(key, 'twin')]
+        deadline_ms = self._make_deadline(now_s)
+        self._runs[name] = Run(key, attempt, deadline_ms)
+        call = StartCall(name, attempt, payload, deadline_ms, self._fence)
+        return [call]
+
+    def _stop_key(
+        self, key: contracts.TaskKey, now_s: float
+    ) -> list[HeldEffect]:
+        name = make_name(key)
+        run = self._runs.get(name)
+        if run is None or run.key != key or run.stopped_s is not None:
+            return []
+        return [self._stop(name, run, now_s)]
+
+    def _stop(self, name: TaskName, run: Run, now_s: float) -> StopCall:
+        run.stopped_s = now_s
+        return StopCall(name, run.attempt, self._fence)
+
+    def _take_start_told(
+        self, told: StartTold, now_s: float
+    ) -> list[HeldEffect]:
+        run = self._find(told.name, told.attempt)
+        if run is None:
+            return []
+        if told.accepted:
+            run.confirmed = True
+            run.settled_after = self._hold_number
+            return []
+        if run.stopped_s is not None:
+            # The stop settles it; it may have come first.
+            return []
+        del self._runs[told.name]
+        self.counters[f'refused_{told.reason}'] += 1
+        return [RunRejected(run.key, told.reason)]
+
+    def _take_stop_told(
+        self, name: TaskName, attempt: int
+    ) -> list[HeldEffect]:
+        run = self._find(name, attempt)
+        if run is not None:
+            run.settled_after = self._hold_number
+        return []
+
+    def _take_unanswered(
+        self, name: TaskName, attempt: int, now_s: float
+    ) -> list[HeldEffect]:
+        run = self._find(name, attempt)
+        if run is None:
+            return []
+        self.counters['unanswered'] += 1
+        # The stop also keeps a start from being carried out later.
+        return [self._stop(name, run, now_s)]
+
+    def _find(self, name: TaskName, attempt: int) -> Run | None:
+        run = self._runs.get(name)
+        if run is None or run.attempt != attempt:
+            return None
+        return run
+
+    # Holds.
+
+    def _take_hold(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
+        if told.life.born_ms != self.life.born_ms:
+            # Another life answers there, so this one is over.
+            return self._end_life('reborn')
+        self._heard_s = now_s
+        self._refusals = 0
+        self._read_clock(told.clock_ms, now_s)
+        asked = self._take_ends(told.ended)
+        if told.number > self._listed_number:
+            self._listed_number = told.number
+            asked += self._compare(told, now_s)
+        if not self.sound and self.clean:
+            self.sound = True
+            asked.append(SoundnessChanged(True))
+        return asked
+
+    def _take_ends(self, ended: tuple[Ended, ...]) -> list[HeldEffect]:
+        asked: list[HeldEffect] = []
+        for end in sorted(ended, key=lambda each: each.number):
+            if end.number <= self._seen:
+                continue
+            self._seen = end.number
+            self._strange.pop((end.name, end.attempt), None)
+            run = self._find(end.name, end.attempt)
+            if run is None:
+                continue
+            del self._runs[end.name]
+            stopped = not end.succeeded and not end.failed
+            asked.append(
+                RunOver(run.key, end.succeeded, stopped, end.reason)
+            )
+        return asked
+
+    def _compare(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
+        """Compare what the target lists with what was ordered."""
+        listed = set(told.running)
+        asked: list[HeldEffect] = []
+        for name, run in list(self._runs.items()):
+            if (name, run.attempt) in listed:
+                run.confirmed = True
+                continue
+            if self._is_settled(run, told):
+                del self._runs[name]
+                asked.append(_report_gone(run))
+        self._strange = {
+            each: since_s
+            for each, since_s in self._strange.items()
+            if each in listed
+        }
+        for name, attempt in listed:
+            if self._find(name, attempt) is not None:
+                continue
+            stopped_s = self._strange.get((name, attempt), float('-inf'))
+            if now_s - stopped_s >= STOP_PATIENCE_S:
+                self._strange[(name, attempt)] = now_s
+                asked.append(StopCall(name, attempt, self._fence))
+        self.clean = not self._strange
+        return asked
+
+    def _is_settled(self, run: Run, told: HoldTold) -> bool:
+        """Tell whether an attempt that is not listed can never run."""
+        after = run.settled_after
+        if after is not None and told.number > after:
+            return True
+        return not run.confirmed and told.clock_ms > run.deadline_ms
+
+    def _take_silence(
+        self, refused: bool, now_s: float
+    ) -> list[HeldEffect]:
+        self.counters['holds_unanswered'] += 1
+        if refused:
+            self._refusals += 1
+            if self._refusals >= 2:
+                # Nobody listens there: the target's process is gone.
+                return self._end_runs('gone') + self._note_silence()
+        if now_s - self._heard_s > SILENCE_S:
+            return self._note_silence()
+        return []
+
+    def _note_silence(self) -> list[HeldEffect]:
+        if not self.sound:
+            return []
+        self.sound = False
+        return [SoundnessChanged(False)]
+
+    def _tick(self, now_s: float) -> list[HeldEffect]:
+        asked: list[HeldEffect] = []
+        silent_s = now_s - max(self._lease_end_s, self._heard_s)
+        if self._runs and silent_s > LAPSE_MARGIN_S:
+            self.counters['lapses'] += 1
+            return self._end_runs('lapsed') + self._note_silence()
+        for name, run in self._runs.items():
+            stopped_s = run.stopped_s
+            if stopped_s is None or now_s - stopped_s < STOP_PATIENCE_S:
+                continue
+            asked.append(self._stop(name, run, now_s))
+        return asked
+
+    def _end_runs(self, reason: str) -> list[HeldEffect]:
+        """Take every run for ended: leases have run out, or the life."""
+        runs, self._runs = self._runs, {}
+        return [
+            RunOver(run.key, False, True, reason) for run in runs.values()
+        ]
+
+    def _end_life(self, reason: str) -> list[HeldEffect]:
+        self.over = True
+        self._strange = {}
+        return self._end_runs(reason) + self._note_silence()
+
+
+def make_name(key: contracts.TaskKey) -> TaskName:
+    """Return what the target calls a task."""
+    return TaskName(key.submission.partition('/')[0], key.index)
+
+
+def _report_gone(run: Run) -> HeldEffect:
+    if run.confirmed:
+        return RunOver(run.key, False, True, 'vanished')
+    return RunRejected(run.key, 'unanswered')
--- a/eelgrassworks/jobs.py
+++ b/eelgrassworks/jobs.py
@@ -36,7 +36,9 @@
 
     ``waiters`` are the local requests and ``remote`` the attached requests
     of other entries that receive the answer.  ``attempts`` counts the fenced
-    starts of a task, ``objections`` those that were not for want of a slot.
+    starts of a task, ``objections`` those that were not for want of a slot,
+    ``failures`` the runs that failed by themselves.  ``due_s`` is the latest
+    start that still meets the objective.
     """
 
     submission: contracts.Submission
@@ -53,6 +55,8 @@
     places: dict[int, str] = dataclasses.field(default_factory=dict)
     remaining: int = 0
     ended_s: float = 0.0
+    due_s: float = 0.0
+    failures: dict[int, int] = dataclasses.field(default_factory=dict)
 
     def activate(self) -> None:
         """Begin to gather outcomes."""
--- a/eelgrassworks/journal.py
+++ b/eelgrassworks/journal.py
@@ -15,6 +15,7 @@
 known after it, so the process must end.
 """
 
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import enum
@@ -131,6 +132,10 @@
 
         Raises Fault when the folder already has files of a replica.
         """
+        with self._translate_errors():
+            self._format(identity)
+
+    def _format(self, identity: Identity) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         for name in (IDENTITY_NAME, SNAPSHOT_NAME, JOURNAL_NAME):
             if (self.folder / name).exists():
@@ -139,6 +144,7 @@
                         f'it already holds {name}',
                         'name an empty folder, or start the replica on this '
                         'one without formatting it',
+                        damaged=True,
                     )
                 )
         data = msgspec.json.encode(identity)
@@ -149,6 +155,10 @@
 
         Raises Fault with the safe action when the folder cannot be used.
         """
+        with self._translate_errors():
+            return self._open(name)
+
+    def _open(self, name: str) -> Recovered:
         identity = self._read_identity(name)
         self._drop_fresh_files()
         snapshot = self._read_snapshot()
@@ -247,6 +257,10 @@
 
     def save_snapshot(self, save: effects.SaveSnapshot) -> None:
         """Replace the snapshot, then the journal that follows it."""
+        with self._translate_errors():
+            self._save_snapshot(save)
+
+    def _save_snapshot(self, save: effects.SaveSnapshot) -> None:
         self._buffer = []
         record = SnapshotRecord(save.last_index, save.last_term, save.data)
         self._replace(SNAPSHOT_NAME, _frame(msgspec.msgpack.encode(record)))
@@ -259,6 +273,21 @@
             self.folder / JOURNAL_NAME, os.O_WRONLY | os.O_APPEND
         )
 
+    def abandon(self) -> None:
+        """Drop what was not written and close the file."""
+        self._buffer = []
+        self.close()
+
+    def empty(self) -> None:
+        """Remove every file of the replica, so that it is new again."""
+        for path in (
+            *self.folder.glob(f'*{FRESH_SUFFIX}'),
+            self.folder / JOURNAL_NAME,
+            self.folder / SNAPSHOT_NAME,
+            self.folder / IDENTITY_NAME,
+        ):
+            path.unlink(missing_ok=True)
+
     def close(self) -> None:
         """Close the journal file."""
         if self._descriptor >= 0:
@@ -300,18 +329,30 @@
 
     # Refusals.
 
-    def _refuse(self, reason: str, remedy: str) -> errors.Refusal:
+    @contextlib.contextmanager
+    def _translate_errors(self) -> Iterator[None]:
+        """Turn an error of the file system into a Fault."""
+        try:
+            yield
+        except OSError as error:
+            raise errors.Fault(self._refuse_write(error)) from error
+
+    def _refuse(
+        self, reason: str, remedy: str, damaged: bool = False
+    ) -> errors.Refusal:
         return errors.refuse(
             errors.Code.DATA_FOLDER,
             folder=self.folder,
             reason=reason,
             remedy=remedy,
+            damaged='yes' if damaged else '',
         )
 
     def _refuse_damage(self, name: str, position: int) -> errors.Refusal:
         return self._refuse(
             f'file {name} is damaged at byte {position}',
             'empty the folder and start the replica; it rejoins as a learner',
+            damaged=True,
         )
 
     def _refuse_write(self, error: OSError) -> errors.Refusal:
--- a/eelgrassworks/keyrecords.py
+++ b/eelgrassworks/keyrecords.py
@@ -31,10 +31,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyEnded:
-    """The task ended; ``finished`` is sent again when asked for."""
+    """The task ended; ``finished`` is sent again when asked for.
+
+    ``attempt`` is the start that it ended, where tasks may start again.
+    """
 
     finished: messages.TaskFinished
 
+    @property
+    def attempt(self) -> int:
+        """Return the number of the attempt that ended."""
+        return self.finished.attempt
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyForgotten:
--- a/eelgrassworks/ledger.py
+++ b/eelgrassworks/ledger.py
@@ -177,10 +177,15 @@
 
     def _decide(self, asked: commands.CommitChange) -> contracts.ChangeVerdict:
         revision = self.configuration.revision
-        if asked.expected_revision != revision:
+        if asked.expected_revision not in (contracts.ANY_REVISION, revision):
             winner = self.winners.get(asked.expected_revision + 1, '')
             return contracts.ChangeConflict(asked.id, revision, winner)
         change = codec.unpack(asked.change)
+        if (
+            isinstance(change, contracts.ReplaceSheet)
+            and change.version <= self.configuration.version
+        ):
+            return contracts.ChangeAccepted(asked.id, revision)
         reason = self._find_objection(change)
         if reason:
             return contracts.ChangeInvalid(asked.id, revision, reason)
@@ -267,6 +272,10 @@
     match change:
         case contracts.ApplySheet(sheet):
             return dataclasses.replace(revised, sheet=sheet)
+        case contracts.ReplaceSheet(version, sheet, document):
+            return dataclasses.replace(
+                revised, sheet=sheet, version=version, document=document
+            )
         case contracts.CloseDomain(name):
             return dataclasses.replace(revised, closed=revised.closed | {name})
         case contracts.OpenDomain(name):
--- a/eelgrassworks/links/codec.py
+++ b/eelgrassworks/links/codec.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hmac
+import zlib
 from typing import Any
 from typing import Final
 
@@ -16,6 +17,12 @@
 PROTOCOL_VERSION: Final = 1
 MAC_BYTES: Final = 16
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+# Configurations and snapshots exceed this; messages on the path of a task
+# do not, and are not worth the processor time.
+COMPRESSED_BYTES: Final = 4096
+COMPRESSION_LEVEL: Final = 1
+PLAIN: Final = b'\x00'
+COMPRESSED: Final = b'\x01'
 
 # A tag, which is the name of a registered data class, and its encoding.
 Variant = tuple[str, msgspec.Raw]
@@ -91,7 +98,7 @@
             sender.address,
             [pack(message) for message in messages],
         )
-        body = _ENCODER.encode(model)
+        body = _compress(_ENCODER.encode(model))
         return self._authenticate(body) + body
 
     def decode_frame(self, data: bytes) -> frame.Frame:
@@ -104,7 +111,7 @@
         if not hmac.compare_digest(data[:MAC_BYTES], self._authenticate(body)):
             raise FrameRejected('frame is not authentic')
         try:
-            model = _FRAME_DECODER.decode(body)
+            model = _FRAME_DECODER.decode(_decompress(body))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise FrameRejected(str(error)) from error
         if model.version != PROTOCOL_VERSION:
@@ -115,3 +122,23 @@
 
     def _authenticate(self, body: bytes) -> bytes:
         return hmac.digest(self._key, body, 'sha256')[:MAC_BYTES]
+
+
+def _compress(body: bytes) -> bytes:
+    if len(body) < COMPRESSED_BYTES:
+        return PLAIN + body
+    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def _decompress(body: bytes) -> bytes:
+    """Return what was compressed; raises FrameRejected when it is not."""
+    if body[:1] == PLAIN:
+        return body[1:]
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(body[1:], MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise FrameRejected(str(error)) from error
+    if not unpacker.eof:
+        raise FrameRejected('frame is cut short or too long')
+    return plain
--- a/eelgrassworks/links/connection.py
+++ b/eelgrassworks/links/connection.py
@@ -24,10 +24,12 @@
     peer: str
     echoed_s: float
     asked_s: float = float('-inf')
+    interval_s: float = HEARTBEAT_INTERVAL_S
+    deadline_s: float = SILENCE_DEADLINE_S
 
     def needs_heartbeat(self, now_s: float) -> bool:
         """Tell whether the next heartbeat is due."""
-        return now_s - self.asked_s >= HEARTBEAT_INTERVAL_S
+        return now_s - self.asked_s >= self.interval_s
 
     def note_asked(self, now_s: float) -> None:
         """Record that a heartbeat was posted."""
@@ -39,4 +41,4 @@
 
     def is_silent(self, now_s: float) -> bool:
         """Tell whether echoes stayed out beyond the deadline."""
-        return now_s - self.echoed_s > SILENCE_DEADLINE_S
+        return now_s - self.echoed_s > self.deadline_s
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -13,6 +13,10 @@
 
 # The reason of a decline for want of a slot.
 BUSY: Final = 'busy'
+# Reasons that concern one attempt and say nothing about the target.
+ATTEMPT_REASONS: Final = frozenset(
+    {'cancelled', 'fenced', 'late', 'old', 'unanswered', 'room'}
+)
 
 # Agent to entry.
 
@@ -34,13 +38,17 @@
     stamp_ms: int
     revision: int
     accepting: bool
+    service: str = ''
+    room: contracts.Room = contracts.NO_ROOM
+    free_room: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskFinished:
     """Outcome of a task that ran; ``free`` slots are left at the target.
 
-    ``stopped`` is set when it failed because its job was cancelled.
+    ``stopped`` is set when it ended through no fault of its own: its job
+    was cancelled, or its lease ended.  Nothing of the attempt runs any more.
     """
 
     submission: str
@@ -51,6 +59,8 @@
     run_ms: int
     free: int
     starts_seen: int
+    attempt: int = 0
+    free_room: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +73,7 @@
     reason: str
     free: int
     starts_seen: int
+    free_room: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +99,7 @@
 
     free: int
     starts_seen: int
+    free_room: contracts.Room = contracts.NO_ROOM
 
 
 # Entry to agent.
@@ -103,6 +115,7 @@
     open: bool
     draining: bool
     kinds: tuple[str, ...]
+    any_kind: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +124,8 @@
 
     ``attempt`` grows with each start that follows a decline; ``stamp_ms``
     echoes the agent's last renewal; ``waiting`` is the number of tasks that
-    the entry cannot place.
+    the entry cannot place.  A ``transient`` task may start again after an
+    earlier attempt has ended; it waits at the target only if ``patient``.
     """
 
     submission: str
@@ -123,6 +137,9 @@
     limit_ms: int
     stamp_ms: int
     waiting: int
+    transient: bool = False
+    patient: bool = True
+    demand: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,6 +253,22 @@
     leader: str
 
 
+# Any process to an entry or a control replica.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterAsked:
+    """Asks which processes there are."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterTold:
+    """Names and addresses of the control replicas and the live entries."""
+
+    replicas: dict[str, str]
+    entries: dict[str, str]
+
+
 # Entry to entry.
 
 
@@ -399,6 +432,7 @@
     """A replica with a new disk asks the leader to admit it."""
 
     disk: str
+    address: str = ''
 
 
 codec.register(
@@ -426,5 +460,6 @@
     contracts.Failed,
     contracts.NotRun,
     contracts.OpenDomain,
+    contracts.ReplaceSheet,
     contracts.UndrainTarget,
 )
--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -77,8 +77,16 @@
 class SocketTransport:
     """The sockets of one process."""
 
-    def __init__(self, frame_codec: codec.Codec, sender: frame.Sender) -> None:
+    def __init__(
+        self,
+        frame_codec: codec.Codec,
+        sender: frame.Sender,
+        heartbeat_s: float = connection.HEARTBEAT_INTERVAL_S,
+        silence_s: float = connection.SILENCE_DEADLINE_S,
+    ) -> None:
         self.sender = sender
+        self._heartbeat_s = heartbeat_s
+        self._silence_s = silence_s
         self.counters: dict[str, int] = {
             'frames_sent': 0,
             'frames_received': 0,
@@ -177,7 +185,12 @@
         socket.reconnect_time_min = RECONNECT_MIN_MS
         socket.reconnect_time_max = RECONNECT_MAX_MS
         socket.dial(address, block=False)
-        state = connection.Connection(peer, clock.read_now())
+        state = connection.Connection(
+            peer,
+            clock.read_now(),
+            interval_s=self._heartbeat_s,
+            deadline_s=self._silence_s,
+        )
         self._outgoing[peer] = Outgoing(address, socket, state, fixed)
 
     def _replace(self, peer: str, outgoing: Outgoing) -> None:
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -14,7 +14,8 @@
     """A back end that runs tasks on one worker.
 
     ``kinds`` is empty when the target serves every kind that its failure
-    domain may serve.
+    domain may serve.  ``service`` is the pool that it belongs to.  With a
+    ``room``, processor and memory bound its tasks instead of slots.
     """
 
     name: str
@@ -22,6 +23,13 @@
     failure_domain: str
     slots: int
     kinds: frozenset[str]
+    service: str = ''
+    room: contracts.Room = contracts.NO_ROOM
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether room bounds the tasks, and not slots."""
+        return self.room != contracts.NO_ROOM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,28 +38,58 @@
 
     entry: str
     started_s: float
+    demand: contracts.Room = contracts.NO_ROOM
 
 
 class Slots:
-    """The slots of a target; each holds one running task or none."""
+    """The slots of a target; each holds one running task or none.
 
-    def __init__(self, count: int) -> None:
+    Where the target has room, the demands of its tasks bound their number
+    and ``count`` does not.
+    """
+
+    def __init__(
+        self, count: int, room: contracts.Room = contracts.NO_ROOM
+    ) -> None:
         self.count = count
+        self.room = room
+        self.free_room = room
         self.occupants: dict[contracts.TaskKey, Occupant] = {}
 
     @property
     def free(self) -> int:
-        """Return the number of slots without a task."""
+        """Return the number of slots without a task.
+
+        With room, whether any is left: 1 or 0.
+        """
+        if self.room != contracts.NO_ROOM:
+            return 1 if self.free_room.cpu_millis > 0 else 0
         return self.count - len(self.occupants)
 
-    def occupy(self, key: contracts.TaskKey, entry: str, now_s: float) -> None:
+    def fits(self, demand: contracts.Room) -> bool:
+        """Tell whether one more task with this demand may start."""
+        if self.room != contracts.NO_ROOM:
+            return self.free_room.covers(demand)
+        return self.free > 0
+
+    def occupy(
+        self,
+        key: contracts.TaskKey,
+        entry: str,
+        now_s: float,
+        demand: contracts.Room = contracts.NO_ROOM,
+    ) -> None:
         """Put a task into a free slot."""
-        if self.free <= 0:
+        if not self.fits(demand):
             raise ValueError(f'no free slot for task {key}')
         if key in self.occupants:
             raise ValueError(f'task {key} occupies a slot already')
-        self.occupants[key] = Occupant(entry, now_s)
+        self.occupants[key] = Occupant(entry, now_s, demand)
+        self.free_room = self.free_room.subtract(demand)
 
     def release(self, key: contracts.TaskKey) -> Occupant | None:
         """Free the slot of a task; None when it holds no slot."""
-        return self.occupants.pop(key, None)
+        occupant = self.occupants.pop(key, None)
+        if occupant is not None:
+            self.free_room = self.free_room.add(occupant.demand)
+        return occupant
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -4,6 +4,7 @@
 seen, so starts that are still on their way are counted exactly.
 """
 
+import collections
 import dataclasses
 from typing import Final
 
@@ -18,6 +19,8 @@
 RAMP_STEP_S: Final = 0.25
 # Below any queue that a policy may fill.
 FULL: Final = -1_000_000
+# Starts on their way to one target whose demands are remembered.
+MAX_TRAVELLING: Final = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +52,7 @@
     limit_s: float
     sent_s: float
     probed_s: float
+    demand: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +73,8 @@
     accepting: bool = False
     reported_free: int = 0
     free: int = 0
+    reported_room: contracts.Room = contracts.NO_ROOM
+    free_room: contracts.Room = contracts.NO_ROOM
     starts_sent: int = 0
     starts_seen: int = 0
     outstanding: dict[contracts.TaskKey, Outstanding] = dataclasses.field(
@@ -78,6 +84,10 @@
     allowance: int = FIRST_ALLOWANCE
     ramped_s: float = float('-inf')
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
+    # Demands of the latest starts, the newest last.
+    _demands: collections.deque[contracts.Room] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_TRAVELLING)
+    )
 
     @property
     def slowness(self) -> float:
@@ -86,9 +96,21 @@
             return 1.0
         return self.speed.ratio
 
-    def report(self, free: int, starts_seen: int) -> None:
+    def covers(self, demand: contracts.Room) -> bool:
+        """Tell whether a task would start at once, as far as is known."""
+        if not self.target.has_room:
+            return self.free > 0
+        return self.free > 0 and self.free_room.covers(demand)
+
+    def report(
+        self,
+        free: int,
+        starts_seen: int,
+        room: contracts.Room = contracts.NO_ROOM,
+    ) -> None:
         """Take the counts of a message of the agent."""
         self.reported_free = free
+        self.reported_room = room
         self.starts_seen = starts_seen
         if not self.outstanding:
             self.starts_sent = starts_seen
@@ -106,7 +128,7 @@
 
     def ramp(self) -> None:
         """Allow a target twice as many tasks, up to what it can use."""
-        if self.allowance <= self.target.slots * 2:
+        if self.allowance <= self._count_places() * 2:
             self.allowance *= 2
 
     def ramp_by_time(self, now_s: float) -> None:
@@ -117,6 +139,12 @@
             self.ramped_s = now_s
             self.ramp()
 
+    def _count_places(self) -> int:
+        """Return how many tasks the target can hold, at most."""
+        if self.target.has_room:
+            return MAX_TRAVELLING
+        return self.target.slots
+
     def block(self) -> None:
         """Take the target for full until it reports again."""
         self.reported_free = FULL
@@ -126,6 +154,7 @@
         """Record that a start was sent."""
         self.outstanding[key] = start
         self.starts_sent += 1
+        self._demands.append(start.demand)
         self._estimate_free()
 
     def settle(self, key: contracts.TaskKey) -> Outstanding | None:
@@ -137,4 +166,12 @@
     def _estimate_free(self) -> None:
         travelling = self.starts_sent - self.starts_seen
         travelling = min(max(0, travelling), len(self.outstanding))
-        self.free = self.reported_free - travelling
+        if not self.target.has_room:
+            self.free = self.reported_free - travelling
+            return
+        self.free = self.reported_free
+        self.free_room = self.reported_room
+        for position in range(min(travelling, len(self._demands))):
+            self.free_room = self.free_room.subtract(
+                self._demands[-1 - position]
+            )
--- a/eelgrassworks/placement.py
+++ b/eelgrassworks/placement.py
@@ -67,6 +67,7 @@
     policy: Policy,
     views: list[machines.TargetView],
     key: contracts.TaskKey,
+    demand: contracts.Room = contracts.NO_ROOM,
 ) -> machines.TargetView | None:
     """Return the target to send a task to, or None to let it wait."""
     if not views:
@@ -83,11 +84,14 @@
         case LeastOutstanding(learnt):
             return min(views, key=lambda view: _weigh_load(view, learnt))
         case LateBinding(learnt, prefetch):
-            return _choose_free(views, learnt, prefetch)
+            return _choose_free(views, learnt, prefetch, demand)
 
 
 def _choose_free(
-    views: list[machines.TargetView], learnt: bool, prefetch: int
+    views: list[machines.TargetView],
+    learnt: bool,
+    prefetch: int,
+    demand: contracts.Room,
 ) -> machines.TargetView | None:
     """Return the fastest target with a free slot, or the shortest queue.
 
@@ -102,12 +106,12 @@
         if free <= -prefetch or view.is_ramping:
             continue
         slowness = view.slowness if learnt else 1.0
-        if free > 0:
-            weight = (slowness, -free)
+        if view.covers(demand):
+            weight = (slowness, -free - view.free_room.cpu_millis)
             if weight < least:
                 fastest, least = view, weight
         elif fastest is None:
-            wait = (1 - free) / view.target.slots * slowness
+            wait = (1 - free) / max(1, view.target.slots) * slowness
             if wait < least_wait:
                 shortest, least_wait = view, wait
     return fastest or shortest
--- /dev/null
+++ b/eelgrassworks/platform/ingress.py
@@ -0,0 +1,196 @@
+"""Requests of the platform's callers, as submissions of the product."""
+
+import hashlib
+from typing import Final
+
+from aiohttp import web
+import msgspec
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import entryprocess
+from eelgrassworks import errors
+from eelgrassworks import locator
+from eelgrassworks.platform import nodefile
+from eelgrassworks.platform import wire
+
+# All callers of the platform share one workspace.
+TEAM: Final = 'callers'
+DEADLINE_HEADER: Final = 'X-Eelgrassworks-Deadline-Ms'
+BODY_LIMIT_BYTES: Final = 262_144
+ID_LENGTH: Final = 16
+# Bound on how long a caller's own limit is believed.
+LONGEST_LIMIT_S: Final = 120.0
+_JOB_DECODER: Final = msgspec.json.Decoder(wire.Job)
+
+
+class Ingress:
+    """Serves callers and the platform's readiness check."""
+
+    def __init__(
+        self, owner: entryprocess.EntryProcess, node: wire.NodeFile
+    ) -> None:
+        self._owner = owner
+        self._node = node
+        self._revision = 0
+        self._locator = locator.Locator(contracts.Sheet({}, {}))
+
+    async def open(self) -> None:
+        """Begin to serve."""
+        callers = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        callers.router.add_route('*', '/{path:.*}', self._serve)
+        host, port = nodefile.split_address(self._node.listen.front)
+        await self._owner.listen(callers, host, port, follows_callers=True)
+        checks = web.Application()
+        checks.router.add_get('/api/ready', self._show_ready)
+        host, port = nodefile.split_address(self._node.listen.ready)
+        await self._owner.listen(checks, host, port)
+
+    async def close(self) -> None:
+        """Do nothing; the process closes its listeners."""
+
+    async def _show_ready(self, _: web.Request) -> web.Response:
+        return web.Response(status=200 if self._owner.is_ready() else 503)
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        session = self._owner.entry.session
+        configuration = session.configuration
+        if not configuration.revision:
+            return respond(
+                errors.refuse(errors.Code.UNAVAILABLE, limit_s=0)
+            )
+        if configuration.revision != self._revision:
+            self._revision = configuration.revision
+            self._locator = locator.Locator(configuration.sheet)
+        host = (request.headers.get('Host') or '').partition(':')[0]
+        kind = self._locator.find(host, request.path)
+        if kind is None:
+            return respond_unknown(self._owner.is_ready(), request.path)
+        task_id = request.path[len(kind.prefix) :]
+        match request.method:
+            case 'POST' if len(task_id) == ID_LENGTH:
+                return await self._submit(request, kind, task_id)
+            case 'GET' if not task_id:
+                waiting = self._owner.entry.dispatcher.count_waiting(kind.name)
+                return web.json_response({'pending': waiting})
+            case 'GET' | 'DELETE':
+                # No job is ever stored, so none is known by its id.
+                return web.Response(status=410)
+            case _:
+                return web.Response(status=400)
+
+    async def _submit(
+        self, request: web.Request, kind: contracts.Kind, job_id: str
+    ) -> web.Response:
+        body = await request.read()
+        try:
+            job = _JOB_DECODER.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return respond(
+                errors.refuse(
+                    errors.Code.BAD_BODY, expected='job', reason=error
+                )
+            )
+        feature = find_unsupported(job)
+        if feature:
+            return respond(
+                errors.refuse(errors.Code.UNSUPPORTED, feature=feature)
+            )
+        submission = make_submission(
+            job, kind, job_id, body, read_limit(request, kind)
+        )
+        number, future = self._owner.open_request()
+        self._owner.dispatch(entry.SubmitAsked(number, submission))
+        answer = await self._owner.await_reply(number, future)
+        return respond_answer(answer)
+
+
+def find_unsupported(job: wire.Job) -> str:
+    """Return what a job asks for that is not built; empty for nothing."""
+    if not job.best_effort:
+        return 'storage'
+    if job.repeats:
+        return 'repeats'
+    if len(job.phases) != 1:
+        return 'several steps'
+    step = job.phases[0]
+    features = {
+        'accelerators': step.gpu,
+        'gangs': step.gang or step.same_rack,
+        'labels': step.required_label,
+        'anti-affinity': step.anti_affinity,
+        'copies': step.speculative,
+        'lasting tasks': step.long_running or step.image or step.fills,
+    }
+    return next((name for name, wanted in features.items() if wanted), '')
+
+
+def make_submission(
+    job: wire.Job,
+    kind: contracts.Kind,
+    job_id: str,
+    body: bytes,
+    limit_s: float,
+) -> contracts.Submission:
+    """Return a job as the product knows it."""
+    step = job.phases[0]
+    return contracts.Submission(
+        job_id,
+        hashlib.blake2b(body, digest_size=16).hexdigest(),
+        TEAM,
+        kind.name,
+        (job.spec.encode(),) * step.count,
+        limit_s,
+        False,
+        transient=True,
+        demand=contracts.Room(step.cpu, step.mem_mb),
+        estimate_s=step.estimate_ms / 1000,
+    )
+
+
+def read_limit(request: web.Request, kind: contracts.Kind) -> float:
+    """Return how long the caller waits, in seconds."""
+    text = request.headers.get(DEADLINE_HEADER, '')
+    if not text.isdecimal() or not int(text):
+        return kind.time_limit_s
+    return min(int(text) / 1000, LONGEST_LIMIT_S)
+
+
+def respond_answer(answer: contracts.Answer) -> web.Response:
+    """Return the response for the answer of a job."""
+    match answer:
+        case contracts.Complete():
+            return web.json_response({'state': 'complete'})
+        case contracts.Failed(refusal) if (
+            refusal.code == errors.Code.TASK_FAILED
+        ):
+            return web.json_response({'state': 'failed'})
+        case contracts.Failed():
+            # It may have run, so nothing is promised.
+            return web.Response(status=504)
+        case contracts.NotRun(refusal):
+            return respond(refusal)
+
+
+def respond_unknown(sure: bool, path: str) -> web.Response:
+    """Refuse a path without a kind, if the configuration is the newest."""
+    if not sure:
+        return respond(errors.refuse(errors.Code.UNAVAILABLE, limit_s=0))
+    return respond(
+        errors.refuse(errors.Code.NOT_FOUND, what='queue', name=path)
+    )
+
+
+def respond(refusal: errors.Refusal) -> web.Response:
+    """Return the response for a request that did not run."""
+    described = errors.describe(refusal)
+    status = described.status
+    # 429 and 503 say that a job never runs; so does any refusal here.
+    if status not in (400, 404, 413, 429):
+        status = 503
+    headers = {}
+    if status in (429, 503):
+        headers['Retry-After'] = '1'
+    return web.json_response(
+        {'error': described.detail}, status=status, headers=headers
+    )
--- /dev/null
+++ b/eelgrassworks/platform/nodefile.py
@@ -0,0 +1,119 @@
+"""Reads the platform's settings file and makes the product's settings."""
+
+import os
+import pathlib
+from typing import Final
+
+import msgspec
+
+from eelgrassworks import errors
+from eelgrassworks import settings
+from eelgrassworks.platform import wire
+
+PATH_VARIABLE: Final = 'EELGRASSWORKS_NODE_FILE'
+# The platform gives no secret; this tells clusters of other software apart.
+LINK_KEY: Final = 'eelgrassworks-on-the-platform'
+# Offsets within the ports that are free for the project's own use.
+ENTRY_PORT: Final = 0
+CONTROL_PORT: Final = 1
+AGENT_PORT: Final = 2
+# The product's own HTTP interface of each role.
+HTTP_OFFSET: Final = 3
+DEFAULT_LEASE_MS: Final = 5000
+
+
+def read_node_file() -> wire.NodeFile:
+    """Return the settings file; raises Fault when it cannot be used."""
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        data = pathlib.Path(path).read_bytes()
+        return msgspec.json.decode(data, type=wire.NodeFile)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise errors.Fault(
+            errors.refuse(errors.Code.BAD_SETTING, key=path, reason=error)
+        ) from error
+
+
+def list_replicas(node: wire.NodeFile) -> dict[str, str]:
+    """Return the control replicas that the seeds name, by their address.
+
+    A replica goes by its IP address, since that is all a seed tells.
+    """
+    port = node.port_range[0] + CONTROL_PORT
+    hosts = [seed.rpartition(':')[0] for seed in node.seeds]
+    return {host: f'tcp://{host}:{port}' for host in hosts}
+
+
+def make_control(node: wire.NodeFile) -> settings.ControlSettings:
+    """Return the settings of a control replica."""
+    address = _make_address(node, CONTROL_PORT)
+    return settings.ControlSettings(
+        name=node.ip,
+        vm=_make_vm(node),
+        listen=address,
+        http=_make_http(node, CONTROL_PORT),
+        key=LINK_KEY,
+        data_folder=node.data_dir or '',
+        replicas={**list_replicas(node), node.ip: address},
+        open_members=True,
+        # Enough that the tolerated losses leave a majority.
+        voters=2 * node.fault_tolerance.get('machines', 1) + 1,
+        lease_ttl_s=node.bounds.get('evacuateMs', DEFAULT_LEASE_MS) / 1000,
+        repair_folder=True,
+    )
+
+
+def make_entry(node: wire.NodeFile) -> settings.EntrySettings:
+    """Return the settings of an entry."""
+    return settings.EntrySettings(
+        name=node.node,
+        vm=_make_vm(node),
+        listen=_make_address(node, ENTRY_PORT),
+        http=_make_http(node, ENTRY_PORT),
+        key=LINK_KEY,
+        replicas=list_replicas(node),
+    )
+
+
+def make_worker(node: wire.NodeFile) -> settings.WorkerModel:
+    """Return the worker that an agent runs on."""
+    return settings.WorkerModel(
+        name=node.node, failure_domain=node.zone, region=node.region
+    )
+
+
+def make_agent_address(node: wire.NodeFile) -> str:
+    """Return the address at which an agent hears from other processes."""
+    return _make_address(node, AGENT_PORT)
+
+
+def split_address(address: str | None) -> tuple[str, int]:
+    """Return host and port of an address that the role needs.
+
+    Raises Fault when the settings do not give it.
+    """
+    if not address:
+        raise errors.Fault(
+            errors.refuse(
+                errors.Code.BAD_SETTING,
+                key='listen',
+                reason='an address of the role is missing',
+            )
+        )
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _make_address(node: wire.NodeFile, offset: int) -> str:
+    return f'tcp://{node.ip}:{node.port_range[0] + offset}'
+
+
+def _make_http(node: wire.NodeFile, offset: int) -> settings.HttpModel:
+    port = node.port_range[0] + HTTP_OFFSET + offset
+    return settings.HttpModel(host=node.ip, port=port)
+
+
+def _make_vm(node: wire.NodeFile) -> settings.VmModel:
+    return settings.VmModel(
+        name=node.node, failure_domain=node.zone, region=node.region
+    )
--- /dev/null
+++ b/eelgrassworks/platform/reports.py
@@ -0,0 +1,67 @@
+"""Liveness reports of the target beside an agent."""
+
+from aiohttp import web
+import msgspec
+
+from eelgrassworks import contracts
+from eelgrassworks import heldagentprocess
+from eelgrassworks import heldtarget
+from eelgrassworks import logs
+from eelgrassworks.platform import nodefile
+from eelgrassworks.platform import wire
+
+STATES = frozenset({'ready', 'draining'})
+
+
+class Reports:
+    """Serves the target at its agent."""
+
+    def __init__(
+        self, owner: heldagentprocess.HeldAgentProcess, node: wire.NodeFile
+    ) -> None:
+        self._owner = owner
+        self._node = node
+
+    async def open(self) -> None:
+        """Begin to serve."""
+        application = web.Application()
+        router = application.router
+        router.add_post('/api/instances/{id}/heartbeat', self._take_report)
+        router.add_post('/api/instances/{id}/deregister', self._take_leave)
+        host, port = nodefile.split_address(self._node.listen.control)
+        await self._owner.listen(application, host, port)
+
+    async def close(self) -> None:
+        """Do nothing; the process closes its listeners."""
+
+    async def _take_report(self, request: web.Request) -> web.Response:
+        try:
+            report = parse_report(
+                request.match_info['id'], await request.read()
+            )
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logs.log('report_invalid', reason=str(error))
+            return web.Response(status=400)
+        self._owner.take_report(report)
+        return web.json_response({})
+
+    async def _take_leave(self, request: web.Request) -> web.Response:
+        self._owner.take_departure(request.match_info['id'])
+        return web.json_response({})
+
+
+def parse_report(name: str, body: bytes) -> heldtarget.TargetReport:
+    """Decode a report; raises MsgspecError when it is not one."""
+    beat = msgspec.json.decode(body, type=wire.Beat)
+    if beat.state not in STATES:
+        raise msgspec.ValidationError(f'state {beat.state!r} is unknown')
+    return heldtarget.TargetReport(
+        heldtarget.Life(name, beat.born),
+        beat.seq,
+        beat.service,
+        beat.zone,
+        contracts.Room(beat.capacity.cpu, beat.capacity.mem_mb),
+        tuple(beat.labels),
+        beat.clock_ms,
+        beat.state == 'draining',
+    )
--- /dev/null
+++ b/eelgrassworks/platform/runnerlink.py
@@ -0,0 +1,151 @@
+"""Calls of an agent to the target beside it."""
+
+from typing import Any
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from eelgrassworks import heldtarget
+from eelgrassworks import logs
+from eelgrassworks.platform import wire
+
+# How a run ended through its own fault or the target's.
+FAILED: Final = 'failed'
+DONE: Final = 'done'
+FENCE: Final = 'fence'
+CONNECTIONS: Final = 32
+_ANSWER: Final = msgspec.json.Decoder(wire.Hold)
+
+
+class RunnerLink:
+    """The one client of a target."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(
+        self, call: heldtarget.StartCall
+    ) -> heldtarget.StartTold | heldtarget.OrderUnanswered:
+        """Ask the target to start a task."""
+        body = {
+            'task': format_task(call.name),
+            'run': call.attempt,
+            'spec': call.payload.decode(),
+            'deadlineMs': call.deadline_ms,
+            'fence': call.fence,
+        }
+        told = await self._call('/api/run-start', body, 0.0)
+        if not isinstance(told, tuple):
+            return heldtarget.OrderUnanswered(call.name, call.attempt)
+        status, answer = told
+        if status == 200:
+            return heldtarget.StartTold(call.name, call.attempt, True)
+        reason = answer.reason if status == 409 else f'status-{status}'
+        return heldtarget.StartTold(call.name, call.attempt, False, reason)
+
+    async def stop(
+        self, call: heldtarget.StopCall
+    ) -> heldtarget.StopTold | heldtarget.OrderUnanswered:
+        """Ask the target to stop a task."""
+        body = {
+            'task': format_task(call.name),
+            'run': call.attempt,
+            'fence': call.fence,
+        }
+        told = await self._call('/api/run-stop', body, 0.0)
+        if isinstance(told, tuple) and told[0] == 200:
+            return heldtarget.StopTold(call.name, call.attempt)
+        return heldtarget.OrderUnanswered(call.name, call.attempt)
+
+    async def hold(
+        self, call: heldtarget.HoldCall
+    ) -> (
+        heldtarget.HoldTold | heldtarget.HoldFenced | heldtarget.HoldUnanswered
+    ):
+        """Renew the lease and ask what runs and what has ended."""
+        body: dict[str, Any] = {'fence': call.fence, 'ackSeq': call.seen}
+        if call.deadline_ms is not None:
+            body['deadlineMs'] = call.deadline_ms
+        if call.wait_s:
+            body['waitMs'] = round(call.wait_s * 1000)
+        told = await self._call('/api/hold', body, call.wait_s)
+        if not isinstance(told, tuple):
+            return heldtarget.HoldUnanswered(told)
+        status, answer = told
+        if status == 409:
+            return heldtarget.HoldFenced(answer.clock_ms)
+        if status != 200:
+            return heldtarget.HoldUnanswered(False)
+        try:
+            return _make_hold_told(call.number, answer)
+        except (TypeError, ValueError, IndexError) as error:
+            logs.log('hold_invalid', reason=str(error))
+            return heldtarget.HoldUnanswered(False)
+
+    async def close(self) -> None:
+        """Close the connections to the target."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(
+        self, path: str, body: dict[str, Any], wait_s: float
+    ) -> tuple[int, wire.Hold] | bool:
+        """Return status and answer, or whether the connection was refused.
+
+        A call is made once; one without an answer may have been carried out.
+        """
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=CONNECTIONS),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+        patience_s = wait_s + heldtarget.ANSWER_PATIENCE_S
+        try:
+            async with self._session.post(
+                self._base + path,
+                data=msgspec.json.encode(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=aiohttp.ClientTimeout(total=patience_s),
+            ) as response:
+                data = await response.read()
+                return response.status, _ANSWER.decode(data or b'{}')
+        except aiohttp.ClientConnectorError:
+            return True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logs.log('answer_invalid', path=path, reason=str(error))
+            return False
+
+
+def format_task(name: heldtarget.TaskName) -> str:
+    """Return a task's name: job, occurrence, step and index."""
+    return f'{name.job}.0.0.{name.index}'
+
+
+def parse_task(text: str) -> heldtarget.TaskName:
+    """Return the task that a name stands for; raises ValueError."""
+    job, _, rest = text.partition('.')
+    return heldtarget.TaskName(job, int(rest.rpartition('.')[2]))
+
+
+def _make_hold_told(number: int, answer: wire.Hold) -> heldtarget.HoldTold:
+    return heldtarget.HoldTold(
+        number,
+        heldtarget.Life('', answer.born),
+        answer.clock_ms,
+        tuple((parse_task(row[0]), int(row[1])) for row in answer.running),
+        tuple(
+            heldtarget.Ended(
+                int(row[0]),
+                parse_task(row[1]),
+                int(row[2]),
+                row[3] == DONE,
+                row[3] == FAILED,
+                str(row[3]),
+            )
+            for row in answer.finished_runs
+        ),
+    )
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -9,6 +9,7 @@
 import signal
 from typing import Any
 from typing import Final
+from typing import Protocol
 
 from aiohttp import web
 
@@ -29,6 +30,16 @@
 MAX_FIELD_BYTES: Final = 8190
 
 
+class Front(Protocol):
+    """A front end beside the process's own, in another format."""
+
+    async def open(self) -> None:
+        """Begin to serve."""
+
+    async def close(self) -> None:
+        """Stop to serve."""
+
+
 class Process:
     """One process of the system, on one loop in one thread."""
 
@@ -48,6 +59,9 @@
         self.fault: errors.Refusal | None = None
         self._tick_handle: asyncio.TimerHandle | None = None
         self._flushed_s = 0.0
+        self.fronts: list[Front] = []
+        self._next_request = 0
+        self._requests: dict[int, asyncio.Future[Any]] = {}
         self._runners: list[web.AppRunner] = []
 
     # For the roles.
@@ -91,6 +105,44 @@
     async def close(self) -> None:
         """Close what the role itself opened."""
 
+    def reload(self) -> None:
+        """Read the settings again, where a front end has any to read."""
+        logs.log('reload_asked')
+
+    def make_left(self, request: int) -> object | None:
+        """Return the event for a caller that left, if the role has one."""
+        return None
+
+    # Requests of front ends.
+
+    def open_request(self) -> tuple[int, asyncio.Future[Any]]:
+        """Return the number of a new request and its future response."""
+        self._next_request += 1
+        future: asyncio.Future[Any] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._requests[self._next_request] = future
+        return self._next_request, future
+
+    async def await_reply(
+        self, request: int, future: asyncio.Future[Any]
+    ) -> Any:
+        """Wait for a response; tell the decisions if the caller leaves."""
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._requests.pop(request, None)
+            left = self.make_left(request)
+            if left is not None:
+                self.dispatch(left)
+            raise
+
+    def reply(self, request: int, response: object) -> None:
+        """Answer a request, unless its caller has left."""
+        future = self._requests.pop(request, None)
+        if future is not None and not future.done():
+            future.set_result(response)
+
     # Events and effects.
 
     def dispatch(self, event: object) -> None:
@@ -109,6 +161,8 @@
                     self.link.connect(peer, address)
                 case effects.Log(event, fields):
                     logs.log(event, **fields)
+                case effects.Reply(request, response):
+                    self.reply(request, response)
                 case effects.Leave():
                     logs.log('left')
                     self.ended.set()
@@ -133,6 +187,8 @@
     async def start(self) -> None:
         """Begin to receive and to tick."""
         self.link.start(self.receive)
+        for front in self.fronts:
+            await front.open()
         self._tick()
         logs.log('started')
 
@@ -158,6 +214,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
 
     async def run(self) -> int:
         """Run until the process ends; return its exit status."""
@@ -175,6 +232,8 @@
         if self.fault is None:
             # Lets the sockets hand over the last frames.
             await asyncio.sleep(LINGER_S)
+        for front in self.fronts:
+            await front.close()
         for runner in self._runners:
             await runner.cleanup()
         self.link.close()
@@ -189,8 +248,22 @@
         """Serve an application; return the port that it listens on."""
         application.router.add_get('/live', self._show_live)
         application.router.add_get('/ready', self._show_ready)
+        return await self.listen(application, host, port)
+
+    async def listen(
+        self,
+        application: web.Application,
+        host: str,
+        port: int,
+        follows_callers: bool = False,
+    ) -> int:
+        """Serve just what an application holds; return its port.
+
+        With ``follows_callers`` a request ends when its caller leaves.
+        """
         runner = web.AppRunner(
             application,
+            handler_cancellation=follows_callers,
             access_log=None,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_FIELD_BYTES,
--- a/eelgrassworks/queues.py
+++ b/eelgrassworks/queues.py
@@ -14,11 +14,17 @@
 
 @dataclasses.dataclass(slots=True)
 class QueuedJob:
-    """The tasks of one job that wait, in the order of their indices."""
+    """The tasks of one job that wait, in the order of their indices.
+
+    ``due_s`` is the latest start that still meets the job's objective;
+    within a team the job that is due first goes first.
+    """
 
     submission: str
     kind: str
     indices: collections.deque[int]
+    due_s: float = 0.0
+    demand: contracts.Room = contracts.NO_ROOM
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,24 +60,38 @@
         return 0 if queue is None else queue.waiting
 
     def add(
-        self, team_name: str, submission: str, kind: str, count: int
+        self,
+        team_name: str,
+        submission: str,
+        kind: str,
+        count: int,
+        due_s: float = 0.0,
+        demand: contracts.Room = contracts.NO_ROOM,
     ) -> None:
-        """Queue all tasks of a job behind the other jobs of its team."""
+        """Queue all tasks of a job by its due time, then by arrival."""
         team = self._wake(team_name)
         team.jobs[submission] = QueuedJob(
-            submission, kind, collections.deque(range(count))
+            submission, kind, collections.deque(range(count)), due_s, demand
         )
         team.waiting += count
         self.length += count
 
     def put_back(
-        self, team_name: str, submission: str, kind: str, index: int
+        self,
+        team_name: str,
+        submission: str,
+        kind: str,
+        index: int,
+        due_s: float = 0.0,
+        demand: contracts.Room = contracts.NO_ROOM,
     ) -> None:
         """Return a task that was not started to the front of its team."""
         team = self._wake(team_name)
         job = team.jobs.get(submission)
         if job is None:
-            job = QueuedJob(submission, kind, collections.deque())
+            job = QueuedJob(
+                submission, kind, collections.deque(), due_s, demand
+            )
             team.jobs = {submission: job, **team.jobs}
         job.indices.appendleft(index)
         team.waiting += 1
@@ -90,11 +110,14 @@
                 continue
             if team.max_running and team.running >= team.max_running:
                 continue
-            for job in team.jobs.values():
-                if job.kind not in blocked:
-                    best = (name, job)
-                    best_s = team.virtual_s
-                    break
+            first = min(
+                (job for job in team.jobs.values() if job.kind not in blocked),
+                key=_read_due,
+                default=None,
+            )
+            if first is not None:
+                best = (name, first)
+                best_s = team.virtual_s
         return best
 
     def take(self, team_name: str, job: QueuedJob) -> int:
@@ -139,3 +162,7 @@
         self.length -= count
         if not team.waiting:
             self._active.pop(name, None)
+
+
+def _read_due(job: QueuedJob) -> float:
+    return job.due_s
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -34,6 +34,8 @@
 TRANSFER_PATIENCE_S: Final = 1.0
 SNAPSHOT_PART_BYTES: Final = 256 * 1024
 PROMOTION_LAG: Final = 16
+# Longer than a machine takes to restart, so that a restart replaces nobody.
+REPLACE_SILENT_S: Final = 3.0
 
 
 class Replica:
@@ -119,9 +121,11 @@
         return len(vouching) >= self.membership.majority
 
     def _others(self) -> list[str]:
-        return [
-            name for name in self.options.names if name != self.options.name
-        ]
+        members = self.members
+        known = dict.fromkeys(
+            (*self.options.names, *members.voters, *members.learners)
+        )
+        return [name for name in known if name != self.options.name]
 
     # Events.
 
@@ -163,8 +167,8 @@
                 return [effects.Send(peer, told)]
             case messages.StandingTold():
                 return self._take_standing(peer, message)
-            case messages.AdmissionAsked(disk):
-                return self._take_admission(peer, disk, moment)
+            case messages.AdmissionAsked(disk, address):
+                return self._take_admission(peer, disk, address, moment)
             case _:
                 return []
 
@@ -551,25 +555,27 @@
     # Membership changes.
 
     def _take_admission(
-        self, peer: str, disk: str, moment: moments.Moment
+        self, peer: str, disk: str, address: str, moment: moments.Moment
     ) -> effects.Effects:
-        """Replace the lost disk of a named replica by a learner."""
+        """Take a replica in as a learner, in place of its lost disk."""
         if not self.is_settled() or not self._members_committed():
             return []
-        if peer not in self.options.names or self.membership.holds_disk(
-            peer, disk
-        ):
+        may_join = self.options.is_open or peer in self.options.names
+        if not may_join or self.membership.holds_disk(peer, disk):
             return []
         members = self.members
         voters = {n: d for n, d in members.voters.items() if n != peer}
         learners = {**members.learners, peer: disk}
+        addresses = dict(members.addresses)
+        if address:
+            addresses[peer] = address
         if not voters:
             return []
         role = self.role
         if isinstance(role, roles.Leader):
             role.progress[peer] = roles.Progress(self.log.last_index + 1)
         self.counters['admissions'] += 1
-        change = commands.SetMembers(voters, learners)
+        change = commands.SetMembers(voters, learners, addresses)
         return self.propose([codec.pack(change)], moment)[1]
 
     def _members_committed(self) -> bool:
@@ -590,10 +596,36 @@
                 continue
             if moment.now_s - progress.contact_s > ELECTION_S:
                 continue
+            if self._is_full(members):
+                return self._retire(role, moment)
             learners = {n: d for n, d in members.learners.items() if n != name}
             voters = {**members.voters, name: disk}
             self.counters['promotions'] += 1
-            change = commands.SetMembers(voters, learners)
+            change = commands.SetMembers(voters, learners, members.addresses)
+            return self.propose([codec.pack(change)], moment)[1]
+        return []
+
+    def _is_full(self, members: commands.SetMembers) -> bool:
+        wanted = self.options.voters
+        return bool(wanted) and len(members.voters) >= wanted
+
+    def _retire(
+        self, role: roles.Leader, moment: moments.Moment
+    ) -> effects.Effects:
+        """Remove a silent voter, so that a learner can take its place."""
+        members = self.members
+        for name in members.voters:
+            if name == self.options.name:
+                continue
+            heard_s = max(role.progress[name].contact_s, role.since_s)
+            if moment.now_s - heard_s < REPLACE_SILENT_S:
+                continue
+            voters = {n: d for n, d in members.voters.items() if n != name}
+            addresses = {
+                n: a for n, a in members.addresses.items() if n != name
+            }
+            self.counters['retirements'] += 1
+            change = commands.SetMembers(voters, members.learners, addresses)
             return self.propose([codec.pack(change)], moment)[1]
         return []
 
@@ -669,7 +701,9 @@
         self._asked_s = moment.now_s
         disk = self.options.disk
         if not self.is_member:
-            asked: object = messages.AdmissionAsked(disk)
+            asked: object = messages.AdmissionAsked(
+                disk, self.options.address
+            )
         elif not self.has_standing:
             asked = messages.StandingAsked(disk)
         else:
@@ -846,6 +880,7 @@
     return errors.refuse(
         errors.Code.DATA_FOLDER,
         folder=disk,
+        damaged='yes',
         reason='it is older than the state it once acknowledged',
         remedy='empty the folder and start the replica; it rejoins as a '
         'learner',
--- a/eelgrassworks/roles.py
+++ b/eelgrassworks/roles.py
@@ -11,11 +11,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaOptions:
-    """Identity of a replica and the names of all replicas."""
+    """Identity of a replica and the names of all replicas.
+
+    With an ``address`` the members are open: replicas that the settings do
+    not name may join, up to ``voters`` of them vote, and a voter that stays
+    silent makes way for a learner that has caught up.
+    """
 
     name: str
     disk: str
     names: tuple[str, ...]
+    address: str = ''
+    voters: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether unnamed replicas may join."""
+        return bool(self.address)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/session.py
+++ b/eelgrassworks/session.py
@@ -55,6 +55,8 @@
             0, contracts.Sheet({}, {}), frozenset(), frozenset()
         )
         self.in_force_revision = 0
+        self.replicas = options.replicas
+        self.roster = messages.RosterTold({}, {})
         self.leader = options.replicas[0]
         self._leader_heard_s = float('-inf')
         self._renewed_s = float('-inf')
@@ -139,6 +141,20 @@
         self.configuration = configuration
         return True
 
+    def take_roster(self, roster: messages.RosterTold) -> effects.Effects:
+        """Take the processes that the leader knows; connect to replicas.
+
+        The replicas of the settings stay in use: a leader that was cut off
+        may tell an old roster.
+        """
+        self.roster = roster
+        known = dict.fromkeys((*roster.replicas, *self.options.replicas))
+        self.replicas = tuple(known)
+        return [
+            effects.Connect(name, address)
+            for name, address in roster.replicas.items()
+        ]
+
     def take_claims(self, told: messages.ClaimsTold) -> list[Any]:
         """Return the verdicts, or none when the request is settled."""
         if self._pending.pop(told.request, None) is None:
@@ -155,7 +171,7 @@
         """Turn to the leader that a replica named."""
         if not leader or leader == self.leader:
             return []
-        if leader not in self.options.replicas:
+        if leader not in self.replicas:
             return []
         self.leader = leader
         self._leader_heard_s = now_s
@@ -205,6 +221,8 @@
         return asked
 
     def _try_next_replica(self) -> None:
-        replicas = self.options.replicas
-        position = replicas.index(self.leader)
+        replicas = self.replicas
+        position = (
+            replicas.index(self.leader) if self.leader in replicas else -1
+        )
         self.leader = replicas[(position + 1) % len(replicas)]
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -93,6 +93,13 @@
     key: Key
     data_folder: str
     replicas: dict[Name, Address]
+    # Replicas that are not named may join, up to ``voters`` of them vote.
+    open_members: bool = False
+    voters: Annotated[int, msgspec.Meta(ge=0, le=9)] = 0
+    # How long nodes that hear nothing of a change may go on without it.
+    lease_ttl_s: Seconds = zones.LEASE_TTL_S
+    # An unusable folder is emptied, and the replica joins anew.
+    repair_folder: bool = False
     tokens: TokensModel = msgspec.field(default_factory=TokensModel)
     statsd: StatsdModel = msgspec.field(default_factory=StatsdModel)
 
--- a/eelgrassworks/zones/policy.py
+++ b/eelgrassworks/zones/policy.py
@@ -11,12 +11,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DomainPolicy:
-    """The projection of one configuration revision on one target."""
+    """The projection of one configuration revision on one target.
+
+    With ``any_kind`` the failure domain may serve every kind there is.
+    """
 
     revision: int
     open: bool
     draining: bool
     kinds: frozenset[str]
+    any_kind: bool = False
 
 
 def project_policy(
@@ -33,4 +37,5 @@
         failure_domain not in configuration.closed,
         target in configuration.draining,
         kinds,
+        len(kinds) == len(configuration.sheet.kinds),
     )
