--- a/eelgrassworks/journal.py
+++ b/eelgrassworks/journal.py
@@ -213,7 +213,7 @@
     def _read_journal(self) -> tuple[list[JournalRecord], int]:
         """Return the valid records and how many torn bytes were cut."""
         path = self.folder / JOURNAL_NAME
-        path.touch()
+        os.close(os.open(path, os.O_WRONLY | os.O_CREAT, 0o600))
         content = path.read_bytes()
         records: list[JournalRecord] = []
         position = 0
@@ -357,7 +357,7 @@
 
     def _refuse_write(self, error: OSError) -> errors.Refusal:
         return self._refuse(
-            f'a write failed: {error.strerror}',
+            f'a write failed: {error}',
             'free or replace the disk, then start the replica again',
         )
 
