Shed load by predicted wait, order late jobs last, give up useless ones

Ruled out: placement, since the targets were full. Change: a job that would start too late is refused when it comes; late jobs go behind those in time; a job whose answer is of no use any more is ended at once.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -606,9 +606,7 @@
     def _renew(self, now_s: float) -> effects.Effects:
         self._renewed_s = now_s
         target = self.options.target
-        accepting = (
-            not self.stopping and self.healthy and not self.draining
-        )
+        accepting = not self.stopping and self.healthy and not self.draining
         return [
             effects.Send(
                 entry,
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -17,6 +17,7 @@
 from eelgrassworks import machines
 from eelgrassworks import placement
 from eelgrassworks import queues
+from eelgrassworks import shedding
 from eelgrassworks import zones
 from eelgrassworks.links import messages
 
@@ -89,6 +90,7 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._cancels: dict[str, list[str]] = {}
         self._wanted = 0
+        self._start_rate = shedding.StartRate()
 
     # Configuration and capacity.
 
@@ -172,8 +174,16 @@
             len(submission.payloads),
             job.due_s,
             submission.demand,
+            submission.estimate_s,
         )
 
+    def predict_wait(self, team: str, due_s: float, now_s: float) -> float:
+        """Predict when a job that is due then would start, in seconds."""
+        ahead = self.queue.measure_ahead(team, due_s, now_s)
+        if not ahead:
+            return 0.0
+        return shedding.predict_wait(ahead, self._start_rate.measure(now_s))
+
     def put_back(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
         submission = job.submission
@@ -184,6 +194,7 @@
             index,
             job.due_s,
             submission.demand,
+            submission.estimate_s,
         )
 
     def remove(self, job: jobs.Job) -> None:
@@ -212,7 +223,7 @@
         blocked: set[str] = set()
         serving: dict[str, list[machines.TargetView]] = {}
         while self.queue.length:
-            picked = self.queue.pick(blocked)
+            picked = self.queue.pick(blocked, now_s)
             if picked is None:
                 return asked
             team, queued = picked
@@ -280,6 +291,9 @@
             ),
         )
         self._find_breaker(view, kind).note_sent(now_s)
+        self._start_rate.note(
+            submission.demand.cpu_millis / 1000 * submission.estimate_s, now_s
+        )
         self.counters['starts_sent'] += 1
         start = messages.TaskStart(
             key.submission,
@@ -368,9 +382,7 @@
                     policy.revision,
                     policy.open,
                     policy.draining,
-                    ()
-                    if known or any_kind
-                    else tuple(sorted(policy.kinds)),
+                    () if known or any_kind else tuple(sorted(policy.kinds)),
                     any_kind,
                 ),
             )
@@ -524,9 +536,7 @@
         outcomes: list[Outcome] = []
         for peer, view in list(self.views.items()):
             silence_s = now_s - view.heard_s
-            if view.target.has_room and silence_s > HOLD_CHAIN_S:
-                outcomes += self._lose(peer)
-            elif silence_s > AGENT_LOST_S:
+            if view.target.has_room and silence_s > HOLD_CHAIN_S or silence_s > AGENT_LOST_S:
                 outcomes += self._lose(peer)
             elif silence_s > AGENT_SILENCE_S:
                 view.suspect = True
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 from typing import Final
 
 from eelgrassworks import answers
@@ -21,6 +22,7 @@
 from eelgrassworks import jobs
 from eelgrassworks import placement
 from eelgrassworks import session
+from eelgrassworks import shedding
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 
@@ -28,8 +30,6 @@
 # A gap between two ticks after which callers may have turned elsewhere:
 # shorter than a lease of an entry at an agent.
 PAUSE_S: Final = 0.5
-# Transient jobs are worth something until this many times their objective.
-LATE_FACTOR: Final = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,9 +141,7 @@
         paused = self._end_after_pause(now_s)
         return paused + self._take_event(event, now_s)
 
-    def _take_event(
-        self, event: EntryEvent, now_s: float
-    ) -> effects.Effects:
+    def _take_event(self, event: EntryEvent, now_s: float) -> effects.Effects:
         match event:
             case Received(peer, incarnation, received):
                 asked = []
@@ -178,7 +176,7 @@
         if job is not None:
             self.counters['resubmissions'] += 1
             return self._attach_local(request, submission.digest, job)
-        refusal = self._find_refusal(submission)
+        refusal = self._find_refusal(submission, now_s)
         if refusal is None:
             return self._admit(request, submission, now_s)
         self.counters[f'refused_{refusal.code}'] += 1
@@ -196,9 +194,7 @@
             now_s,
         )
 
-    def _scope(
-        self, submission: contracts.Submission
-    ) -> contracts.Submission:
+    def _scope(self, submission: contracts.Submission) -> contracts.Submission:
         """Give a transient job an id that no other owner uses.
 
         A caller's id may be submitted again here or elsewhere once the
@@ -224,7 +220,7 @@
         return []
 
     def _find_refusal(
-        self, submission: contracts.Submission
+        self, submission: contracts.Submission, now_s: float
     ) -> errors.Refusal | None:
         """Return why a job is not admitted; None when it is."""
         configuration = self.session.configuration
@@ -251,7 +247,7 @@
                 revision=configuration.revision,
             )
         if submission.transient:
-            return self._find_transient_refusal(submission, count)
+            return self._find_transient_refusal(submission, kind, now_s)
         if not kind.repeatable and not submission.claimed:
             return errors.refuse(errors.Code.ID_REQUIRED, kind=kind.name)
         queue = self.dispatcher.queue
@@ -262,15 +258,26 @@
         return self._find_overload(submission, count)
 
     def _find_transient_refusal(
-        self, submission: contracts.Submission, count: int
+        self,
+        submission: contracts.Submission,
+        kind: contracts.Kind,
+        now_s: float,
     ) -> errors.Refusal | None:
-        """Return why a transient job cannot be served now."""
+        """Return why a transient job cannot be served in time."""
         queued = self.dispatcher.queue.length
-        if queued + count > MAX_QUEUED_TASKS:
+        schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
+        wait_s = self.dispatcher.predict_wait(
+            submission.team, schedule.due_s, now_s
+        )
+        count = len(submission.payloads)
+        if queued + count > MAX_QUEUED_TASKS or shedding.should_refuse(
+            schedule, wait_s, now_s
+        ):
             return errors.refuse(
                 errors.Code.OVERLOADED,
                 queued=queued,
-                limit_s=submission.time_limit_s,
+                limit_s=round(schedule.due_s - now_s, 3),
+                retry_s=math.ceil(shedding.advise_retry(wait_s)),
             )
         if not self.dispatcher.can_hold(submission.kind, submission.demand):
             return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
@@ -320,8 +327,12 @@
         """Set when a transient job is due."""
         submission = job.submission
         kind = self.session.configuration.sheet.kinds[submission.kind]
-        slack_s = (kind.stretch - 1.0) * submission.estimate_s
-        job.due_s = now_s + slack_s + kind.objective_s
+        schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
+        job.due_s = schedule.due_s
+        job.useless_s = schedule.useless_s
+        # Started tasks go on beyond this time, waiting ones do not.
+        give_up_s = schedule.useless_s - submission.estimate_s
+        heapq.heappush(self._deadlines, (give_up_s, submission.id))
         caller_id = submission.id.partition('/')[0]
         self._transient[caller_id] = submission.id
 
@@ -680,6 +691,16 @@
             if job.state == jobs.JobState.CLAIMING:
                 undecided = answers.refuse_undecided(inquiries.CLAIM_WAIT_S)
                 asked += self._drop_job(job, undecided)
+            elif self._is_useless(job, now_s):
+                self.counters['jobs_given_up'] += 1
+                asked += self._break_job(
+                    job,
+                    errors.Code.OVERLOADED,
+                    now_s,
+                    queued=self.dispatcher.queue.length,
+                    limit_s=round(now_s - job.arrived_s, 3),
+                    retry_s=math.ceil(shedding.RETRY_MIN_S),
+                )
             elif job.answer is None and job.deadline_s <= now_s:
                 asked += self._break_job(
                     job,
@@ -689,6 +710,13 @@
                 )
         return asked
 
+    def _is_useless(self, job: jobs.Job, now_s: float) -> bool:
+        """Tell whether a job has tasks left that would end too late."""
+        if job.answer is not None or not job.submission.transient:
+            return False
+        end_s = now_s + job.submission.estimate_s
+        return end_s >= job.useless_s and job.is_waiting()
+
     def _place(self, now_s: float) -> effects.Effects:
         if not self.dispatcher.queue.length:
             return []
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -14,7 +14,6 @@
 
 from eelgrassworks import agent
 from eelgrassworks import clock
-from eelgrassworks import contracts
 from eelgrassworks import discovery
 from eelgrassworks import effects
 from eelgrassworks import heldtarget
--- a/eelgrassworks/heldtarget.py
+++ b/eelgrassworks/heldtarget.py
@@ -289,10 +289,7 @@
         return bool(
             not self.over
             and (
-                self._runs
-                or self._strange
-                or not self.clean
-                or not self.sound
+                self._runs or self._strange or not self.clean or not self.sound
             )
         )
 
@@ -464,9 +461,7 @@
                 continue
             del self._runs[end.name]
             stopped = not end.succeeded and not end.failed
-            asked.append(
-                RunOver(run.key, end.succeeded, stopped, end.reason)
-            )
+            asked.append(RunOver(run.key, end.succeeded, stopped, end.reason))
         return asked
 
     def _compare(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
@@ -502,9 +497,7 @@
             return True
         return not run.confirmed and told.clock_ms > run.deadline_ms
 
-    def _take_silence(
-        self, refused: bool, now_s: float
-    ) -> list[HeldEffect]:
+    def _take_silence(self, refused: bool, now_s: float) -> list[HeldEffect]:
         self.counters['holds_unanswered'] += 1
         if refused:
             self._refusals += 1
@@ -537,9 +530,7 @@
     def _end_runs(self, reason: str) -> list[HeldEffect]:
         """Take every run for ended: leases have run out, or the life."""
         runs, self._runs = self._runs, {}
-        return [
-            RunOver(run.key, False, True, reason) for run in runs.values()
-        ]
+        return [RunOver(run.key, False, True, reason) for run in runs.values()]
 
     def _end_life(self, reason: str) -> list[HeldEffect]:
         self.over = True
--- a/eelgrassworks/jobs.py
+++ b/eelgrassworks/jobs.py
@@ -38,7 +38,8 @@
     of other entries that receive the answer.  ``attempts`` counts the fenced
     starts of a task, ``objections`` those that were not for want of a slot,
     ``failures`` the runs that failed by themselves.  ``due_s`` is the latest
-    start that still meets the objective.
+    start that still meets the objective; an answer after ``useless_s`` is of
+    no use.
     """
 
     submission: contracts.Submission
@@ -56,6 +57,7 @@
     remaining: int = 0
     ended_s: float = 0.0
     due_s: float = 0.0
+    useless_s: float = float('inf')
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
 
     def activate(self) -> None:
@@ -86,6 +88,10 @@
         self.remaining -= 1
         return self.remaining == 0
 
+    def is_waiting(self) -> bool:
+        """Tell whether any task is neither sent nor done."""
+        return TaskState.WAITING in self.tasks
+
     def may_have_run(self) -> bool:
         """Tell whether any task was sent and not fenced, or is done."""
         return any(state != TaskState.WAITING for state in self.tasks)
--- a/eelgrassworks/links/codec.py
+++ b/eelgrassworks/links/codec.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 import hmac
-import zlib
 from typing import Any
 from typing import Final
+import zlib
 
 import msgspec
 
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -56,9 +56,7 @@
         session = self._owner.entry.session
         configuration = session.configuration
         if not configuration.revision:
-            return respond(
-                errors.refuse(errors.Code.UNAVAILABLE, limit_s=0)
-            )
+            return respond(errors.refuse(errors.Code.UNAVAILABLE, limit_s=0))
         if configuration.revision != self._revision:
             self._revision = configuration.revision
             self._locator = locator.Locator(configuration.sheet)
@@ -190,7 +188,7 @@
         status = 503
     headers = {}
     if status in (429, 503):
-        headers['Retry-After'] = '1'
+        headers['Retry-After'] = refusal.values.get('retry_s', '1')
     return web.json_response(
         {'error': described.detail}, status=status, headers=headers
     )
--- a/eelgrassworks/queues.py
+++ b/eelgrassworks/queues.py
@@ -16,8 +16,10 @@
 class QueuedJob:
     """The tasks of one job that wait, in the order of their indices.
 
-    ``due_s`` is the latest start that still meets the job's objective;
-    within a team the job that is due first goes first.
+    ``due_s`` is the latest start that still meets the job's objective.
+    Within a team the job that is due first goes first; jobs whose due time
+    has passed come behind all others, the latest of them first, since it is
+    the one that may still be of use.
     """
 
     submission: str
@@ -25,6 +27,13 @@
     indices: collections.deque[int]
     due_s: float = 0.0
     demand: contracts.Room = contracts.NO_ROOM
+    estimate_s: float = 0.0
+
+    @property
+    def work(self) -> float:
+        """Return the declared work that waits, in processor-seconds."""
+        cpu_s = self.demand.cpu_millis / 1000 * self.estimate_s
+        return len(self.indices) * cpu_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,11 +76,17 @@
         count: int,
         due_s: float = 0.0,
         demand: contracts.Room = contracts.NO_ROOM,
+        estimate_s: float = 0.0,
     ) -> None:
         """Queue all tasks of a job by its due time, then by arrival."""
         team = self._wake(team_name)
         team.jobs[submission] = QueuedJob(
-            submission, kind, collections.deque(range(count)), due_s, demand
+            submission,
+            kind,
+            collections.deque(range(count)),
+            due_s,
+            demand,
+            estimate_s,
         )
         team.waiting += count
         self.length += count
@@ -84,20 +99,44 @@
         index: int,
         due_s: float = 0.0,
         demand: contracts.Room = contracts.NO_ROOM,
+        estimate_s: float = 0.0,
     ) -> None:
         """Return a task that was not started to the front of its team."""
         team = self._wake(team_name)
         job = team.jobs.get(submission)
         if job is None:
             job = QueuedJob(
-                submission, kind, collections.deque(), due_s, demand
+                submission,
+                kind,
+                collections.deque(),
+                due_s,
+                demand,
+                estimate_s,
             )
             team.jobs = {submission: job, **team.jobs}
         job.indices.appendleft(index)
         team.waiting += 1
         self.length += 1
 
-    def pick(self, blocked: set[str]) -> tuple[str, QueuedJob] | None:
+    def measure_ahead(
+        self, team_name: str, due_s: float, now_s: float
+    ) -> float:
+        """Return the work of a team that goes before a job due later.
+
+        The result is in processor-seconds.
+        """
+        team = self.teams.get(team_name)
+        if team is None:
+            return 0.0
+        return sum(
+            job.work
+            for job in team.jobs.values()
+            if now_s <= job.due_s < due_s
+        )
+
+    def pick(
+        self, blocked: set[str], now_s: float = float('-inf')
+    ) -> tuple[str, QueuedJob] | None:
         """Return the team and job whose task goes next, without taking it.
 
         Jobs whose kind is in ``blocked`` are passed over.
@@ -112,7 +151,7 @@
                 continue
             first = min(
                 (job for job in team.jobs.values() if job.kind not in blocked),
-                key=_read_due,
+                key=lambda job: _rank(job, now_s),
                 default=None,
             )
             if first is not None:
@@ -164,5 +203,6 @@
             self._active.pop(name, None)
 
 
-def _read_due(job: QueuedJob) -> float:
-    return job.due_s
+def _rank(job: QueuedJob, now_s: float) -> tuple[bool, float]:
+    late = job.due_s < now_s
+    return late, -job.due_s if late else job.due_s
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -701,9 +701,7 @@
         self._asked_s = moment.now_s
         disk = self.options.disk
         if not self.is_member:
-            asked: object = messages.AdmissionAsked(
-                disk, self.options.address
-            )
+            asked: object = messages.AdmissionAsked(disk, self.options.address)
         elif not self.has_standing:
             asked = messages.StandingAsked(disk)
         else:
