Say that a job may have run once any of its runs has ended

Change: a run that ended marks its job. The test fails without it. Tests of transient jobs under kills, freezes and cuts; five of nine rows fail without the lease of an entry at an agent.

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -485,7 +485,7 @@
         if not job.submission.transient:
             return False
         self.counters['tasks_restarted'] += 1
-        job.note_unsent(key.index)
+        job.note_restart(key.index)
         self.put_back(job, key.index)
         return True
 
@@ -536,7 +536,8 @@
         outcomes: list[Outcome] = []
         for peer, view in list(self.views.items()):
             silence_s = now_s - view.heard_s
-            if view.target.has_room and silence_s > HOLD_CHAIN_S or silence_s > AGENT_LOST_S:
+            lost_s = HOLD_CHAIN_S if view.target.has_room else AGENT_LOST_S
+            if silence_s > lost_s:
                 outcomes += self._lose(peer)
             elif silence_s > AGENT_SILENCE_S:
                 view.suspect = True
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -550,7 +550,7 @@
         kind = self.session.configuration.sheet.kinds.get(job.submission.kind)
         if kind is None or failures >= kind.attempts:
             return False
-        job.note_unsent(index)
+        job.note_restart(index)
         self.dispatcher.put_back(job, index)
         return True
 
--- a/eelgrassworks/jobs.py
+++ b/eelgrassworks/jobs.py
@@ -39,7 +39,7 @@
     starts of a task, ``objections`` those that were not for want of a slot,
     ``failures`` the runs that failed by themselves.  ``due_s`` is the latest
     start that still meets the objective; an answer after ``useless_s`` is of
-    no use.
+    no use.  ``has_run`` stays set once any run of a task has ended.
     """
 
     submission: contracts.Submission
@@ -59,6 +59,7 @@
     due_s: float = 0.0
     useless_s: float = float('inf')
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
+    has_run: bool = False
 
     def activate(self) -> None:
         """Begin to gather outcomes."""
@@ -73,6 +74,11 @@
         self.tasks[index] = TaskState.SENT
         self.places[index] = target
 
+    def note_restart(self, index: int) -> None:
+        """Record that a run has ended without a result."""
+        self.has_run = True
+        self.note_unsent(index)
+
     def note_unsent(self, index: int) -> None:
         """Record that the sent start was fenced and did not happen."""
         self.tasks[index] = TaskState.WAITING
@@ -93,8 +99,10 @@
         return TaskState.WAITING in self.tasks
 
     def may_have_run(self) -> bool:
-        """Tell whether any task was sent and not fenced, or is done."""
-        return any(state != TaskState.WAITING for state in self.tasks)
+        """Tell whether any task was sent and not fenced, or has run."""
+        return self.has_run or any(
+            state != TaskState.WAITING for state in self.tasks
+        )
 
     def end(self, answer: contracts.Answer, now_s: float) -> None:
         """Fix the answer and drop what only gathering needed."""
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -125,7 +125,14 @@
         self._order = itertools.count()
         self._requests = itertools.count(1)
         self._factories: dict[str, Callable[[Node], Any]] = {}
-        self._running: dict[contracts.TaskKey, tuple[Node, int]] = {}
+        self._running: dict[contracts.TaskKey, tuple[Node, int, int]] = {}
+        # Starts of a task while an earlier run of it was still going on.
+        self.overlaps: list[tuple[float, contracts.TaskKey]] = []
+        # When each run began and ended.
+        self.intervals: list[tuple[float, float, contracts.TaskKey]] = []
+        self._began: dict[int, float] = {}
+        # How long runs outlive their agent; without limit if infinite.
+        self.hold_lease_s = float('inf')
 
     # Nodes.
 
@@ -180,20 +187,25 @@
         target: machines.Target,
         entries: tuple[str, ...],
         queue_limit: int = 10,
+        entry_ttl_s: float = float('inf'),
     ) -> None:
         """Add an agent with its target."""
 
         def make(node: Node) -> Any:
             return agent.Agent(
                 agent.AgentOptions(
-                    target, self._make_run(node), entries, queue_limit
+                    target,
+                    self._make_run(node),
+                    entries,
+                    queue_limit,
+                    entry_ttl_s,
                 )
             )
 
         self._add(Node(target.name, 'agent'), make)
 
     def _make_run(self, node: Node) -> int:
-        return node.run * 1000 + len(node.name)
+        return node.run * 1000 + list(self.nodes).index(node.name)
 
     def _add(self, node: Node, make: Callable[[Node], Any]) -> None:
         self.nodes[node.name] = node
@@ -219,6 +231,20 @@
         node = self.nodes[name]
         node.run += 1
         node.core = None
+        if self.hold_lease_s != float('inf'):
+            left = [
+                (key, token)
+                for key, (owner, _, token) in self._running.items()
+                if owner is node
+            ]
+            for key, token in left:
+                self._lapse(key, token)
+
+    def _lapse(self, key: contracts.TaskKey, token: int) -> None:
+        def end() -> None:
+            self._end_task(key, False, b'lapsed', True, token)
+
+        self.at(self.hold_lease_s, end)
 
     def lose_disk(self, name: str) -> None:
         """Empty the data folder of a dead node; it gets a new identity."""
@@ -325,7 +351,7 @@
                 case effects.StartTask():
                     self._start_task(node, effect)
                 case effects.StopTask(key):
-                    self._end_task(key, False, b'stopped')
+                    self._end_task(key, False, b'stopped', True)
                 case effects.Write() | effects.SaveSnapshot():
                     self._write(node, effect)
                 case effects.Halt():
@@ -377,16 +403,32 @@
         body = b'{}' if succeeded else b'failed'
         self.tally.runs.append((self.now_s, run_s, node.name))
 
-        self._running[key] = (node, node.run)
-        self.at(run_s, lambda: self._end_task(key, succeeded, body))
+        if key in self._running:
+            self.overlaps.append((self.now_s, key))
+        token = next(self._order)
+        self._running[key] = (node, node.run, token)
+        self._began[token] = self.now_s
+        self.at(
+            run_s,
+            lambda: self._end_task(key, succeeded, body, False, token),
+        )
 
     def _end_task(
-        self, key: contracts.TaskKey, succeeded: bool, body: bytes
+        self,
+        key: contracts.TaskKey,
+        succeeded: bool,
+        body: bytes,
+        stopped: bool = False,
+        token: int = 0,
     ) -> None:
-        running = self._running.pop(key, None)
-        if running is not None:
-            node, run = running
-            self._give(node, run, agent.TaskEnded(key, succeeded, body))
+        """End the run of a task; 0 stands for whichever there is."""
+        running = self._running.get(key)
+        if running is not None and token in (0, running[2]):
+            node, run, ended = self._running.pop(key)
+            began_s = self._began.pop(ended)
+            self.intervals.append((began_s, self.now_s, key))
+            ended = agent.TaskEnded(key, succeeded, body, stopped)
+            self._give(node, run, ended)
 
     def _write(
         self, node: Node, effect: effects.Write | effects.SaveSnapshot
--- /dev/null
+++ b/tests/test_transient.py
@@ -0,0 +1,293 @@
+"""Transient jobs: never two runs at a time, and truthful answers."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import errors
+from eelgrassworks import machines
+from eelgrassworks import virtual
+from tests import worlds
+
+# The settings of agents whose targets hold tasks under leases.
+ENTRY_TTL_S = 0.6
+HOLD_LEASE_S = 0.62
+# Callers submit again this long after they lost their answer.
+RESUBMIT_S = 1.3
+TASK_S = 2.5
+ROOM = contracts.Room(8000, 8192)
+DEMAND = contracts.Room(2000, 64)
+SHEET = contracts.Sheet(
+    {
+        'read': contracts.Kind(
+            'read',
+            worlds.ALL,
+            True,
+            20.0,
+            service='cover-check',
+            attempts=2,
+            stretch=4.0,
+            objective_s=5.0,
+        )
+    },
+    {'callers': contracts.Quota('callers', 1.0, 100_000, 0)},
+)
+
+
+def make_world(seed: int = 1, agents: int = 3) -> virtual.World:
+    """Return a world whose targets have room."""
+    world = virtual.World(seed)
+    world.hold_lease_s = HOLD_LEASE_S
+    world.add_control(worlds.CONTROLS)
+    for name in worlds.ENTRIES:
+        world.add_entry(name, worlds.CONTROLS)
+    for position in range(agents):
+        target = dataclasses.replace(
+            worlds.make_target(position, 0), service='cover-check', room=ROOM
+        )
+        world.add_agent(target, worlds.ENTRIES, 8, ENTRY_TTL_S)
+    worlds.change(
+        world,
+        'entry-1',
+        contracts.ReplaceSheet(1, SHEET, b'document'),
+        contracts.ANY_REVISION,
+        'sheet-1',
+    )
+    world.run_model = lambda *_: (TASK_S, True)
+    world.run(2.0)
+    return world
+
+
+def submit(
+    world: virtual.World,
+    entry_name: str,
+    job_id: str = 'aaaaaaaaaaaaaaaa',
+    tasks: int = 4,
+    limit_s: float = 9.0,
+) -> int:
+    """Submit a transient job; return the number of the request."""
+    submission = contracts.Submission(
+        job_id,
+        'digest',
+        'callers',
+        'read',
+        (b'spec',) * tasks,
+        limit_s,
+        False,
+        transient=True,
+        demand=DEMAND,
+        estimate_s=TASK_S,
+    )
+    return worlds.submit(world, entry_name, submission)
+
+
+def cut(world: virtual.World, one: str, two: str) -> None:
+    """Cut the link between two nodes both ways."""
+    world.cut |= {(one, two), (two, one)}
+
+
+def cut_entry(world: virtual.World) -> None:
+    """Cut an entry off from every agent."""
+    for position in range(3):
+        cut(world, 'entry-1', f'runner-{position + 1}')
+
+
+def cut_towards_agents(world: virtual.World) -> None:
+    """Drop what an entry sends to agents, and nothing else."""
+    world.cut |= {('entry-1', f'runner-{n + 1}') for n in range(3)}
+
+
+def cut_towards_entry(world: virtual.World) -> None:
+    """Drop what agents send to an entry, and nothing else."""
+    world.cut |= {(f'runner-{n + 1}', 'entry-1') for n in range(3)}
+
+
+def freeze_entry(world: virtual.World) -> None:
+    """Freeze an entry until after its caller has submitted again."""
+    world.freeze('entry-1')
+    world.at(RESUBMIT_S + 0.2, lambda: world.thaw('entry-1'))
+
+
+def freeze_agent(world: virtual.World) -> None:
+    """Freeze an agent; its target's leases run out by themselves."""
+    world.freeze('runner-1')
+    world.at(0.5, lambda: world.thaw('runner-1'))
+
+
+def restart_agent(world: virtual.World) -> None:
+    """Kill an agent and start it once its target's leases have ended."""
+    world.kill('runner-1')
+    world.at(HOLD_LEASE_S + 0.1, lambda: world.start('runner-1'))
+
+
+def restart_entry(world: virtual.World) -> None:
+    """Kill an entry and start it at once."""
+    world.kill('entry-1')
+    world.at(0.1, lambda: world.start('entry-1'))
+
+
+def kill_entry(world: virtual.World) -> None:
+    """Kill an entry for good."""
+    world.kill('entry-1')
+
+
+# What happens 0.5 s after a job came to entry-1, whether its caller loses
+# the answer and submits again at entry-2, and whether it must complete: an
+# entry that stays cut off cannot serve it.
+FAULTS: tuple[tuple[Callable[[virtual.World], None], bool, bool], ...] = (
+    (kill_entry, True, True),
+    (restart_entry, True, True),
+    (freeze_entry, True, True),
+    (cut_entry, True, True),
+    (cut_entry, False, False),
+    (cut_towards_agents, True, True),
+    (cut_towards_entry, True, True),
+    (freeze_agent, False, True),
+    (restart_agent, False, True),
+)
+
+# Objections that were seen: events after which a refusal must not say that
+# nothing has run.
+OUTCOMES: tuple[tuple[str, tuple[float, bool], bool], ...] = (
+    ('stopped', (TASK_S, True), True),
+    ('failed', (0.05, False), True),
+)
+
+
+@ddt.ddt
+class TransientTest(unittest.TestCase):
+    @ddt.data(*FAULTS)
+    @ddt.unpack
+    def test_never_two_runs_at_a_time(
+        self,
+        fault: Callable[[virtual.World], None],
+        resubmits: bool,
+        completes: bool,
+    ) -> None:
+        for seed in range(1, 6):
+            world = make_world(seed)
+            first = submit(world, 'entry-1')
+            world.run(0.5)
+            self.assertEqual(len(world.started_at), 4)
+            fault(world)
+            second = first
+            if resubmits:
+                world.run(RESUBMIT_S)
+                second = submit(world, 'entry-2')
+            answer = worlds.await_answer(world, second)
+            expected = contracts.Complete if completes else contracts.Failed
+            self.assertIsInstance(answer, expected)
+            self.assertEqual(find_overlaps(world), [])
+
+    def test_caller_that_leaves_stops_its_tasks(self) -> None:
+        world = make_world()
+        request = submit(world, 'entry-1')
+        world.run(0.5)
+        world.give('entry-1', entry.RequestLeft(request))
+        world.run(0.2)
+        for position in range(3):
+            agent = world.nodes[f'runner-{position + 1}'].core
+            self.assertEqual(agent.slots.occupants, {})
+            self.assertEqual(agent.slots.free_room, ROOM)
+
+    def test_second_submission_joins_an_open_job(self) -> None:
+        world = make_world()
+        requests = [submit(world, 'entry-1') for _ in range(2)]
+        for request in requests:
+            answer = worlds.await_answer(world, request)
+            self.assertIsInstance(answer, contracts.Complete)
+        self.assertEqual(len(world.started_at), 4)
+
+    def test_same_id_runs_again_after_its_end(self) -> None:
+        world = make_world()
+        for _ in range(2):
+            answer = worlds.await_answer(world, submit(world, 'entry-1'))
+            self.assertIsInstance(answer, contracts.Complete)
+        self.assertEqual(len(world.started_at), 8)
+
+    def test_room_is_never_exceeded(self) -> None:
+        world = make_world(agents=1)
+        requests = [
+            submit(world, name, f'{number:016x}', tasks=3, limit_s=30.0)
+            for number, name in enumerate(worlds.ENTRIES * 2)
+        ]
+        busiest = 0
+        for _ in range(200):
+            world.run(0.05)
+            occupants = world.nodes['runner-1'].core.slots.occupants
+            busiest = max(busiest, len(occupants))
+        self.assertEqual(busiest, ROOM.cpu_millis // DEMAND.cpu_millis)
+        for request in requests:
+            self.assertIn(request, world.replies)
+
+    def test_failing_task_is_tried_as_often_as_its_kind_allows(self) -> None:
+        world = make_world()
+        world.run_model = lambda *_: (0.05, False)
+        answer = worlds.await_answer(world, submit(world, 'entry-1', tasks=1))
+        self.assertEqual(answer.refusal.code, errors.Code.TASK_FAILED)
+        self.assertEqual(len(world.started_at), 2)
+
+    @ddt.data(*OUTCOMES)
+    @ddt.unpack
+    def test_refusal_tells_that_a_task_has_run(
+        self, how: str, model: tuple[float, bool], has_run: bool
+    ) -> None:
+        world = make_world(agents=1)
+        world.run_model = lambda *_: model
+        request = submit(world, 'entry-1', tasks=1, limit_s=4.0)
+        world.run(0.04)
+        if how == 'stopped':
+            world.run(0.3)
+            world.kill('runner-1')
+        else:
+            world.cut |= {('entry-1', 'runner-1')}
+        answer = worlds.await_answer(world, request)
+        self.assertEqual(isinstance(answer, contracts.Failed), has_run)
+
+    def test_job_that_fits_no_target_is_refused_at_once(self) -> None:
+        world = make_world()
+        large = dataclasses.replace(DEMAND, cpu_millis=ROOM.cpu_millis + 1)
+        submission = contracts.Submission(
+            'b' * 16,
+            'digest',
+            'callers',
+            'read',
+            (b'spec',),
+            9.0,
+            False,
+            transient=True,
+            demand=large,
+            estimate_s=1.0,
+        )
+        request = worlds.submit(world, 'entry-1', submission)
+        answer = world.replies[request][1]
+        self.assertIsInstance(answer, contracts.NotRun)
+
+
+def find_overlaps(world: virtual.World) -> list[Any]:
+    """Return the starts of a task beside an earlier run, by job and index.
+
+    The keys of two owners differ, so runs are compared by the caller's id.
+    """
+    runs: dict[tuple[str, int], list[tuple[float, float]]] = {}
+    for at_s, end_s, key in world.intervals:
+        job = key.submission.partition('/')[0]
+        runs.setdefault((job, key.index), []).append((at_s, end_s))
+    found: list[Any] = list(world.overlaps)
+    for task, intervals in runs.items():
+        intervals.sort()
+        for (_, end_s), (start_s, _) in zip(
+            intervals, intervals[1:], strict=False
+        ):
+            if start_s < end_s:
+                found.append((task, start_s, end_s))
+    return found
+
+
+if __name__ == '__main__':
+    unittest.main()
