Follow the progress of runs: stop stalled ones, measure speeds by it

Cause: targets that hang keep their tasks until the caller leaves, and a target that turns slow is seen only when tasks end there. Ruled out: time limits by declared run times, which are off by 40%. Change: the percent that a hold lists tells progress; a run without any for 0.3 s is stopped and started elsewhere, the speed of a target is declared work done in a second, and a job waits for a target that is fast enough while it may. Tests of held targets and of the platform's formats; not measured yet.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -152,6 +152,8 @@
         self.slots = machines.Slots(options.target.slots, options.target.room)
         self.known_entries = options.entries
         self.draining = False
+        # As a renewal tells it.
+        self.speed = 0.0
         self.lease = zones.Lease()
         self.policy = zones.DomainPolicy(0, False, False, frozenset())
         self.healthy = True
@@ -357,6 +359,7 @@
                 start.payload,
                 start.limit_ms / 1000,
                 start.attempt,
+                start.estimate_ms / 1000,
             )
         ]
 
@@ -624,6 +627,7 @@
                     target.service,
                     target.room,
                     self._measure_room(),
+                    self.speed,
                 ),
             )
             for entry in self.known_entries
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -232,7 +232,10 @@
                 serving[kind] = self._list_usable(kind, now_s)
             key = contracts.TaskKey(queued.submission, queued.indices[0])
             view = placement.choose(
-                self.policy, serving[kind], key, queued.demand
+                self.policy,
+                _list_timely(serving[kind], queued, now_s),
+                key,
+                queued.demand,
             )
             if view is None:
                 blocked.add(kind)
@@ -308,6 +311,7 @@
             submission.transient,
             patient,
             submission.demand,
+            round(submission.estimate_s * 1000),
         )
         return effects.Send(view.target.name, start)
 
@@ -350,6 +354,7 @@
             view.begin_ramp()
         view.accepting = renewal.accepting
         view.report(renewal.free, renewal.starts_seen, renewal.free_room)
+        view.told_speed = renewal.speed
         asked: effects.Effects = []
         if view.suspect:
             view.suspect = False
@@ -428,7 +433,7 @@
             return Taken([], [])
         self.counters['results_received'] += 1
         breaker = self._find_breaker(view, sent.kind)
-        if finished.stopped:
+        if finished.stopped and finished.body != messages.STALLED:
             breaker.note_unused(now_s)
         elif breaker.note_outcome(finished.succeeded, now_s):
             self.counters['breakers_opened'] += 1
@@ -639,3 +644,18 @@
             },
             'counters': dict(self.counters),
         }
+
+
+def _list_timely(
+    views: list[machines.TargetView], queued: queues.QueuedJob, now_s: float
+) -> list[machines.TargetView]:
+    """Leave out targets too slow for a job that can still be in time.
+
+    A job waits for a faster target while it may, and leaves the slow ones to
+    jobs that are in time there.
+    """
+    spare_s = queued.due_s - now_s
+    if not queued.estimate_s or spare_s <= 0:
+        return views
+    limit = 1 + spare_s / queued.estimate_s
+    return [view for view in views if view.slowness <= limit]
--- a/eelgrassworks/effects.py
+++ b/eelgrassworks/effects.py
@@ -36,6 +36,7 @@
     payload: bytes
     limit_s: float
     attempt: int = 1
+    estimate_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -189,7 +189,10 @@
             case effects.StartTask():
                 self.dispatch_held(
                     heldtarget.StartWanted(
-                        effect.key, effect.attempt, effect.payload
+                        effect.key,
+                        effect.attempt,
+                        effect.payload,
+                        effect.estimate_s,
                     )
                 )
             case effects.StopTask(key):
@@ -268,6 +271,8 @@
         now_s = clock.read_now()
         self.carry_out(self.discovery.tick(now_s))
         self.dispatch_held(heldtarget.Ticked())
+        if self.agent is not None and self.held is not None:
+            self.agent.speed = round(self.held.meter.measure(), 3)
         return agent.Ticked()
 
     def make_stop(self) -> object:
--- a/eelgrassworks/heldtarget.py
+++ b/eelgrassworks/heldtarget.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from eelgrassworks import contracts
+from eelgrassworks.links import messages
 
 # Lease that each hold and each start asks for.  With the silence after which
 # an agent stops the tasks of an entry it stays below the time after which
@@ -31,6 +32,14 @@
 LAPSE_MARGIN_S: Final = 0.1
 # Beyond this silence the target takes no new tasks.
 SILENCE_S: Final = 0.4
+# A run without any progress for this long stands still; the longest tasks
+# make a percent in a fifth of it on a slow target.
+STALL_S: Final = 0.3
+STALLED: Final = messages.STALLED.decode()
+# Weight of the speed that was measured a second ago.
+SPEED_DECAY: Final = 0.4
+# Run time that has to be seen before a speed is told, in seconds.
+SPEED_MIN_S: Final = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +159,15 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """An attempt that runs, and how much of its work is done."""
+
+    name: TaskName
+    attempt: int
+    percent: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HoldTold:
     """What runs and what has ended, as of one hold."""
@@ -157,7 +175,7 @@
     number: int
     life: Life
     clock_ms: int
-    running: tuple[tuple[TaskName, int], ...]
+    running: tuple[Running, ...]
     ended: tuple[Ended, ...]
 
 
@@ -187,6 +205,7 @@
     key: contracts.TaskKey
     attempt: int
     payload: bytes
+    estimate_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -250,15 +269,47 @@
     """An attempt that was ordered and is not known to be over.
 
     A hold numbered above ``settled_after`` that does not list the attempt
-    shows that it is over, or never started unless ``confirmed``.
+    shows that it is over, or never started unless ``confirmed``.  Its
+    progress was ``percent`` at ``looked_s`` and last changed at ``moved_s``.
     """
 
     key: contracts.TaskKey
     attempt: int
     deadline_ms: int
+    estimate_s: float = 0.0
     confirmed: bool = False
     settled_after: int | None = None
     stopped_s: float | None = None
+    percent: int = 0
+    looked_s: float | None = None
+    moved_s: float = 0.0
+    stalled: bool = False
+
+
+class SpeedMeter:
+    """Speed of a target: declared work done in a second of run time.
+
+    It is taken from the progress of running tasks, so it follows a target
+    that turns slow before any task has ended there.
+    """
+
+    def __init__(self) -> None:
+        self._done_s = 0.0
+        self._ran_s = 0.0
+        self._noted_s = 0.0
+
+    def note(self, done_s: float, ran_s: float, now_s: float) -> None:
+        """Record declared work that was done in some run time."""
+        decay = SPEED_DECAY ** max(0.0, now_s - self._noted_s)
+        self._noted_s = now_s
+        self._done_s = self._done_s * decay + done_s
+        self._ran_s = self._ran_s * decay + ran_s
+
+    def measure(self) -> float:
+        """Return the speed; 0 while too little was seen."""
+        if self._ran_s < SPEED_MIN_S:
+            return 0.0
+        return self._done_s / self._ran_s
 
 
 class HeldTarget:
@@ -269,6 +320,7 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.clean = False
         self.sound = False
+        self.meter = SpeedMeter()
         self._runs: dict[TaskName, Run] = {}
         # Runs that this process did not order, by when they were stopped.
         self._strange: dict[tuple[TaskName, int], float] = {}
@@ -301,8 +353,8 @@
     def handle(self, event: HeldEvent, now_s: float) -> list[HeldEffect]:
         """Take one event and return the effects it has."""
         match event:
-            case StartWanted(key, attempt, payload):
-                return self._start(key, attempt, payload, now_s)
+            case StartWanted():
+                return self._start(event, now_s)
             case StopWanted(key):
                 return self._stop_key(key, now_s)
             case StartTold():
@@ -359,13 +411,8 @@
 
     # Orders.
 
-    def _start(
-        self,
-        key: contracts.TaskKey,
-        attempt: int,
-        payload: bytes,
-        now_s: float,
-    ) -> list[HeldEffect]:
+    def _start(self, wanted: StartWanted, now_s: float) -> list[HeldEffect]:
+        key, attempt = wanted.key, wanted.attempt
         name = make_name(key)
         if self.over or not self.clean:
             return [RunRejected(key, 'unhealthy')]
@@ -373,9 +420,10 @@
             # An earlier owner's run of the same task is not over yet.
             return [RunRejected(key, 'twin')]
         deadline_ms = self._make_deadline(now_s)
-        self._runs[name] = Run(key, attempt, deadline_ms)
-        call = StartCall(name, attempt, payload, deadline_ms, self._fence)
-        return [call]
+        self._runs[name] = Run(key, attempt, deadline_ms, wanted.estimate_s)
+        return [
+            StartCall(name, attempt, wanted.payload, deadline_ms, self._fence)
+        ]
 
     def _stop_key(
         self, key: contracts.TaskKey, now_s: float
@@ -461,16 +509,21 @@
                 continue
             del self._runs[end.name]
             stopped = not end.succeeded and not end.failed
-            asked.append(RunOver(run.key, end.succeeded, stopped, end.reason))
+            reason = STALLED if stopped and run.stalled else end.reason
+            asked.append(RunOver(run.key, end.succeeded, stopped, reason))
         return asked
 
     def _compare(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
         """Compare what the target lists with what was ordered."""
-        listed = set(told.running)
+        listed = {
+            (each.name, each.attempt): each.percent for each in told.running
+        }
         asked: list[HeldEffect] = []
         for name, run in list(self._runs.items()):
-            if (name, run.attempt) in listed:
+            percent = listed.get((name, run.attempt))
+            if percent is not None:
                 run.confirmed = True
+                asked += self._watch(name, run, percent, now_s)
                 continue
             if self._is_settled(run, told):
                 del self._runs[name]
@@ -490,6 +543,27 @@
         self.clean = not self._strange
         return asked
 
+    def _watch(
+        self, name: TaskName, run: Run, percent: int, now_s: float
+    ) -> list[HeldEffect]:
+        """Follow the progress of a run; stop one that stands still."""
+        if run.looked_s is None:
+            run.looked_s = run.moved_s = now_s
+            run.percent = percent
+            return []
+        done_s = (percent - run.percent) / 100 * run.estimate_s
+        if run.estimate_s:
+            self.meter.note(done_s, now_s - run.looked_s, now_s)
+        run.looked_s = now_s
+        if percent != run.percent:
+            run.percent = percent
+            run.moved_s = now_s
+        if run.stopped_s is not None or now_s - run.moved_s < STALL_S:
+            return []
+        self.counters['stalled'] += 1
+        run.stalled = True
+        return [self._stop(name, run, now_s)]
+
     def _is_settled(self, run: Run, told: HoldTold) -> bool:
         """Tell whether an attempt that is not listed can never run."""
         after = run.settled_after
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -13,6 +13,8 @@
 
 # The reason of a decline for want of a slot.
 BUSY: Final = 'busy'
+# Reason of a run that was stopped since it made no progress.
+STALLED: Final = b'stalled'
 # Reasons that concern one attempt and say nothing about the target.
 ATTEMPT_REASONS: Final = frozenset(
     {'cancelled', 'fenced', 'late', 'old', 'unanswered', 'room'}
@@ -41,6 +43,8 @@
     service: str = ''
     room: contracts.Room = contracts.NO_ROOM
     free_room: contracts.Room = contracts.NO_ROOM
+    # Declared work done in a second of run time; 0 while not measured.
+    speed: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +144,7 @@
     transient: bool = False
     patient: bool = True
     demand: contracts.Room = contracts.NO_ROOM
+    estimate_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -13,6 +13,8 @@
 
 SPEED_SMOOTHING: Final = 0.1
 MIN_SPEED_SAMPLES: Final = 5
+# A target that does next to nothing is as good as none.
+MAX_SLOWNESS: Final = 100.0
 # Tasks that a target may hold at first; each success, and each step of time,
 # since tasks may be long, doubles the number.
 FIRST_ALLOWANCE: Final = 2
@@ -83,6 +85,7 @@
     suspect: bool = False
     allowance: int = FIRST_ALLOWANCE
     ramped_s: float = float('-inf')
+    told_speed: float = 0.0
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
     # Demands of the latest starts, the newest last.
     _demands: collections.deque[contracts.Room] = dataclasses.field(
@@ -91,7 +94,12 @@
 
     @property
     def slowness(self) -> float:
-        """Return the run time relative to the mean; 1.0 while unknown."""
+        """Return the run time relative to the mean; 1.0 while unknown.
+
+        Where the agent measures it, relative to what jobs declare.
+        """
+        if self.told_speed > 0:
+            return min(MAX_SLOWNESS, 1.0 / self.told_speed)
         if self.speed.samples < MIN_SPEED_SAMPLES:
             return 1.0
         return self.speed.ratio
--- a/eelgrassworks/platform/runnerlink.py
+++ b/eelgrassworks/platform/runnerlink.py
@@ -136,7 +136,10 @@
         number,
         heldtarget.Life('', answer.born),
         answer.clock_ms,
-        tuple((parse_task(row[0]), int(row[1])) for row in answer.running),
+        tuple(
+            heldtarget.Running(parse_task(row[0]), int(row[1]), int(row[3]))
+            for row in answer.running
+        ),
         tuple(
             heldtarget.Ended(
                 int(row[0]),
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -427,8 +427,8 @@
             node, run, ended = self._running.pop(key)
             began_s = self._began.pop(ended)
             self.intervals.append((began_s, self.now_s, key))
-            ended = agent.TaskEnded(key, succeeded, body, stopped)
-            self._give(node, run, ended)
+            event = agent.TaskEnded(key, succeeded, body, stopped)
+            self._give(node, run, event)
 
     def _write(
         self, node: Node, effect: effects.Write | effects.SaveSnapshot
--- /dev/null
+++ b/tests/platformstandins.py
@@ -0,0 +1,174 @@
+"""Stand-ins of the platform: a target that holds tasks, and settings."""
+
+import asyncio
+import json
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from eelgrassworks.platform import wire
+from tests import deployment
+
+ZONE = 'tema-port'
+HOST = 'queues.example'
+PREFIX = '/reads/'
+SERVICE = 'cover-check'
+
+
+class Runner:
+    """A target that speaks the platform's calls; tasks only take time."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.born_ms = time.time_ns() // 1_000_000
+        self.task_s = 0.05
+        self.starts: list[tuple[str, int]] = []
+        # Answers to give to the next starts instead of taking them.
+        self.refusals: list[tuple[int, dict[str, Any]]] = []
+        self._running: dict[tuple[str, int], float] = {}
+        self._ended: list[list[Any]] = []
+        self._number = 0
+        self._runner: web.AppRunner | None = None
+
+    async def open(self) -> None:
+        """Begin to serve."""
+        application = web.Application()
+        application.router.add_post('/api/run-start', self._start)
+        application.router.add_post('/api/run-stop', self._stop)
+        application.router.add_post('/api/hold', self._hold)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', self.port).start()
+
+    async def close(self) -> None:
+        """Stop to serve."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def read_clock_ms(self) -> int:
+        """Return the target's own steady clock."""
+        return time.monotonic_ns() // 1_000_000
+
+    def make_report(self, sequence: int) -> dict[str, Any]:
+        """Return a liveness report."""
+        return {
+            'service': SERVICE,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': ZONE,
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'capacity': {'cpu': 8000, 'memMb': 8192, 'gpu': 0},
+            'labels': ['a', 'r1-1'],
+            'clockMs': self.read_clock_ms(),
+            'born': self.born_ms,
+            'seq': sequence,
+        }
+
+    async def _start(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if self.refusals:
+            status, answer = self.refusals.pop(0)
+            return self._answer(answer, status)
+        run = (body['task'], body['run'])
+        self.starts.append(run)
+        self._running[run] = time.monotonic()
+        return self._answer({})
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self._end((body['task'], body['run']), 'stopped')
+        return self._answer({})
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        await asyncio.sleep(0.02 if body.get('waitMs') else 0)
+        now_s = time.monotonic()
+        for run, since_s in list(self._running.items()):
+            if now_s - since_s >= self.task_s:
+                self._end(run, 'done')
+        self._ended = [row for row in self._ended if row[0] > body['ackSeq']]
+        running = [
+            [task, run, '', min(99, int((now_s - since_s) * 100)), 0]
+            for (task, run), since_s in self._running.items()
+        ]
+        return self._answer({'running': running, 'finishedRuns': self._ended})
+
+    def _end(self, run: tuple[str, int], how: str) -> None:
+        if self._running.pop(run, None) is not None:
+            self._number += 1
+            self._ended.append([self._number, *run, how, ''])
+
+    def _answer(self, fields: dict[str, Any], status: int = 200) -> Any:
+        stamped = {'clockMs': self.read_clock_ms(), 'born': self.born_ms}
+        return web.json_response({**stamped, **fields}, status=status)
+
+
+def make_manifest(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a manifest with one queue."""
+    route = {
+        'name': 'r-1',
+        'host': HOST,
+        'pathPrefix': PREFIX,
+        'kind': 'unsafe',
+        'timeoutMs': 1500,
+        'sloMs': 60,
+        'priority': 0,
+        'service': SERVICE,
+        'attempts': 2,
+        'stretch': 1.6,
+    }
+    manifest = {
+        'version': version,
+        'routes': [route],
+        'services': [{'name': SERVICE}],
+        'limits': {},
+    }
+    return {**manifest, **changes}
+
+
+def make_job(**changes: Any) -> dict[str, Any]:
+    """Return a job of two tasks whose caller waits for the end."""
+    step = {'count': 2, 'cpu': 1000, 'memMb': 64, 'estimateMs': 500}
+    job = {'spec': 'text', 'phases': [step], 'bestEffort': True}
+    return {**job, **changes}
+
+
+def make_node(folder: str, role: str) -> wire.NodeFile:
+    """Return the settings of a process on this machine."""
+    ports = deployment.find_ports(12)
+    fields = {
+        'node': role,
+        'ip': '127.0.0.1',
+        'zone': ZONE,
+        'region': 'gh-south',
+        'zones': {ZONE: 'gh-south'},
+        'listen': {
+            'front': f'127.0.0.1:{ports[0]}',
+            'ready': f'127.0.0.1:{ports[1]}',
+            'control': f'127.0.0.1:{ports[2]}',
+        },
+        'portRange': [ports[3], ports[-1]],
+        'seeds': [f'127.0.0.1:{ports[2]}'],
+        'firstStart': True,
+        'dataDir': folder,
+        'app': f'127.0.0.1:{ports[-1]}',
+        'faultTolerance': {'machines': 0},
+        'bounds': {'evacuateMs': 5000},
+    }
+    return msgspec.json.decode(json.dumps(fields), type=wire.NodeFile)
+
+
+async def call(
+    method: str, address: str | None, path: str, **options: Any
+) -> tuple[int, Any]:
+    """Make one HTTP call; return status and body."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, f'http://{address}{path}', **options) as got,
+    ):
+        body = await got.read()
+        return got.status, json.loads(body) if body else None
--- /dev/null
+++ b/tests/test_heldtarget.py
@@ -0,0 +1,328 @@
+"""Decisions about a target that keeps tasks only while they are held."""
+
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks import heldtarget as held
+
+LIFE = held.Life('i-1', 1_000_000)
+NEXT_LIFE = held.Life('i-1', 2_000_000)
+KEY = contracts.TaskKey('job/owner-1', 0)
+OTHER_KEY = contracts.TaskKey('job/owner-2', 0)
+NAME = held.make_name(KEY)
+STRANGE = held.TaskName('strange', 3)
+CLOCK_MS = 5000
+HOLD = 'hold'
+
+WANT = held.StartWanted(KEY, 1, b'spec', 1.0)
+TAKEN = held.StartTold(NAME, 1, True)
+SILENT = held.OrderUnanswered(NAME, 1)
+STOPPED = held.StopTold(NAME, 1)
+LOST = held.HoldUnanswered(False)
+REFUSED = held.HoldUnanswered(True)
+
+
+def list_runs(
+    number: int,
+    *running: held.Running,
+    clock_ms: int = CLOCK_MS,
+    ended: tuple[held.Ended, ...] = (),
+    life: held.Life = LIFE,
+) -> held.HoldTold:
+    """Return the answer to a hold."""
+    return held.HoldTold(number, life, clock_ms, running, ended)
+
+
+def end(
+    number: int, how: str, name: held.TaskName = NAME, attempt: int = 1
+) -> tuple[held.Ended, ...]:
+    """Return one listed end."""
+    ended = held.Ended(
+        number, name, attempt, how == 'done', how == 'failed', how
+    )
+    return (ended,)
+
+
+def run(percent: int = 0) -> held.Running:
+    """Return the row of the run that the tests order."""
+    return held.Running(NAME, 1, percent)
+
+
+# What happens, each with the time in seconds, and the effects of the last
+# event by their types and what tells them apart.  HOLD begins a hold.
+SCRIPTS: tuple[
+    tuple[str, tuple[tuple[float, object], ...], list[object]], ...
+] = (
+    (
+        'a start is ordered within its own deadline',
+        ((0.0, WANT),),
+        [('StartCall', 1)],
+    ),
+    (
+        'an end that is listed frees the room',
+        ((0.0, WANT), (0.1, TAKEN), (0.2, list_runs(2, ended=end(1, 'done')))),
+        [('RunOver', 'done', False)],
+    ),
+    (
+        'a run that failed by itself is no stop',
+        (
+            (0.0, WANT),
+            (0.1, TAKEN),
+            (0.2, list_runs(2, ended=end(1, 'failed'))),
+        ),
+        [('RunOver', 'failed', False)],
+    ),
+    (
+        'an end that is listed twice counts once',
+        (
+            (0.0, WANT),
+            (0.1, TAKEN),
+            (0.2, list_runs(2, ended=end(1, 'done'))),
+            (0.3, held.StartWanted(KEY, 2, b'spec')),
+            (0.4, list_runs(3, ended=end(1, 'done'))),
+        ),
+        [],
+    ),
+    (
+        'a start without an answer is fenced by a stop',
+        ((0.0, WANT), (0.1, SILENT)),
+        [('StopCall', 1)],
+    ),
+    (
+        'it counts as running until the fence is answered',
+        ((0.0, WANT), (0.1, SILENT), (0.2, list_runs(2))),
+        [],
+    ),
+    (
+        'after the fence an attempt that is not listed never ran',
+        (
+            (0.0, WANT),
+            (0.1, HOLD),
+            (0.1, SILENT),
+            (0.2, STOPPED),
+            (0.3, HOLD),
+            (0.4, list_runs(3)),
+        ),
+        [('RunRejected', 'unanswered')],
+    ),
+    (
+        'a hold that was sent before the fence proves nothing',
+        (
+            (0.0, WANT),
+            (0.1, HOLD),
+            (0.1, SILENT),
+            (0.2, STOPPED),
+            (0.3, list_runs(2)),
+        ),
+        [],
+    ),
+    (
+        'an attempt whose deadline has passed cannot start any more',
+        ((0.0, WANT), (0.1, SILENT), (0.9, list_runs(2, clock_ms=6000))),
+        [('RunRejected', 'unanswered')],
+    ),
+    (
+        'a stop without an answer is repeated',
+        (
+            (0.0, WANT),
+            (0.1, TAKEN),
+            (0.2, held.StopWanted(KEY)),
+            (0.25, held.Ticked()),
+            (0.35, held.Ticked()),
+        ),
+        [('StopCall', 1)],
+    ),
+    (
+        'a refusal that comes after the fence is not told twice',
+        (
+            (0.0, WANT),
+            (0.1, SILENT),
+            (0.2, held.StartTold(NAME, 1, False, 'late')),
+        ),
+        [],
+    ),
+    (
+        'a refused start frees the room',
+        ((0.0, WANT), (0.1, held.StartTold(NAME, 1, False, 'room'))),
+        [('RunRejected', 'room')],
+    ),
+    (
+        'a run of another owner keeps the name',
+        ((0.0, WANT), (0.1, held.StartWanted(OTHER_KEY, 1, b'spec'))),
+        [('RunRejected', 'twin')],
+    ),
+    (
+        'runs of an earlier process are stopped',
+        ((0.0, list_runs(2, held.Running(STRANGE, 4, 10))),),
+        [('StopCall', 4)],
+    ),
+    (
+        'and nothing starts beside them',
+        ((0.0, list_runs(2, held.Running(STRANGE, 4, 10))), (0.1, WANT)),
+        [('RunRejected', 'unhealthy')],
+    ),
+    (
+        'a run without progress is stopped',
+        (
+            (0.0, WANT),
+            (0.1, list_runs(2, run(5))),
+            (0.2, list_runs(3, run(5))),
+            (0.45, list_runs(4, run(5))),
+        ),
+        [('StopCall', 1)],
+    ),
+    (
+        'and its end says so',
+        (
+            (0.0, WANT),
+            (0.1, list_runs(2, run(5))),
+            (0.45, list_runs(3, run(5))),
+            (0.5, list_runs(4, ended=end(1, 'stopped'))),
+        ),
+        [('RunOver', 'stalled', True)],
+    ),
+    (
+        'a run that goes on is left alone',
+        (
+            (0.0, WANT),
+            (0.1, list_runs(2, run(5))),
+            (0.3, list_runs(3, run(6))),
+            (0.55, list_runs(4, run(7))),
+        ),
+        [],
+    ),
+    (
+        'an answer that was overtaken says nothing about what runs',
+        (
+            (0.0, WANT),
+            (0.1, HOLD),
+            (0.1, TAKEN),
+            (0.2, list_runs(5, run(5))),
+            (0.3, list_runs(4)),
+        ),
+        [],
+    ),
+    (
+        'a target whose process is gone runs nothing',
+        ((0.0, WANT), (0.1, TAKEN), (0.2, REFUSED), (0.3, REFUSED)),
+        [('RunOver', 'gone', True), ('SoundnessChanged', False)],
+    ),
+    (
+        'a silent target takes no new tasks',
+        ((0.0, WANT), (0.1, TAKEN), (0.5, LOST)),
+        [('SoundnessChanged', False)],
+    ),
+    (
+        'leases of a silent target have run out in the end',
+        (
+            (0.0, WANT),
+            (0.1, TAKEN),
+            (0.3, HOLD),
+            (0.5, LOST),
+            (0.6, HOLD),
+            (1.1, held.Ticked()),
+        ),
+        [('RunOver', 'lapsed', True)],
+    ),
+    (
+        'but not before the last lease that was asked for',
+        (
+            (0.0, WANT),
+            (0.1, TAKEN),
+            (0.3, HOLD),
+            (0.5, LOST),
+            (0.9, held.Ticked()),
+        ),
+        [],
+    ),
+    (
+        'a new life ends what the old one ran',
+        ((0.0, WANT), (0.1, TAKEN), (0.2, list_runs(2, life=NEXT_LIFE))),
+        [('RunOver', 'reborn', True), ('SoundnessChanged', False)],
+    ),
+    (
+        'a target that leaves takes its runs with it',
+        ((0.0, WANT), (0.1, TAKEN), (0.2, held.TargetLeft())),
+        [('RunOver', 'left', True), ('SoundnessChanged', False)],
+    ),
+)
+
+
+def describe(effect: held.HeldEffect) -> object:
+    """Return what tells an effect from others."""
+    match effect:
+        case held.StartCall() | held.StopCall():
+            return type(effect).__name__, effect.attempt
+        case held.RunOver(_, _, stopped, reason):
+            return 'RunOver', reason, stopped
+        case held.RunRejected(_, reason):
+            return 'RunRejected', reason
+        case held.SoundnessChanged(sound):
+            return 'SoundnessChanged', sound
+
+
+def make_target() -> held.HeldTarget:
+    """Return a target that was found sound."""
+    target = held.HeldTarget(LIFE, CLOCK_MS, 0.0)
+    number = target.begin_hold(0.0).number
+    target.handle(list_runs(number), 0.0)
+    return target
+
+
+@ddt.ddt
+class HeldTargetTest(unittest.TestCase):
+    @ddt.data(*SCRIPTS)
+    @ddt.unpack
+    def test_script(
+        self,
+        _: str,
+        script: tuple[tuple[float, object], ...],
+        expected: list[object],
+    ) -> None:
+        target = make_target()
+        effects: list[held.HeldEffect] = []
+        for at_s, event in script:
+            if event == HOLD:
+                target.begin_hold(at_s)
+            else:
+                effects = target.handle(event, at_s)
+        self.assertEqual([describe(each) for each in effects], expected)
+
+    def test_lease_is_asked_for_only_while_the_target_answers(self) -> None:
+        target = make_target()
+        target.handle(WANT, 0.0)
+        self.assertEqual(target.begin_hold(0.1).deadline_ms, CLOCK_MS + 700)
+        self.assertIsNone(target.begin_hold(1.0).deadline_ms)
+
+    def test_fence_rises_over_processes_and_lives(self) -> None:
+        fences = [
+            held.HeldTarget(life, clock_ms, 0.0).begin_hold(0.0).fence
+            for life, clock_ms in ((LIFE, 10), (LIFE, 400), (NEXT_LIFE, 5))
+        ]
+        self.assertEqual(fences, sorted(set(fences)))
+
+    def test_fenced_process_takes_a_higher_fence(self) -> None:
+        target = make_target()
+        before = target.begin_hold(0.0).fence
+        target.handle(held.HoldFenced(CLOCK_MS + 7), 0.1)
+        self.assertGreater(target.begin_hold(0.2).fence, before)
+
+    def test_seen_ends_are_acknowledged(self) -> None:
+        target = make_target()
+        target.handle(WANT, 0.0)
+        target.handle(list_runs(2, ended=end(4, 'done')), 0.2)
+        self.assertEqual(target.begin_hold(0.3).seen, 4)
+
+    def test_speed_follows_progress(self) -> None:
+        target = make_target()
+        target.handle(WANT, 0.0)
+        for step in range(1, 12):
+            told = list_runs(step + 1, run(step * 5))
+            target.handle(told, step / 10)
+        self.assertAlmostEqual(target.meter.measure(), 0.5, places=2)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,344 @@
+"""The platform's names and formats, and one path through real sockets."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import tempfile
+from typing import Any
+import unittest
+from unittest import mock
+
+import ddt
+import msgspec
+
+from eelgrassworks import contracts
+from eelgrassworks import errors
+from eelgrassworks import heldtarget
+from eelgrassworks import locator
+from eelgrassworks import process
+from eelgrassworks.platform import __main__ as daemon
+from eelgrassworks.platform import ingress
+from eelgrassworks.platform import operatorapi
+from eelgrassworks.platform import reports
+from eelgrassworks.platform import runnerlink
+from eelgrassworks.platform import wire
+from tests import platformstandins as standins
+
+ROUTE: dict[str, Any] = standins.make_manifest(1)['routes'][0]
+PATIENCE_S = 20.0
+PAUSE_S = 0.05
+
+
+def make_routes(*changes: dict[str, Any]) -> bytes:
+    """Return a manifest whose routes differ from the plain one."""
+    routes = [{**ROUTE, **change} for change in changes]
+    return json.dumps(standins.make_manifest(1, routes=routes)).encode()
+
+
+# Bytes of a manifest, and whether it is valid.
+MANIFESTS: tuple[tuple[str, bytes, bool], ...] = (
+    ('plain', make_routes({}), True),
+    ('no routes', make_routes(), True),
+    ('cut short', make_routes({})[:-10], False),
+    ('unknown service', make_routes({'service': 'nobody'}), False),
+    ('no time limit', make_routes({'timeoutMs': 0}), False),
+    ('same place twice', make_routes({}, {'name': 'r-2'}), False),
+    (
+        'same host, other prefix',
+        make_routes({}, {'name': 'r-2', 'pathPrefix': '/x/'}),
+        True,
+    ),
+    ('same name twice', make_routes({}, {'pathPrefix': '/x/'}), False),
+    ('text for a number', make_routes({'timeoutMs': 'soon'}), False),
+    ('negative version', make_routes({}).replace(b': 1,', b': -1,'), False),
+    ('not an object', b'[]', False),
+    ('empty', b'', False),
+    ('not text', b'\xff\xfe', False),
+    ('unknown field', make_routes({'later': 1}), True),
+)
+
+# Changes of a plain job, and what of it is not built.
+FEATURES: tuple[tuple[dict[str, Any], str], ...] = (
+    ({}, ''),
+    ({'bestEffort': False}, 'storage'),
+    ({'repeats': 3}, 'repeats'),
+    ({'phases': [{'count': 1}, {'count': 1}]}, 'several steps'),
+    ({'phases': [{'count': 1, 'gpu': 1}]}, 'accelerators'),
+    ({'phases': [{'count': 1, 'gang': True}]}, 'gangs'),
+    ({'phases': [{'count': 1, 'requiredLabel': 'a'}]}, 'labels'),
+    ({'phases': [{'count': 1, 'antiAffinity': 1}]}, 'anti-affinity'),
+    ({'phases': [{'count': 1, 'speculative': True}]}, 'copies'),
+    ({'phases': [{'count': 1, 'longRunning': True}]}, 'lasting tasks'),
+)
+
+# Answers of the product, and the status and state that callers get.
+ANSWERS: tuple[tuple[contracts.Answer, int, str], ...] = (
+    (contracts.Complete(()), 200, 'complete'),
+    (
+        contracts.Failed(
+            errors.refuse_started(
+                errors.Code.TASK_FAILED, index=0, target='a', reason='b'
+            )
+        ),
+        200,
+        'failed',
+    ),
+    (
+        contracts.Failed(
+            errors.refuse_started(
+                errors.Code.DEADLINE, submission='a', limit_s=1
+            )
+        ),
+        504,
+        '',
+    ),
+    (
+        contracts.NotRun(
+            errors.refuse(errors.Code.OVERLOADED, queued=1, limit_s=1)
+        ),
+        503,
+        '',
+    ),
+    (
+        contracts.NotRun(
+            errors.refuse(errors.Code.UNKNOWN_KIND, kind='a', revision=1)
+        ),
+        503,
+        '',
+    ),
+)
+
+# Changes of a report, and whether it is one.
+REPORTS: tuple[tuple[dict[str, Any], bool], ...] = (
+    ({}, True),
+    ({'state': 'draining', 'remainingMs': 4000}, True),
+    ({'state': 'asleep'}, False),
+    ({'capacity': None}, False),
+    ({'capacity': {'cpu': -1, 'memMb': 1}}, False),
+    ({'seq': 'x'}, False),
+    ({'service': ''}, False),
+)
+
+# Host, path and the name of the queue that serves them.
+PLACES: tuple[tuple[str, str, str | None], ...] = (
+    ('a.example', '/one/x', 'one'),
+    ('a.example', '/one/two/x', 'one-two'),
+    ('a.example', '/three/x', None),
+    ('b.example', '/one/x', None),
+)
+
+# Answers of a target to a start, and what the agent is told.
+REFUSALS: tuple[tuple[int, dict[str, Any], str], ...] = (
+    (409, {'reason': 'old'}, 'old'),
+    (409, {'reason': 'fence'}, 'fence'),
+    (503, {}, 'status-503'),
+    (421, {}, 'status-421'),
+)
+
+
+def make_kind(name: str, prefix: str) -> contracts.Kind:
+    """Return a kind at a place of the test."""
+    return contracts.Kind(
+        name, frozenset(), True, 1.0, host='a.example', prefix=prefix
+    )
+
+
+@ddt.ddt
+class FormatTest(unittest.TestCase):
+    @ddt.data(*MANIFESTS)
+    @ddt.unpack
+    def test_manifest(self, _: str, body: bytes, valid: bool) -> None:
+        try:
+            manifest = msgspec.json.decode(body, type=wire.Manifest)
+            objection = operatorapi.find_objection(manifest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            objection = str(error)
+        self.assertEqual(not objection, valid, objection)
+
+    @ddt.data(*FEATURES)
+    @ddt.unpack
+    def test_feature(self, changes: dict[str, Any], expected: str) -> None:
+        body = json.dumps(standins.make_job(**changes))
+        job = msgspec.json.decode(body, type=wire.Job)
+        self.assertEqual(ingress.find_unsupported(job), expected)
+
+    @ddt.data(*ANSWERS)
+    @ddt.unpack
+    def test_answer(
+        self, answer: contracts.Answer, status: int, state: str
+    ) -> None:
+        response = ingress.respond_answer(answer)
+        self.assertEqual(response.status, status)
+        if state:
+            self.assertEqual(json.loads(response.text or ''), {'state': state})
+
+    @ddt.data(*REPORTS)
+    @ddt.unpack
+    def test_report(self, changes: dict[str, Any], valid: bool) -> None:
+        fields = {**standins.Runner(1).make_report(3), **changes}
+        body = json.dumps(fields).encode()
+        if not valid:
+            with self.assertRaises(msgspec.MsgspecError):
+                reports.parse_report('i-1', body)
+            return
+        report = reports.parse_report('i-1', body)
+        self.assertEqual(report.room, contracts.Room(8000, 8192))
+        self.assertEqual(report.draining, 'remainingMs' in changes)
+
+    @ddt.data(*PLACES)
+    @ddt.unpack
+    def test_place(self, host: str, path: str, expected: str | None) -> None:
+        kinds = [make_kind('one', '/one/'), make_kind('one-two', '/one/two/')]
+        sheet = contracts.Sheet({kind.name: kind for kind in kinds}, {})
+        found = locator.Locator(sheet).find(host, path)
+        self.assertEqual(found.name if found else None, expected)
+
+    def test_task_name(self) -> None:
+        name = heldtarget.TaskName('5c0e7a21d94b36f8', 17)
+        text = runnerlink.format_task(name)
+        self.assertEqual(text, '5c0e7a21d94b36f8.0.0.17')
+        self.assertEqual(runnerlink.parse_task(text), name)
+
+
+async def await_true(condition: Callable[[], bool]) -> bool:
+    """Wait until something holds; False when it does not in the end."""
+    for _ in range(int(PATIENCE_S / PAUSE_S)):
+        if condition():
+            return True
+        await asyncio.sleep(PAUSE_S)
+    return False
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """One process of each role over real sockets, beside a stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        nodes = {
+            role: standins.make_node(folder.name, role)
+            for role in ('control', 'entry', 'agent')
+        }
+        core = nodes['control']
+        # The processes share one address, so each has ports of its own, and
+        # all of them find the replica by its.
+        replicas = daemon.nodefile.make_control(core).replicas
+        self.runner = standins.Runner(int((nodes['agent'].app or '')[10:]))
+        await self.runner.open()
+        self.addAsyncCleanup(self.runner.close)
+        self.nodes = nodes
+        self.processes: dict[str, process.Process] = {}
+        with mock.patch.object(
+            daemon.nodefile, 'list_replicas', lambda _: dict(replicas)
+        ):
+            for role, node in nodes.items():
+                self.processes[role] = daemon.ROLES[role](node)
+        for each in self.processes.values():
+            await each.start()
+            self.addAsyncCleanup(each.finish)
+        await self._configure()
+
+    async def _configure(self) -> None:
+        control = self.nodes['control'].listen.control
+        agent = self.nodes['agent'].listen.control
+        for _ in range(int(PATIENCE_S / PAUSE_S)):
+            status, _ = await standins.call(
+                'POST',
+                control,
+                '/api/config/replace',
+                json=standins.make_manifest(1),
+            )
+            if status == 200:
+                break
+            await asyncio.sleep(PAUSE_S)
+        self.assertEqual(status, 200)
+        status, _ = await standins.call(
+            'POST',
+            agent,
+            '/api/instances/i-1/heartbeat',
+            json=self.runner.make_report(1),
+        )
+        self.assertEqual(status, 200)
+        entry: Any = self.processes['entry']
+        ready = await await_true(
+            lambda: bool(entry.entry.dispatcher.list_serving('r-1'))
+        )
+        self.assertTrue(ready)
+
+    async def _submit(self, number: int, **changes: Any) -> tuple[int, Any]:
+        return await standins.call(
+            'POST',
+            self.nodes['entry'].listen.front,
+            f'{standins.PREFIX}{number:016x}',
+            json=standins.make_job(**changes),
+            headers={
+                'Host': standins.HOST,
+                'X-Eelgrassworks-Deadline-Ms': '10000',
+            },
+        )
+
+    async def test_job_is_answered_when_it_ends(self) -> None:
+        self.assertEqual(await self._submit(1), (200, {'state': 'complete'}))
+        tasks = [f'{1:016x}.0.0.{index}' for index in range(2)]
+        self.assertEqual(sorted(task for task, _ in self.runner.starts), tasks)
+
+    async def test_refused_start(self) -> None:
+        agent: Any = self.processes['agent']
+        for number, (status, answer, reason) in enumerate(REFUSALS, 2):
+            self.runner.refusals = [(status, answer)]
+            told = await self._submit(number)
+            self.assertEqual(told, (200, {'state': 'complete'}))
+            counters = agent.held.counters
+            self.assertEqual(counters[f'refused_{reason}'], 1)
+
+    async def test_manifest_is_read_back_as_it_was_sent(self) -> None:
+        control = self.nodes['control'].listen.control
+        newer = standins.make_manifest(9)
+        for sent, held in ((newer, 9), (standins.make_manifest(4), 9)):
+            status, _ = await standins.call(
+                'POST', control, '/api/config/replace', json=sent
+            )
+            self.assertEqual(status, 200)
+            _, read = await standins.call('GET', control, '/api/config/read')
+            self.assertEqual(read, newer)
+            self.assertEqual(read['version'], held)
+
+    async def test_invalid_manifest_changes_nothing(self) -> None:
+        control = self.nodes['control'].listen.control
+        broken = standins.make_manifest(12, services=[])
+        status, _ = await standins.call(
+            'POST', control, '/api/config/replace', json=broken
+        )
+        self.assertEqual(status, 400)
+        _, read = await standins.call('GET', control, '/api/config/read')
+        self.assertEqual(read['version'], 1)
+
+    async def test_closed_domain_is_left_and_taken_back(self) -> None:
+        control = self.nodes['control'].listen.control
+        agent: Any = self.processes['agent']
+        for verb, opened in (('start', False), ('finish', True)):
+            status, _ = await standins.call(
+                'POST', control, f'/api/evacuate/{standins.ZONE}/{verb}'
+            )
+            self.assertEqual(status, 200)
+            followed = await await_true(
+                lambda opened=opened: agent.agent.policy.open is opened
+            )
+            self.assertTrue(followed)
+
+    async def test_unknown_place_and_job(self) -> None:
+        front = self.nodes['entry'].listen.front
+        for method, host, path, expected in (
+            ('POST', 'other.example', '/reads/' + 'a' * 16, 404),
+            ('GET', standins.HOST, '/reads/' + 'a' * 16, 410),
+            ('DELETE', standins.HOST, '/reads/' + 'a' * 16, 410),
+            ('GET', standins.HOST, '/reads/', 200),
+        ):
+            status, _ = await standins.call(
+                method, front, path, headers={'Host': host}
+            )
+            self.assertEqual(status, expected)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -10,7 +10,6 @@
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import errors
-from eelgrassworks import machines
 from eelgrassworks import virtual
 from tests import worlds
 
