Log each decision about a request, and serve counters and latencies as text

Lines are bounded at 200 a second, with a count of those left out, and a full pipe is never waited for. Counters, gauges and a histogram of response times are at /metrics of each process.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -585,7 +585,17 @@
             for name in self.entries
             if not self._is_confirmed(name, now_s)
         }
-        return self._stop_tasks(silent) if silent else []
+        stops = self._stop_tasks(silent) if silent else []
+        if not stops:
+            return []
+        ages = {
+            name: round(now_s - self.entries[name].confirmed_s, 2)
+            for name in silent
+        }
+        logged = effects.Log(
+            'entry_silent', {'tasks': len(stops), 'ages_s': str(ages)}
+        )
+        return [logged, *stops]
 
     def _end_earlier_run(self, peer: str) -> effects.Effects:
         """Stop what an earlier run of an entry has left here."""
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -468,8 +468,21 @@
                 self.ledger.configuration.revision, moment.now_s
             )
             asked += self._push_configuration()
+            asked.append(self._log_commit())
         return asked + self._compact()
 
+    def _log_commit(self) -> effects.Log:
+        configuration = self.ledger.configuration
+        return effects.Log(
+            'configuration_committed',
+            {
+                'revision': configuration.revision,
+                'version': configuration.version,
+                'closed': ','.join(sorted(configuration.closed)),
+                'leads': self.replica.is_leader,
+            },
+        )
+
     def _compact(self) -> effects.Effects:
         held = len(self.replica.log.entries)
         if held < self.options.snapshot_interval:
@@ -492,12 +505,19 @@
             ]
         if self.replica.is_leader:
             return []
+        lost: effects.Effects = []
+        if self._led:
+            fields: dict[str, object] = {
+                'term': self.replica.term,
+                'leader': self.replica.leader,
+            }
+            lost.append(effects.Log('leadership_lost', fields))
         if not (
             self._led or self._committing or self._lookups or self._readings
         ):
             return []
         self._led = False
-        return self._abandon()
+        return lost + self._abandon()
 
     def _abandon(self) -> effects.Effects:
         """Send waiting entries on after leadership was lost."""
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -441,7 +441,8 @@
         if job is not None:
             job.attempts[key.index] = sent.attempt
         if finished.stopped and self._restart(job, key):
-            return Taken([], [])
+            reason = finished.body.decode('utf-8', 'replace')
+            return Taken([self._log_restart(view, key, reason)], [])
         if not finished.succeeded:
             reason = finished.body.decode('utf-8', 'replace')
             return Taken([], [TaskBroke(key, view.target.name, reason)])
@@ -483,6 +484,20 @@
         self.put_back(job, key.index)
         return Taken([], [])
 
+    def _log_restart(
+        self, view: machines.TargetView, key: contracts.TaskKey, reason: str
+    ) -> effects.Log:
+        return effects.Log(
+            'task_restarted',
+            {
+                'id': key.submission,
+                'index': key.index,
+                'target': view.target.name,
+                'reason': reason,
+                'slowness': round(view.slowness, 2),
+            },
+        )
+
     def _restart(self, job: jobs.Job | None, key: contracts.TaskKey) -> bool:
         """Queue a transient task again of which nothing runs any more."""
         if job is None or job.state != jobs.JobState.ACTIVE:
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -27,6 +27,8 @@
 from eelgrassworks.links import messages
 
 MAX_QUEUED_TASKS: Final = 50_000
+# Response times between two looks of the process at them.
+KEPT_LATENCIES: Final = 10_000
 # A gap between two ticks after which callers may have turned elsewhere:
 # shorter than a lease of an entry at an agent.
 PAUSE_S: Final = 0.5
@@ -134,6 +136,11 @@
         self._transient: dict[str, str] = {}
         self._next_scope = 0
         self._awake_s = float('-inf')
+        # Kinds and response times of complete jobs, for the process to take.
+        self.latencies: collections.deque[tuple[str, float]] = (
+            collections.deque(maxlen=KEPT_LATENCIES)
+        )
+        self._has_lease = False
 
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
         """Take one event and return the effects it has."""
@@ -180,8 +187,10 @@
         if refusal is None:
             return self._admit(request, submission, now_s)
         self.counters[f'refused_{refusal.code}'] += 1
+        logged = self._log_refusal(submission, refusal, now_s)
         if not submission.claimed:
-            return [effects.Reply(request, contracts.NotRun(refusal))]
+            reply = effects.Reply(request, contracts.NotRun(refusal))
+            return [logged, reply]
         return self._inquiries.begin(
             inquiries.Inquiry(
                 request,
@@ -194,6 +203,54 @@
             now_s,
         )
 
+    def _log_refusal(
+        self,
+        submission: contracts.Submission,
+        refusal: errors.Refusal,
+        now_s: float,
+    ) -> effects.Log:
+        return effects.Log(
+            'job_refused',
+            {
+                'id': submission.id,
+                'kind': submission.kind,
+                'code': refusal.code,
+                'tasks': len(submission.payloads),
+                **self._describe_inputs(now_s),
+            },
+        )
+
+    def _describe_inputs(self, now_s: float) -> dict[str, object]:
+        """Return what decides about jobs here, with its version and age."""
+        lease_s = self.session.lease.measure_remaining(now_s)
+        return {
+            'queued': self.dispatcher.queue.length,
+            'targets': len(self.dispatcher.views),
+            'revision': self.session.configuration.revision,
+            'lease_s': round(lease_s, 2),
+        }
+
+    def _log_end(
+        self, job: jobs.Job, answer: contracts.Answer, now_s: float
+    ) -> effects.Log:
+        outcome, code = _name_answer(answer)
+        return effects.Log(
+            'job_ended',
+            {
+                'id': job.submission.id,
+                'kind': job.submission.kind,
+                'outcome': outcome,
+                'code': code,
+                'age_s': round(now_s - job.arrived_s, 3),
+                'due_s': round(job.due_s - job.arrived_s, 3),
+                'tasks': len(job.submission.payloads),
+                'left': job.remaining,
+                'attempts': max(job.attempts.values(), default=0),
+                'failures': sum(job.failures.values()),
+                **self._describe_inputs(now_s),
+            },
+        )
+
     def _scope(self, submission: contracts.Submission) -> contracts.Submission:
         """Give a transient job an id that no other owner uses.
 
@@ -441,9 +498,20 @@
             case messages.EntryTerms():
                 return self._take_terms(peer, message, now_s)
             case messages.ConfigurationTold(configuration):
-                if self.session.take_configuration(configuration):
-                    self.dispatcher.configure(configuration)
-                return []
+                if not self.session.take_configuration(configuration):
+                    return []
+                self.dispatcher.configure(configuration)
+                return [
+                    effects.Log(
+                        'configuration_taken',
+                        {
+                            'revision': configuration.revision,
+                            'version': configuration.version,
+                            'closed': ','.join(sorted(configuration.closed)),
+                            'peer': peer,
+                        },
+                    )
+                ]
             case messages.ClaimsTold():
                 return self._take_claims(message, now_s)
             case messages.ChangeTold():
@@ -615,11 +683,20 @@
     def _end_job(
         self, job: jobs.Job, answer: contracts.Answer, now_s: float
     ) -> effects.Effects:
-        asked = _tell_waiters(job, answer)
+        asked: effects.Effects = [self._log_end(job, answer, now_s)]
+        asked += _tell_waiters(job, answer)
+        self._note_latency(job, answer, now_s)
         self._forget_transient(job)
         self.table.end(job, answer, now_s)
         return asked
 
+    def _note_latency(
+        self, job: jobs.Job, answer: contracts.Answer, now_s: float
+    ) -> None:
+        if isinstance(answer, contracts.Complete):
+            age_s = now_s - job.arrived_s
+            self.latencies.append((job.submission.kind, age_s))
+
     def _forget_transient(self, job: jobs.Job) -> None:
         if job.submission.transient:
             caller_id = job.submission.id.partition('/')[0]
@@ -654,7 +731,7 @@
     # Time.
 
     def _tick(self, now_s: float) -> effects.Effects:
-        asked = self.session.tick(now_s)
+        asked = self.session.tick(now_s) + self._log_lease(now_s)
         asked += self._take_from_agent(self.dispatcher.tick(now_s), now_s)
         asked += self._expire_jobs(now_s)
         asked += self._inquiries.press(now_s)
@@ -662,6 +739,16 @@
         self.table.expire(now_s)
         return asked
 
+    def _log_lease(self, now_s: float) -> effects.Effects:
+        """Tell when control is lost or found again."""
+        has_lease = self.session.may_work(now_s)
+        if has_lease == self._has_lease:
+            return []
+        self._has_lease = has_lease
+        event = 'lease_gained' if has_lease else 'lease_lost'
+        fields = self._describe_inputs(now_s)
+        return [effects.Log(event, {'leader': self.session.leader, **fields})]
+
     def _end_after_pause(self, now_s: float) -> effects.Effects:
         """End transient jobs that were open while this process stood still.
 
@@ -757,6 +844,17 @@
         }
 
 
+def _name_answer(answer: contracts.Answer) -> tuple[str, str]:
+    """Return the outcome and the code of an answer, for a log line."""
+    match answer:
+        case contracts.Complete():
+            return 'complete', ''
+        case contracts.NotRun(refusal):
+            return 'not-run', refusal.code
+        case contracts.Failed(refusal):
+            return 'failed', refusal.code
+
+
 def _tell_waiters(job: jobs.Job, answer: contracts.Answer) -> effects.Effects:
     """Send an answer to every request that waits for the job."""
     local: effects.Effects = [
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -72,6 +72,8 @@
 
     def make_tick(self) -> object:
         """Return the event for the passing of time."""
+        while self.entry.latencies:
+            self.exposition.note_latency(*self.entry.latencies.popleft())
         return entry.Ticked()
 
     def make_stop(self) -> object:
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -12,6 +12,9 @@
 from typing import Final
 from typing import Protocol
 
+from aiohttp import web
+
+from eelgrassworks import admin
 from eelgrassworks import agent
 from eelgrassworks import clock
 from eelgrassworks import discovery
@@ -69,6 +72,7 @@
     name: str
     worker: settings.WorkerModel
     replicas: dict[str, str]
+    http: settings.HttpModel
 
 
 class HeldAgentProcess(process.Process):
@@ -103,6 +107,10 @@
         await super().start()
         for name, address in self.options.replicas.items():
             self.link.connect(name, address)
+        application = web.Application()
+        admin.Admin(self, {}).add_routes(application)
+        http = self.options.http
+        await self.serve(application, http.host, http.port)
         self._spawn(self._hold_target())
 
     # Reports of the target.
@@ -331,6 +339,18 @@
             return {}
         return {**self.agent.counters, **self.held.counters}
 
+    def gauge(self) -> dict[str, float]:
+        """Return the gauges."""
+        if self.agent is None or self.held is None:
+            return {}
+        room = self.agent.slots.free_room
+        return {
+            'free_cpu_millis': room.cpu_millis,
+            'free_memory_mib': room.memory_mib,
+            'speed': self.agent.speed,
+            **self.held.counts,
+        }
+
     async def close(self) -> None:
         """Close the link once no call is under way."""
         for task in list(self._tasks):
--- a/eelgrassworks/logs.py
+++ b/eelgrassworks/logs.py
@@ -1,5 +1,9 @@
 """Logs: one line of key=value pairs for each event.
 
+The number of lines a second is bounded, and a stream that takes no more is
+never waited for; what was left out is counted and told in the next line that
+gets through.
+
 Values with spaces, quotes, line breaks or control characters are written as
 JSON strings, so that a value can neither forge a pair nor start a line.
 """
@@ -7,8 +11,10 @@
 import datetime
 import json
 import logging
+import os
 import re
 import sys
+import time
 from typing import Any
 from typing import Final
 from typing import TextIO
@@ -17,6 +23,10 @@
 
 PLAIN_VALUE: Final = re.compile(r'[A-Za-z0-9_.:/+@,\-]+')
 KEY_UNSAFE: Final = re.compile(r'[^A-Za-z0-9_.\-]')
+# A busy process decides about tens of requests a second.
+LINES_PER_S: Final = 200
+# Several seconds' worth, so that the lines around a fault are whole.
+BURST_LINES: Final = 1000
 HIDDEN_FIELDS: Final = frozenset(
     {'task_uuid', 'task_level', 'timestamp', 'message_type'}
 )
@@ -47,12 +57,56 @@
     return ' '.join(f'{key}={format_value(value)}' for key, value in pairs)
 
 
+class Throttle:
+    """Token bucket that bounds the lines of a process."""
+
+    def __init__(self, now_s: float) -> None:
+        self._tokens = float(BURST_LINES)
+        self._filled_s = now_s
+
+    def allows(self, now_s: float) -> bool:
+        """Take a token, if there is one."""
+        self._tokens = min(
+            float(BURST_LINES),
+            self._tokens + (now_s - self._filled_s) * LINES_PER_S,
+        )
+        self._filled_s = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Writer:
+    """Writes lines to a stream without ever waiting for it."""
+
+    def __init__(self, stream: TextIO, now_s: float) -> None:
+        self.omitted = 0
+        self._stream = stream
+        self._throttle = Throttle(now_s)
+
+    def write(self, message: dict[str, Any], now_s: float) -> None:
+        """Write a line, or count it as left out."""
+        if not self._throttle.allows(now_s):
+            self.omitted += 1
+            return
+        omitted, self.omitted = self.omitted, 0
+        if omitted:
+            message = {**message, 'omitted_before': omitted}
+        try:
+            self._stream.write(format_line(message) + '\n')
+            self._stream.flush()
+        except BlockingIOError:
+            self.omitted = omitted + 1
+
+
 def start_logging(stream: TextIO = sys.stderr, **common: object) -> None:
     """Send every event to a stream, with ``common`` pairs in each line."""
+    writer = Writer(stream, time.monotonic())
+    _unblock(stream)
 
     def write(message: dict[str, Any]) -> None:
-        stream.write(format_line(message) + '\n')
-        stream.flush()
+        writer.write(message, time.monotonic())
 
     eliot.add_global_fields(**common)
     eliot.add_destinations(write)
@@ -61,6 +115,15 @@
     )
 
 
+def _unblock(stream: TextIO) -> None:
+    """Let writes to a full pipe fail instead of waiting."""
+    try:
+        os.set_blocking(stream.fileno(), False)
+    except (OSError, ValueError):
+        # Streams of tests have no descriptor, and never block either.
+        return
+
+
 class LibraryHandler(logging.Handler):
     """Writes what libraries report as events of one line."""
 
--- a/eelgrassworks/platform/__main__.py
+++ b/eelgrassworks/platform/__main__.py
@@ -71,7 +71,10 @@
     from eelgrassworks.platform import runnerlink
 
     options = heldagentprocess.HeldAgentOptions(
-        node.node, nodefile.make_worker(node), nodefile.list_replicas(node)
+        node.node,
+        nodefile.make_worker(node),
+        nodefile.list_replicas(node),
+        nodefile.make_agent_http(node),
     )
     running = heldagentprocess.HeldAgentProcess(
         options,
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -17,7 +17,9 @@
 ENTRY_PORT: Final = 0
 CONTROL_PORT: Final = 1
 AGENT_PORT: Final = 2
-# The product's own HTTP interface of each role.
+# The product's own HTTP interface of each role: dumps and metrics.  The
+# deploy file names its port, since the platform reads metrics there.
+HTTP_PORT_VARIABLE: Final = 'EELGRASSWORKS_HTTP_PORT'
 HTTP_OFFSET: Final = 3
 DEFAULT_LEASE_MS: Final = 5000
 
@@ -82,6 +84,11 @@
     )
 
 
+def make_agent_http(node: wire.NodeFile) -> settings.HttpModel:
+    """Return where an agent serves its state and its metrics."""
+    return _make_http(node, AGENT_PORT)
+
+
 def make_agent_address(node: wire.NodeFile) -> str:
     """Return the address at which an agent hears from other processes."""
     return _make_address(node, AGENT_PORT)
@@ -109,7 +116,8 @@
 
 
 def _make_http(node: wire.NodeFile, offset: int) -> settings.HttpModel:
-    port = node.port_range[0] + HTTP_OFFSET + offset
+    named = os.environ.get(HTTP_PORT_VARIABLE, '')
+    port = int(named) if named else node.port_range[0] + HTTP_OFFSET + offset
     return settings.HttpModel(host=node.ip, port=port)
 
 
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -16,6 +16,7 @@
 from eelgrassworks import clock
 from eelgrassworks import effects
 from eelgrassworks import errors
+from eelgrassworks import exposition
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import machines
@@ -60,6 +61,7 @@
         self._tick_handle: asyncio.TimerHandle | None = None
         self._flushed_s = 0.0
         self.fronts: list[Front] = []
+        self.exposition = exposition.Exposition(self.count, self.gauge)
         self._next_request = 0
         self._requests: dict[int, asyncio.Future[Any]] = {}
         self._runners: list[web.AppRunner] = []
@@ -248,6 +250,7 @@
         """Serve an application; return the port that it listens on."""
         application.router.add_get('/live', self._show_live)
         application.router.add_get('/ready', self._show_ready)
+        self.exposition.add_routes(application)
         return await self.listen(application, host, port)
 
     async def listen(
