Keep waiting tasks at the entry, and predict waits by what ends

Up to three tasks of each entry waited at each target, out of their order and unseen by the prediction, and starts that were declined counted as work. Ruled out: the order at the entry (late jobs last, as before). Change: where room bounds the tasks nothing waits at a target, and the rate is that of ends.

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -90,7 +90,7 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._cancels: dict[str, list[str]] = {}
         self._wanted = 0
-        self._start_rate = shedding.StartRate()
+        self._end_rate = shedding.EndRate()
 
     # Configuration and capacity.
 
@@ -182,7 +182,7 @@
         ahead = self.queue.measure_ahead(team, due_s, now_s)
         if not ahead:
             return 0.0
-        return shedding.predict_wait(ahead, self._start_rate.measure(now_s))
+        return shedding.predict_wait(ahead, self._end_rate.measure(now_s))
 
     def put_back(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
@@ -233,7 +233,9 @@
             key = contracts.TaskKey(queued.submission, queued.indices[0])
             view = placement.choose(
                 self.policy,
-                _list_timely(serving[kind], queued, now_s),
+                placement.list_timely(
+                    serving[kind], queued.due_s - now_s, queued.estimate_s
+                ),
                 key,
                 queued.demand,
             )
@@ -294,9 +296,6 @@
             ),
         )
         self._find_breaker(view, kind).note_sent(now_s)
-        self._start_rate.note(
-            submission.demand.cpu_millis / 1000 * submission.estimate_s, now_s
-        )
         self.counters['starts_sent'] += 1
         start = messages.TaskStart(
             key.submission,
@@ -447,6 +446,9 @@
             reason = finished.body.decode('utf-8', 'replace')
             return Taken([], [TaskBroke(key, view.target.name, reason)])
         view.ramp()
+        if job is not None:
+            cpu = job.submission.demand.cpu_millis / 1000
+            self._end_rate.note(cpu * job.submission.estimate_s, now_s)
         self._learn(view, sent.kind, finished.run_ms / 1000)
         return Taken([], [TaskDone(key, finished.body)])
 
@@ -659,18 +661,3 @@
             },
             'counters': dict(self.counters),
         }
-
-
-def _list_timely(
-    views: list[machines.TargetView], queued: queues.QueuedJob, now_s: float
-) -> list[machines.TargetView]:
-    """Leave out targets too slow for a job that can still be in time.
-
-    A job waits for a faster target while it may, and leaves the slow ones to
-    jobs that are in time there.
-    """
-    spare_s = queued.due_s - now_s
-    if not queued.estimate_s or spare_s <= 0:
-        return views
-    limit = 1 + spare_s / queued.estimate_s
-    return [view for view in views if view.slowness <= limit]
--- a/eelgrassworks/placement.py
+++ b/eelgrassworks/placement.py
@@ -87,6 +87,21 @@
             return _choose_free(views, learnt, prefetch, demand)
 
 
+def list_timely(
+    views: list[machines.TargetView], spare_s: float, estimate_s: float
+) -> list[machines.TargetView]:
+    """Leave out targets too slow for a job that can still be in time.
+
+    ``spare_s`` is the time left until the job's latest start.  A job waits
+    for a faster target while it may, and leaves the slow ones to jobs that
+    are in time there.
+    """
+    if not estimate_s or spare_s <= 0:
+        return views
+    limit = 1 + spare_s / estimate_s
+    return [view for view in views if view.slowness <= limit]
+
+
 def _choose_free(
     views: list[machines.TargetView],
     learnt: bool,
@@ -110,7 +125,9 @@
             weight = (slowness, -free - view.free_room.cpu_millis)
             if weight < least:
                 fastest, least = view, weight
-        elif fastest is None:
+        elif fastest is None and not view.target.has_room:
+            # Where room bounds the tasks, what waits stays at the entry, in
+            # the order of its due times.
             wait = (1 - free) / max(1, view.target.slots) * slowness
             if wait < least_wait:
                 shortest, least_wait = view, wait
--- a/eelgrassworks/shedding.py
+++ b/eelgrassworks/shedding.py
@@ -4,7 +4,7 @@
 a queue by due time makes every job late, since each waits until it is just
 due.  A job is therefore refused when it comes, before it has waited, if the
 work that is due earlier would keep it from starting in time.  The rate at
-which work starts is measured here, since the targets are shared with other
+which work ends is measured here, since the targets are shared with other
 entries.
 
 A job that was admitted and whose time has passed is given up as soon as it
@@ -17,7 +17,7 @@
 
 from eelgrassworks import contracts
 
-# Long enough for tens of starts at one entry, shorter than a burst.
+# Long enough for tens of ends at one entry, shorter than a burst.
 RATE_WINDOW_S: Final = 1.0
 # An answer is of use until this many times the objective.
 USEFUL_OBJECTIVES: Final = 3.0
@@ -57,18 +57,18 @@
     )
 
 
-class StartRate:
-    """Work that was started lately, in processor-seconds a second."""
+class EndRate:
+    """Work that ended lately, in processor-seconds a second."""
 
     def __init__(self) -> None:
-        self._started: collections.deque[tuple[float, float]] = (
+        self._ended: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
         self._work = 0.0
 
     def note(self, work: float, now_s: float) -> None:
-        """Record that work was started."""
-        self._started.append((now_s, work))
+        """Record that work has ended."""
+        self._ended.append((now_s, work))
         self._work += work
         self._forget(now_s)
 
@@ -78,14 +78,14 @@
         return self._work / RATE_WINDOW_S
 
     def _forget(self, now_s: float) -> None:
-        while self._started and now_s - self._started[0][0] > RATE_WINDOW_S:
-            self._work -= self._started.popleft()[1]
+        while self._ended and now_s - self._ended[0][0] > RATE_WINDOW_S:
+            self._work -= self._ended.popleft()[1]
 
 
 def predict_wait(ahead: float, rate: float) -> float:
     """Return how long work that goes first takes to start, in seconds.
 
-    Nothing is predicted while nothing was started: an entry that has just
+    Nothing is predicted while nothing has ended: an entry that has just
     begun, or whose targets have just come back.
     """
     if rate <= 0:
--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,186 @@
+"""Load that exceeds the room: who is refused, who waits, who goes first."""
+
+import dataclasses
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import machines
+from eelgrassworks import placement
+from eelgrassworks import queues
+from eelgrassworks import shedding
+from eelgrassworks import virtual
+from tests import test_transient
+from tests import worlds
+
+KIND = dataclasses.replace(
+    test_transient.SHEET.kinds['read'], stretch=1.6, objective_s=0.06
+)
+
+# Declared run time, predicted wait, and whether the job is refused.
+ADMISSIONS: tuple[tuple[float, float, bool], ...] = (
+    (0.1, 0.0, False),
+    (0.1, 0.015, False),
+    (0.1, 0.1, False),
+    (0.1, 0.13, True),
+    (1.8, 0.13, False),
+    (1.8, 1.1, False),
+    (1.8, 1.2, True),
+)
+
+# Work that goes first and the rate of starts, and the predicted wait.
+WAITS: tuple[tuple[float, float, float], ...] = (
+    (0.0, 10.0, 0.0),
+    (5.0, 10.0, 0.5),
+    (5.0, 0.0, 0.0),
+)
+
+# Due times of three jobs, the time, and the order in which they go.
+ORDERS: tuple[tuple[tuple[float, float, float], float, str], ...] = (
+    ((3.0, 1.0, 2.0), 0.0, 'bca'),
+    ((1.0, 1.0, 1.0), 0.0, 'abc'),
+    ((1.0, 5.0, 4.0), 2.0, 'cba'),
+    ((1.0, 1.5, 4.0), 2.0, 'cba'),
+    ((0.0, 0.0, 0.0), 2.0, 'abc'),
+)
+
+# Seconds that are left for the start, declared run time, slowness of the
+# targets, and which may be used.
+SPEEDS: tuple[
+    tuple[float, float, tuple[float, ...], tuple[float, ...]], ...
+] = (
+    (1.14, 1.8, (0.6, 1.0, 1.7), (0.6, 1.0)),
+    (0.3, 0.4, (0.6, 1.0, 1.7), (0.6, 1.0, 1.7)),
+    (0.0, 1.8, (0.6, 1.0, 1.7), (0.6, 1.0, 1.7)),
+    (0.1, 1.8, (0.6, 1.0, 1.7), (0.6, 1.0)),
+)
+
+
+def make_view(slowness: float) -> machines.TargetView:
+    """Return a view of an idle target with a measured speed."""
+    target = dataclasses.replace(
+        worlds.make_target(0, 0), room=test_transient.ROOM
+    )
+    view = machines.TargetView(target, 1)
+    view.report(1, 0, test_transient.ROOM)
+    view.told_speed = 1 / slowness
+    return view
+
+
+@ddt.ddt
+class SheddingTest(unittest.TestCase):
+    @ddt.data(*ADMISSIONS)
+    @ddt.unpack
+    def test_admission(
+        self, estimate_s: float, wait_s: float, refused: bool
+    ) -> None:
+        schedule = shedding.plan_job(KIND, estimate_s, 100.0)
+        self.assertEqual(
+            shedding.should_refuse(schedule, wait_s, 100.0), refused
+        )
+
+    @ddt.data(*WAITS)
+    @ddt.unpack
+    def test_wait(self, ahead: float, rate: float, expected: float) -> None:
+        self.assertAlmostEqual(shedding.predict_wait(ahead, rate), expected)
+
+    def test_rate_forgets(self) -> None:
+        rate = shedding.EndRate()
+        rate.note(4.0, 10.0)
+        rate.note(2.0, 10.8)
+        self.assertAlmostEqual(rate.measure(10.9), 6.0)
+        self.assertAlmostEqual(rate.measure(11.5), 2.0)
+        self.assertAlmostEqual(rate.measure(13.0), 0.0)
+
+    @ddt.data(*ORDERS)
+    @ddt.unpack
+    def test_order(
+        self, due_s: tuple[float, float, float], now_s: float, expected: str
+    ) -> None:
+        queue = queues.FairQueue()
+        for name, due in zip('abc', due_s, strict=True):
+            queue.add('callers', name, 'read', 1, due)
+        order = ''
+        while queue.length:
+            picked = queue.pick(set(), now_s)
+            assert picked is not None
+            order += picked[1].submission
+            queue.take(*picked)
+        self.assertEqual(order, expected)
+
+    @ddt.data(*SPEEDS)
+    @ddt.unpack
+    def test_slow_targets_are_left_to_others(
+        self,
+        spare_s: float,
+        estimate_s: float,
+        slowness: tuple[float, ...],
+        expected: tuple[float, ...],
+    ) -> None:
+        views = [make_view(each) for each in slowness]
+        timely = placement.list_timely(views, spare_s, estimate_s)
+        found = [round(view.slowness, 3) for view in timely]
+        self.assertEqual(found, list(expected))
+
+    def test_overload_refuses_early_and_serves_the_rest_in_time(self) -> None:
+        """Twice the room for 10 s: the pattern is a lasting overload."""
+        world, requests = self._overload(2.0)
+        objective_s = KIND.stretch * 0.4 + KIND.objective_s
+        served = refused_late = in_time = 0
+        for request, asked_s in requests:
+            at_s, answer = world.replies[request]
+            if isinstance(answer, contracts.Complete):
+                served += 1
+                in_time += at_s - asked_s <= objective_s
+            elif at_s - asked_s > objective_s / 4:
+                refused_late += 1
+        self.assertGreaterEqual(in_time / served, 0.8)
+        self.assertGreaterEqual(served / len(requests), 0.4)
+        self.assertLessEqual(refused_late / len(requests), 0.1)
+
+    def _overload(
+        self, load: float
+    ) -> tuple[virtual.World, list[tuple[int, float]]]:
+        """Play a load that is a multiple of what the room can take."""
+        world = test_transient.make_world()
+        world.run_model = lambda *_: (0.4, True)
+        sheet = contracts.Sheet({'read': KIND}, test_transient.SHEET.quotas)
+        change = contracts.ReplaceSheet(2, sheet, b'')
+        worlds.change(
+            world, 'entry-1', change, contracts.ANY_REVISION, 'sheet-2'
+        )
+        world.run(1.0)
+        places = 3 * (
+            test_transient.ROOM.cpu_millis // test_transient.DEMAND.cpu_millis
+        )
+        interval_s = 0.4 / places / load
+        requests: list[tuple[int, float]] = []
+        for number in range(int(10.0 / interval_s)):
+            submission = contracts.Submission(
+                f'{number:016x}',
+                'digest',
+                'callers',
+                'read',
+                (b'spec',),
+                4.0,
+                False,
+                transient=True,
+                demand=test_transient.DEMAND,
+                estimate_s=0.4,
+            )
+            name = worlds.ENTRIES[number % 2]
+            asked_s = world.now_s
+            request = world.ask(
+                name,
+                lambda n, job=submission: entry.SubmitAsked(n, job),
+            )
+            requests.append((request, asked_s))
+            world.run(interval_s)
+        world.run(5.0)
+        return world, requests
+
+
+if __name__ == '__main__':
+    unittest.main()
