--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -141,25 +141,52 @@
         names: tuple[str, ...],
         snapshot_interval: int = 64,
         group_commit: bool = True,
+        voters: int = 0,
     ) -> None:
-        """Add the replicas of a new cluster."""
-        voters = {name: f'disk-{name}' for name in names}
+        """Add the replicas of a new cluster; ``voters`` opens the members."""
+        disks = {name: f'disk-{name}' for name in names}
         for name in names:
-            node = Node(name, 'control')
-            node.disk = FakeDisk(voters[name], voters)
-
-            def make(node: Node) -> Any:
-                disk = node.disk or FakeDisk('', {})
-                options = control.ControlOptions(
-                    roles.ReplicaOptions(node.name, disk.identity, names),
-                    group_commit,
-                    snapshot_interval,
-                )
-                return control.Control(
-                    options, disk.read(), disk.base[2], self._moment(node)
-                )
+            disk = FakeDisk(disks[name], disks)
+            self._add_replica(
+                name, names, disk, group_commit, snapshot_interval, voters
+            )
+
+    def join_control(
+        self, name: str, seeds: tuple[str, ...], voters: int
+    ) -> None:
+        """Add a replica that the others do not know, with a new disk."""
+        disk = FakeDisk(f'disk-{name}', {})
+        self._add_replica(name, (*seeds, name), disk, True, 64, voters)
+
+    def _add_replica(
+        self,
+        name: str,
+        names: tuple[str, ...],
+        disk: FakeDisk,
+        group_commit: bool,
+        snapshot_interval: int,
+        voters: int,
+    ) -> None:
+        node = Node(name, 'control', disk=disk)
+
+        def make(node: Node) -> Any:
+            disk = node.disk or FakeDisk('', {})
+            options = control.ControlOptions(
+                roles.ReplicaOptions(
+                    node.name,
+                    disk.identity,
+                    names,
+                    f'tcp://{name}' if voters else '',
+                    voters,
+                ),
+                group_commit,
+                snapshot_interval,
+            )
+            return control.Control(
+                options, disk.read(), disk.base[2], self._moment(node)
+            )
 
-            self._add(node, make)
+        self._add(node, make)
 
     def add_entry(
         self,
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,171 @@
+"""Replicas that join, replace others, and agents that find entries."""
+
+import unittest
+
+import ddt
+
+from eelgrassworks import commands
+from eelgrassworks import contracts
+from eelgrassworks import discovery
+from eelgrassworks import effects
+from eelgrassworks import ledger
+from eelgrassworks import links
+from eelgrassworks import virtual
+from eelgrassworks.links import messages
+from tests import worlds
+
+NEW = 'control-9'
+SHEET = contracts.Sheet({}, {})
+
+# Versions in the order in which they come, and the one held in the end.
+VERSIONS: tuple[tuple[tuple[int, ...], int], ...] = (
+    ((1,), 1),
+    ((1, 5), 5),
+    ((5, 1), 5),
+    ((5, 5), 5),
+    ((3, 9, 4, 7), 9),
+)
+
+
+def make_world() -> virtual.World:
+    """Return a world whose members are open."""
+    world = virtual.World(1)
+    world.add_control(worlds.CONTROLS, voters=3)
+    world.add_entry('entry-1', worlds.CONTROLS)
+    worlds.await_leader(world)
+    world.run(1.0)
+    return world
+
+
+def find_members(world: virtual.World) -> commands.SetMembers:
+    """Return the members as the leader knows them."""
+    leader = worlds.await_leader(world)
+    members: commands.SetMembers = world.nodes[leader].core.replica.members
+    return members
+
+
+@ddt.ddt
+class MembershipTest(unittest.TestCase):
+    def test_replica_beyond_the_voters_stays_a_learner(self) -> None:
+        world = make_world()
+        world.join_control(NEW, worlds.CONTROLS, voters=3)
+        world.run(6.0)
+        members = find_members(world)
+        self.assertEqual(set(members.voters), set(worlds.CONTROLS))
+        self.assertEqual(set(members.learners), {NEW})
+
+    @ddt.data('leader', 'follower')
+    def test_new_replica_takes_the_place_of_a_lost_one(
+        self, which: str
+    ) -> None:
+        world = make_world()
+        leader = worlds.find_leader(world)
+        lost = leader
+        if which == 'follower':
+            lost = next(n for n in worlds.CONTROLS if n != leader)
+        world.kill(lost)
+        world.run(1.0)
+        world.join_control(NEW, worlds.CONTROLS, voters=3)
+        world.run(8.0)
+        voters = set(find_members(world).voters)
+        self.assertEqual(voters, {*worlds.CONTROLS, NEW} - {lost})
+        # The loss of one more leaves a majority.
+        world.kill(next(n for n in worlds.CONTROLS if n != lost))
+        world.run(3.0)
+        made = worlds.change(
+            world,
+            'entry-1',
+            contracts.ReplaceSheet(1, SHEET, b''),
+            contracts.ANY_REVISION,
+            'after',
+        )
+        self.assertTrue(made.in_force)
+
+    def test_restarted_replica_is_not_replaced(self) -> None:
+        world = make_world()
+        world.join_control(NEW, worlds.CONTROLS, voters=3)
+        world.run(3.0)
+        follower = next(
+            n for n in worlds.CONTROLS if n != worlds.find_leader(world)
+        )
+        world.kill(follower)
+        world.run(1.5)
+        world.start(follower)
+        world.run(5.0)
+        voters = set(find_members(world).voters)
+        self.assertEqual(voters, set(worlds.CONTROLS))
+
+    @ddt.data(*VERSIONS)
+    @ddt.unpack
+    def test_version(self, versions: tuple[int, ...], held: int) -> None:
+        state = ledger.Ledger()
+        for index, version in enumerate(versions, 1):
+            change = contracts.ReplaceSheet(
+                version, SHEET, f'{version}'.encode()
+            )
+            verdicts = state.apply(
+                index,
+                commands.CommitChange(
+                    f'change-{index}',
+                    'operator',
+                    contracts.ANY_REVISION,
+                    links.pack(change),
+                ),
+            )
+            self.assertIsInstance(verdicts[0], contracts.ChangeAccepted)
+        self.assertEqual(state.configuration.version, held)
+        self.assertEqual(state.configuration.document, f'{held}'.encode())
+
+    def test_same_version_with_other_content_changes_nothing(self) -> None:
+        state = ledger.Ledger()
+        for index, document in enumerate((b'first', b'second'), 1):
+            change = contracts.ReplaceSheet(4, SHEET, document)
+            state.apply(
+                index,
+                commands.CommitChange(
+                    f'change-{index}',
+                    'operator',
+                    contracts.ANY_REVISION,
+                    links.pack(change),
+                ),
+            )
+        self.assertEqual(state.configuration.document, b'first')
+
+
+class DiscoveryTest(unittest.TestCase):
+    def test_asks_replicas_only_while_it_knows_no_entry(self) -> None:
+        found = discovery.Discovery(('control-1', 'control-2'))
+        peers = self._ask(found, 0.0, 4)
+        self.assertEqual(set(peers), {'control-1', 'control-2'})
+        roster = messages.RosterTold({}, {'entry-1': 'tcp://1', 'entry-2': ''})
+        told = found.take(roster, 6.0)
+        self.assertEqual(told.entries, ('entry-1', 'entry-2'))
+        self.assertEqual(len(told.effects), 2)
+        self.assertEqual(set(self._ask(found, 6.5, 2)), {'entry-1', 'entry-2'})
+
+    def test_asks_replicas_again_when_entries_fall_silent(self) -> None:
+        found = discovery.Discovery(('control-1',))
+        found.take(messages.RosterTold({}, {'entry-1': 'tcp://1'}), 0.0)
+        peers = self._ask(found, 10.0, 4)
+        self.assertIn('control-1', peers)
+
+    def test_empty_roster_forgets_nobody(self) -> None:
+        found = discovery.Discovery(('control-1',))
+        found.take(messages.RosterTold({}, {'entry-1': 'tcp://1'}), 0.0)
+        found.take(messages.RosterTold({}, {}), 1.0)
+        self.assertEqual(found.entries, ('entry-1',))
+
+    def _ask(
+        self, found: discovery.Discovery, since_s: float, count: int
+    ) -> list[str]:
+        """Return whom it asks in the first seconds after a time."""
+        peers = []
+        for step in range(count * 25):
+            for effect in found.tick(since_s + step / 20):
+                assert isinstance(effect, effects.Send)
+                peers.append(effect.peer)
+        return peers[:count]
+
+
+if __name__ == '__main__':
+    unittest.main()
