Serve through a planned stop until balancers have noticed, and follow seeds

Cause: a balancer goes on sending for two seconds after an entry says that it is not ready, and those jobs were refused; a request read after the end of the decisions was never answered. Change: an entry that stops takes jobs for 2.2 s more and asks callers to connect anew; after its end requests get 503. Settings are read again on SIGHUP and every 2 s, and new seeds are learned. Not measured yet.

--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -57,6 +57,13 @@
         self.control: control.Control | None = None
         self._open_folder()
 
+    def learn_replicas(self, replicas: dict[str, str]) -> None:
+        """Take control replicas that new settings name."""
+        super().learn_replicas(replicas)
+        self.model.replicas = {**self.model.replicas, **replicas}
+        if self.control is not None:
+            self.control.replica.learn_names(tuple(replicas))
+
     def _open_folder(self) -> None:
         """Begin with what the folder holds, or try again in a while."""
         try:
--- a/eelgrassworks/discovery.py
+++ b/eelgrassworks/discovery.py
@@ -37,6 +37,10 @@
         self._told_s = float('-inf')
         self._turn = 0
 
+    def learn_replicas(self, names: tuple[str, ...]) -> None:
+        """Ask these replicas as well while no entry is known."""
+        self._replicas = tuple(dict.fromkeys((*self._replicas, *names)))
+
     def tick(self, now_s: float) -> effects.Effects:
         """Ask for the roster when it is time."""
         fresh = self.entries and now_s - self._told_s < ENTRIES_STALE_S
@@ -58,8 +62,7 @@
         self._told_s = now_s
         self.entries = tuple(sorted(roster.entries))
         if roster.replicas:
-            known = dict.fromkeys((*self._replicas, *roster.replicas))
-            self._replicas = tuple(known)
+            self.learn_replicas(tuple(roster.replicas))
         addresses = {**roster.replicas, **roster.entries}
         return Found(
             self.entries,
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -42,11 +42,14 @@
     """Fixed facts and limits of an entry.
 
     ``max_wait_s`` bounds the expected wait of an admitted job's first task.
+    A planned stop goes on taking jobs for ``stop_linger_s``, until balancers
+    have noticed that the entry is not ready.
     """
 
     session: session.SessionOptions
     policy: placement.Policy
     max_wait_s: float
+    stop_linger_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +135,7 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
         self._left = False
+        self._stop_s = float('-inf')
         self._inquiries = inquiries.Inquiries(self.session)
         self._changes = changes.Changes(self.session)
         self._deadlines: list[tuple[float, str]] = []
@@ -172,9 +176,11 @@
             case Ticked():
                 asked = self._tick(now_s)
             case StopAsked():
-                self.stopping = True
+                if not self.stopping:
+                    self.stopping = True
+                    self._stop_s = now_s
                 asked = []
-        return asked + self._place(now_s) + self._finish_stop()
+        return asked + self._place(now_s) + self._finish_stop(now_s)
 
     # Requests of callers.
 
@@ -288,7 +294,7 @@
         configuration = self.session.configuration
         sheet = configuration.sheet
         count = len(submission.payloads)
-        if self.stopping:
+        if self._has_lingered(now_s):
             return errors.refuse(errors.Code.STOPPING)
         if not configuration.revision:
             return errors.refuse(
@@ -824,8 +830,14 @@
             return []
         return self.dispatcher.place(now_s)
 
-    def _finish_stop(self) -> effects.Effects:
-        if not self.stopping or self._left:
+    def _has_lingered(self, now_s: float) -> bool:
+        """Tell whether a planned stop takes no new jobs any more."""
+        if not self.stopping:
+            return False
+        return now_s - self._stop_s >= self.options.stop_linger_s
+
+    def _finish_stop(self, now_s: float) -> effects.Effects:
+        if self._left or not self._has_lingered(now_s):
             return []
         if self._inquiries or self._changes or self.table.list_open():
             return []
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -42,6 +42,7 @@
                 ),
                 placement.make_policy(model.policy, model.learnt_speeds),
                 model.max_wait_s,
+                model.stop_linger_s,
             )
         )
 
@@ -59,6 +60,11 @@
         http = self.model.http
         self.port = await self.serve(application, http.host, http.port)
 
+    def learn_replicas(self, replicas: dict[str, str]) -> None:
+        """Take control replicas that new settings name."""
+        super().learn_replicas(replicas)
+        self.entry.session.learn_replicas(tuple(replicas))
+
     async def await_configuration(self) -> bool:
         """Wait for a configuration after the start; False without one."""
         for _ in range(round(entry.SETTLE_S / self.tick_interval_s)):
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -113,6 +113,11 @@
         await self.serve(application, http.host, http.port)
         self._spawn(self._hold_target())
 
+    def learn_replicas(self, replicas: dict[str, str]) -> None:
+        """Take control replicas that new settings name."""
+        super().learn_replicas(replicas)
+        self.discovery.learn_replicas(tuple(replicas))
+
     # Reports of the target.
 
     def take_report(self, report: heldtarget.TargetReport) -> None:
--- a/eelgrassworks/platform/__main__.py
+++ b/eelgrassworks/platform/__main__.py
@@ -14,6 +14,7 @@
 from eelgrassworks import process
 from eelgrassworks.links import transport
 from eelgrassworks.platform import nodefile
+from eelgrassworks.platform import seeds
 from eelgrassworks.platform import wire
 
 EXIT_FAULT: Final = 1
@@ -94,7 +95,9 @@
 
 async def _run(role: str) -> int:
     try:
-        running = ROLES[role](nodefile.read_node_file())
+        node = nodefile.read_node_file()
+        running = ROLES[role](node)
+        running.fronts.append(seeds.Seeds(running, node.seeds))
         running.watch_signals()
         return await running.run()
     except errors.Fault as fault:
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -49,10 +49,23 @@
     async def close(self) -> None:
         """Do nothing; the process closes its listeners."""
 
+    def reload(self) -> None:
+        """Do nothing; the seeds are read by another front."""
+
     async def _show_ready(self, _: web.Request) -> web.Response:
         return web.Response(status=200 if self._owner.is_ready() else 503)
 
     async def _serve(self, request: web.Request) -> web.Response:
+        if self._owner.ended.is_set():
+            response = respond(errors.refuse(errors.Code.STOPPING))
+        else:
+            response = await self._answer(request)
+        if self._owner.entry.stopping:
+            # The caller's next request finds another node.
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.Request) -> web.Response:
         session = self._owner.entry.session
         if not await self._owner.await_configuration():
             return respond(errors.refuse(errors.Code.UNAVAILABLE, limit_s=0))
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -22,6 +22,9 @@
 HTTP_PORT_VARIABLE: Final = 'EELGRASSWORKS_HTTP_PORT'
 HTTP_OFFSET: Final = 3
 DEFAULT_LEASE_MS: Final = 5000
+# The platform takes a node out of rotation after two missed checks, a
+# second apart.
+STOP_LINGER_S: Final = 2.2
 
 
 def read_node_file() -> wire.NodeFile:
@@ -74,6 +77,7 @@
         http=_make_http(node, ENTRY_PORT),
         key=LINK_KEY,
         replicas=list_replicas(node),
+        stop_linger_s=STOP_LINGER_S,
     )
 
 
--- a/eelgrassworks/platform/operatorapi.py
+++ b/eelgrassworks/platform/operatorapi.py
@@ -43,6 +43,9 @@
     async def close(self) -> None:
         """Do nothing; the process closes its listeners."""
 
+    def reload(self) -> None:
+        """Do nothing; the seeds are read by another front."""
+
     async def _replace(self, request: web.Request) -> web.Response:
         body = await request.read()
         try:
@@ -64,6 +67,8 @@
         return await self._order(request, change)
 
     async def _read(self, request: web.Request) -> web.Response:
+        if self._owner.ended.is_set():
+            return web.Response(status=503)
         number, future = self._owner.open_request()
         self._owner.dispatch(control.ConfigurationWanted(number))
         match await self._owner.await_reply(number, future):
@@ -101,6 +106,8 @@
     async def _order(
         self, request: web.Request, change: contracts.ChangeRequest
     ) -> web.Response:
+        if self._owner.ended.is_set():
+            return web.Response(status=503)
         number, future = self._owner.open_request()
         self._owner.dispatch(control.ChangeOrdered(number, change))
         match await self._owner.await_reply(number, future):
--- a/eelgrassworks/platform/reports.py
+++ b/eelgrassworks/platform/reports.py
@@ -34,6 +34,9 @@
     async def close(self) -> None:
         """Do nothing; the process closes its listeners."""
 
+    def reload(self) -> None:
+        """Do nothing; the seeds are read by another front."""
+
     async def _take_report(self, request: web.Request) -> web.Response:
         try:
             report = parse_report(
--- /dev/null
+++ b/eelgrassworks/platform/seeds.py
@@ -0,0 +1,49 @@
+"""Follows the platform's settings file, whose seeds change over time."""
+
+import asyncio
+from typing import Final
+
+from eelgrassworks import errors
+from eelgrassworks import logs
+from eelgrassworks import process
+from eelgrassworks.platform import nodefile
+
+# The file may change without a signal; a stale seed does no harm meanwhile.
+LOOK_INTERVAL_S: Final = 2.0
+
+
+class Seeds:
+    """Tells a process of the control replicas that new settings name."""
+
+    def __init__(self, owner: process.Process, seeds: list[str]) -> None:
+        self._owner = owner
+        self._seeds = seeds
+        self._handle: asyncio.TimerHandle | None = None
+
+    async def open(self) -> None:
+        """Begin to look at the file."""
+        self._look()
+
+    async def close(self) -> None:
+        """Stop to look at the file."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def reload(self) -> None:
+        """Look at the file now."""
+        try:
+            node = nodefile.read_node_file()
+        except errors.Fault as fault:
+            # It is being replaced; the next look finds it whole.
+            logs.log('settings_unreadable', reason=str(fault))
+            return
+        if node.seeds == self._seeds:
+            return
+        self._seeds = node.seeds
+        logs.log('seeds_changed', seeds=','.join(node.seeds))
+        self._owner.learn_replicas(nodefile.list_replicas(node))
+
+    def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(LOOK_INTERVAL_S, self._look)
+        self.reload()
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -40,6 +40,9 @@
     async def close(self) -> None:
         """Stop to serve."""
 
+    def reload(self) -> None:
+        """Read the settings again."""
+
 
 class Process:
     """One process of the system, on one loop in one thread."""
@@ -107,9 +110,16 @@
     async def close(self) -> None:
         """Close what the role itself opened."""
 
+    def learn_replicas(self, replicas: dict[str, str]) -> None:
+        """Take control replicas that new settings name."""
+        for name, address in replicas.items():
+            self.link.connect(name, address)
+
     def reload(self) -> None:
         """Read the settings again, where a front end has any to read."""
         logs.log('reload_asked')
+        for front in self.fronts:
+            front.reload()
 
     def make_left(self, request: int) -> object | None:
         """Return the event for a caller that left, if the role has one."""
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replica.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import dataclasses
 from typing import Final
 
 from eelgrassworks import commands
@@ -132,6 +133,11 @@
         vouching = (self._standing & voters) | {self.options.name}
         return len(vouching) >= self.membership.majority
 
+    def learn_names(self, names: tuple[str, ...]) -> None:
+        """Ask these replicas as well for admission."""
+        known = dict.fromkeys((*self.options.names, *names))
+        self.options = dataclasses.replace(self.options, names=tuple(known))
+
     def _others(self) -> list[str]:
         members = self.members
         known = dict.fromkeys(
--- a/eelgrassworks/session.py
+++ b/eelgrassworks/session.py
@@ -158,6 +158,10 @@
             for name, address in roster.replicas.items()
         ]
 
+    def learn_replicas(self, names: tuple[str, ...]) -> None:
+        """Ask these replicas as well when a leader has to be found."""
+        self.replicas = tuple(dict.fromkeys((*self.replicas, *names)))
+
     def confirm(self, now_s: float) -> effects.Effects:
         """Ask for a lease on a configuration that was just taken."""
         return self._renew(now_s)
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -122,6 +122,8 @@
     max_wait_s: Seconds = 2.0
     body_limit_bytes: Positive = DEFAULT_BODY_LIMIT_BYTES
     body_timeout_s: Seconds = 10.0
+    # How long a planned stop goes on taking jobs while it is not ready.
+    stop_linger_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class AgentSettings(
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/virtual.py
@@ -194,6 +194,7 @@
         replicas: tuple[str, ...],
         policy: placement.Policy | None = None,
         max_wait_s: float = 60.0,
+        stop_linger_s: float = 0.0,
     ) -> None:
         """Add an entry."""
 
@@ -203,7 +204,10 @@
             )
             return entry.Entry(
                 entry.EntryOptions(
-                    options, policy or placement.LateBinding(), max_wait_s
+                    options,
+                    policy or placement.LateBinding(),
+                    max_wait_s,
+                    stop_linger_s,
                 )
             )
 
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -19,6 +19,7 @@
 # Callers submit again this long after they lost their answer.
 RESUBMIT_S = 1.3
 TASK_S = 2.5
+STOP_LINGER_S = 2.0
 ROOM = contracts.Room(8000, 8192)
 DEMAND = contracts.Room(2000, 64)
 SHEET = contracts.Sheet(
@@ -44,7 +45,7 @@
     world.hold_lease_s = HOLD_LEASE_S
     world.add_control(worlds.CONTROLS)
     for name in worlds.ENTRIES:
-        world.add_entry(name, worlds.CONTROLS)
+        world.add_entry(name, worlds.CONTROLS, stop_linger_s=STOP_LINGER_S)
     for position in range(agents):
         target = dataclasses.replace(
             worlds.make_target(position, 0), service='cover-check', room=ROOM
@@ -209,6 +210,22 @@
             self.assertIsInstance(answer, contracts.Complete)
         self.assertEqual(len(world.started_at), 8)
 
+    def test_planned_stop_serves_until_balancers_have_noticed(self) -> None:
+        world = make_world()
+        first = submit(world, 'entry-1', 'a' * 16, tasks=1)
+        world.give('entry-1', entry.StopAsked())
+        core = world.nodes['entry-1'].core
+        self.assertFalse(core.is_ready(world.now_s))
+        world.run(STOP_LINGER_S - 0.2)
+        second = submit(world, 'entry-1', 'b' * 16, tasks=1)
+        world.run(0.4)
+        third = submit(world, 'entry-1', 'c' * 16, tasks=1)
+        self.assertIsInstance(world.replies[third][1], contracts.NotRun)
+        for request in (first, second):
+            answer = worlds.await_answer(world, request)
+            self.assertIsInstance(answer, contracts.Complete)
+        self.assertIn('entry-1', world.left)
+
     def test_room_is_never_exceeded(self) -> None:
         world = make_world(agents=1)
         requests = [
