--- /dev/null
+++ b/models/runs.py
@@ -0,0 +1,172 @@
+"""Never two runs of a transient task at a time.
+
+An entry starts a task through an agent at a target.  The agent stops it when
+the entry has confirmed nothing for a while, the target kills it when the
+agent no longer holds it.  The entry or the agent may freeze at any time, and
+answers may be late.  A caller that lost its answer submits again elsewhere;
+an entry that hears nothing of the agent starts the task elsewhere itself.
+
+Bounds: 9 ticks, one run at the first target, one freeze of each process.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+import minicheck
+
+from models import state
+
+LAST_TICK: Final = 9
+# An entry is believed for this long after the sending of what it confirmed.
+ENTRY_TTL: Final = 2
+# The target kills what was not held for this long.
+HOLD: Final = 2
+# What a caller, and the entry itself, waits before the task starts again; the
+# last hold comes a tick before the entry is no longer believed.
+CHAIN: Final = ENTRY_TTL - 1 + HOLD
+MAX_STATES: Final = 500_000
+NEVER: Final = -99
+
+FENCES: Final = (
+    'entry_ttl',
+    'sent_time',
+    'hold',
+    'look_first',
+    'pause',
+    'chain',
+)
+
+SHAPE: Final = state.Shape(
+    'now',
+    'running',
+    'hold_until',
+    'confirmed_until',
+    'asked',
+    'answer',
+    'agent',
+    'entry',
+    'lost_at',
+    'heard',
+    'elsewhere',
+    'again',
+)
+State = state.State
+Step = state.Step
+replace = SHAPE.replace
+
+
+def make(without: str = '') -> minicheck.Protocol:
+    """Return the protocol, less one of its fences."""
+
+    def step(before: State) -> list[Step]:
+        s = SHAPE.read(before)
+        return [
+            *_pass_time(before, s, without),
+            *_renew(before, s, without),
+            *_hold(before, s, without),
+            *_freeze(before, s, without),
+            *_start_elsewhere(before, s, without),
+        ]
+
+    return minicheck.Protocol(
+        name=f'runs without {without}' if without else 'runs',
+        candidate=False,
+        fields=SHAPE.fields,
+        initial=(
+            0,
+            True,
+            HOLD,
+            ENTRY_TTL,
+            NEVER,
+            NEVER,
+            'awake',
+            'awake',
+            NEVER,
+            0,
+            False,
+            False,
+        ),
+        transitions=SHAPE.halt_when(count_two, step),
+        invariants={'one_run': lambda s: not count_two(s)},
+    )
+
+
+def count_two(s: dict[str, Any]) -> bool:
+    """Tell whether two runs go on at a time."""
+    return s['running'] + s['elsewhere'] + s['again'] > 1
+
+
+def _pass_time(
+    before: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    if s['now'] >= LAST_TICK:
+        return
+    now = s['now'] + 1
+    running = s['running']
+    if now >= s['hold_until'] and without != 'hold':
+        running = False
+    unconfirmed = now >= s['confirmed_until'] and without != 'entry_ttl'
+    if unconfirmed and s['agent'] == 'awake':
+        running = False
+    yield 'pass time', replace(before, now=now, running=running)
+
+
+def _renew(before: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+    if s['asked'] == NEVER and s['answer'] == NEVER and s['agent'] == 'awake':
+        yield 'agent asks', replace(before, asked=s['now'])
+    if s['asked'] != NEVER and s['entry'] == 'awake':
+        yield (
+            'entry answers',
+            replace(before, asked=NEVER, answer=s['asked'], heard=s['now']),
+        )
+    if s['answer'] != NEVER and s['agent'] == 'awake':
+        since = s['now'] if without == 'sent_time' else s['answer']
+        until = max(s['confirmed_until'], since + ENTRY_TTL)
+        yield (
+            'agent takes answer',
+            replace(before, answer=NEVER, confirmed_until=until),
+        )
+
+
+def _hold(before: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+    if not s['running'] or s['agent'] != 'awake':
+        return
+    # Whoever wakes up looks at the clock before it holds anything.
+    looks = without not in ('entry_ttl', 'look_first')
+    if looks and s['now'] >= s['confirmed_until']:
+        return
+    yield 'agent holds', replace(before, hold_until=s['now'] + HOLD)
+
+
+def _freeze(before: State, s: dict[str, Any], without: str) -> Iterator[Step]:
+    if s['agent'] == 'awake':
+        yield 'agent freezes', replace(before, agent='frozen')
+    # The first thing that a woken agent does is to stop what has no
+    # confirmation, as at any tick.
+    if s['agent'] == 'frozen':
+        unconfirmed = s['now'] >= s['confirmed_until']
+        stops = unconfirmed and without not in ('entry_ttl', 'look_first')
+        running = s['running'] and not stops
+        yield 'agent wakes', replace(before, agent='awake', running=running)
+    if s['entry'] == 'awake' and s['lost_at'] == NEVER:
+        yield (
+            'entry freezes',
+            replace(before, entry='frozen', lost_at=s['now']),
+        )
+    if s['entry'] == 'frozen' and without == 'pause' and not s['running']:
+        # It still believes in its job and starts the task again.
+        yield 'entry wakes', replace(before, entry='gone', again=True)
+
+
+def _start_elsewhere(
+    before: State, s: dict[str, Any], without: str
+) -> Iterator[Step]:
+    if s['elsewhere']:
+        return
+    wait = CHAIN - 1 if without == 'chain' else CHAIN
+    lost = s['lost_at']
+    if lost != NEVER and s['now'] - lost >= wait:
+        yield 'caller submits again', replace(before, elsewhere=True)
+    if s['entry'] == 'awake' and s['now'] - s['heard'] >= wait:
+        yield 'entry starts elsewhere', replace(before, elsewhere=True)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -16,10 +16,11 @@
 from models import claims
 from models import leases
 from models import replication
+from models import runs
 from models import starts
 from tests import worlds
 
-MODELS = (claims, leases, replication, starts)
+MODELS = (claims, leases, replication, runs, starts)
 WHOLE = [(model.__name__, model) for model in MODELS]
 REDUCED = [
     (f'{model.__name__}_{fence}', model, fence)
