--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -500,6 +500,18 @@
             },
         )
 
+    def _log_lost(
+        self, view: machines.TargetView, silence_s: float
+    ) -> effects.Log:
+        return effects.Log(
+            'target_lost',
+            {
+                'target': view.target.name,
+                'silent_s': round(silence_s, 2),
+                'ids': ','.join(key.submission for key in view.outstanding),
+            },
+        )
+
     def _restart(self, job: jobs.Job | None, key: contracts.TaskKey) -> bool:
         """Queue a transient task again of which nothing runs any more."""
         if job is None or job.state != jobs.JobState.ACTIVE:
@@ -560,6 +572,7 @@
             silence_s = now_s - view.heard_s
             lost_s = HOLD_CHAIN_S if view.target.has_room else AGENT_LOST_S
             if silence_s > lost_s:
+                asked.append(self._log_lost(view, silence_s))
                 outcomes += self._lose(peer)
             elif silence_s > AGENT_SILENCE_S:
                 view.suspect = True
