Pause a target where tasks stand still, and move first runs that crawl

Ruled out: the queue (half started within 8 ms). Change: the agent takes nothing for 0.5 to 8 s after a stall, and a first run that would go on for three times its declared run time is started elsewhere, once.

--- a/eelgrassworks/heldtarget.py
+++ b/eelgrassworks/heldtarget.py
@@ -36,6 +36,16 @@
 # make a percent in a fifth of it on a slow target.
 STALL_S: Final = 0.3
 STALLED: Final = messages.STALLED.decode()
+# After a stall the target takes nothing for this long; each further stall
+# before a task is done doubles the pause.
+FIRST_PAUSE_S: Final = 0.5
+LONGEST_PAUSE_S: Final = 8.0
+# A first run is moved elsewhere when it would go on for this many times its
+# declared run time; the slowest sound targets and wrong declarations stay
+# below it.
+CRAWL_FACTOR: Final = 3.0
+# Progress is measured this long before a run is said to crawl.
+CRAWL_LOOK_S: Final = 0.2
 # Weight of the speed that was measured a second ago.
 SPEED_DECAY: Final = 0.4
 # Run time that has to be seen before a speed is told, in seconds.
@@ -281,6 +291,7 @@
     settled_after: int | None = None
     stopped_s: float | None = None
     percent: int = 0
+    began_s: float = 0.0
     looked_s: float | None = None
     moved_s: float = 0.0
     stalled: bool = False
@@ -334,6 +345,8 @@
         self._lease_end_s = now_s
         self._refusals = 0
         self.over = False
+        self._pause_s = 0.0
+        self._paused_until_s = float('-inf')
 
     @property
     def needs_hold(self) -> bool:
@@ -492,7 +505,8 @@
         if told.number > self._listed_number:
             self._listed_number = told.number
             asked += self._compare(told, now_s)
-        if not self.sound and self.clean:
+        paused = now_s < self._paused_until_s
+        if not self.sound and self.clean and not paused:
             self.sound = True
             asked.append(SoundnessChanged(True))
         return asked
@@ -508,6 +522,8 @@
             if run is None:
                 continue
             del self._runs[end.name]
+            if end.succeeded:
+                self._pause_s = 0.0
             stopped = not end.succeeded and not end.failed
             reason = STALLED if stopped and run.stalled else end.reason
             asked.append(RunOver(run.key, end.succeeded, stopped, reason))
@@ -548,7 +564,7 @@
     ) -> list[HeldEffect]:
         """Follow the progress of a run; stop one that stands still."""
         if run.looked_s is None:
-            run.looked_s = run.moved_s = now_s
+            run.began_s = run.looked_s = run.moved_s = now_s
             run.percent = percent
             return []
         done_s = (percent - run.percent) / 100 * run.estimate_s
@@ -558,11 +574,40 @@
         if percent != run.percent:
             run.percent = percent
             run.moved_s = now_s
-        if run.stopped_s is not None or now_s - run.moved_s < STALL_S:
+        if run.stopped_s is not None:
             return []
-        self.counters['stalled'] += 1
-        run.stalled = True
-        return [self._stop(name, run, now_s)]
+        if now_s - run.moved_s >= STALL_S:
+            self.counters['stalled'] += 1
+            run.stalled = True
+            return [self._stop(name, run, now_s), *self._pause(now_s)]
+        if self._crawls(run, now_s):
+            self.counters['crawling'] += 1
+            run.stalled = True
+            return [self._stop(name, run, now_s)]
+        return []
+
+    def _crawls(self, run: Run, now_s: float) -> bool:
+        """Tell whether a run would end much sooner if begun elsewhere.
+
+        A task is moved once at most, since its work may be long in itself.
+        """
+        looked_s = now_s - run.began_s
+        if run.attempt > 1 or not run.estimate_s or not run.percent:
+            return False
+        if looked_s < CRAWL_LOOK_S:
+            return False
+        left_s = looked_s * (100 - run.percent) / run.percent
+        return left_s > CRAWL_FACTOR * run.estimate_s
+
+    def _pause(self, now_s: float) -> list[HeldEffect]:
+        """Take no new tasks for a while after one has stood still."""
+        if now_s < self._paused_until_s:
+            return []
+        self._pause_s = min(
+            LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s)
+        )
+        self._paused_until_s = now_s + self._pause_s
+        return self._note_silence()
 
     def _is_settled(self, run: Run, told: HoldTold) -> bool:
         """Tell whether an attempt that is not listed can never run."""
