--- a/eelgrassworks/exposition.py
+++ b/eelgrassworks/exposition.py
@@ -66,9 +66,12 @@
         """Add the route to an application."""
         application.router.add_get('/metrics', self._show)
 
+    def render(self) -> bytes:
+        """Return the present values as text."""
+        return prometheus_client.generate_latest(self._registry)
+
     async def _show(self, _: web.Request) -> web.Response:
-        text = prometheus_client.generate_latest(self._registry)
         return web.Response(
-            body=text,
+            body=self.render(),
             headers={'Content-Type': prometheus_client.CONTENT_TYPE_LATEST},
         )
