Let jobs wait for the first lease after a start

Ruled out: the search for a leader (it led 0.2 s before). Change: that time begins with the process. The test fails without it.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -148,7 +148,7 @@
             collections.deque(maxlen=KEPT_LATENCIES)
         )
         self._has_lease = False
-        # When the lease was gained or lost, whichever came last.
+        # When the lease was gained or lost, or this process began.
         self._leased_s = float('-inf')
 
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
@@ -775,6 +775,9 @@
         must not start again here.
         """
         paused_s = now_s - self._awake_s
+        if paused_s == float('inf'):
+            # The first event: a lease and targets are still to be found.
+            self._leased_s = now_s
         self._awake_s = now_s
         if not PAUSE_S < paused_s < float('inf'):
             return []
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -226,6 +226,29 @@
             self.assertIsInstance(answer, contracts.Complete)
         self.assertIn('entry-1', world.left)
 
+    def test_restarted_entry_lets_jobs_wait_for_lease_and_targets(
+        self,
+    ) -> None:
+        world = make_world()
+        world.run_model = lambda *_: (0.1, True)
+        for name in [*worlds.CONTROLS, *worlds.ENTRIES]:
+            world.kill(name)
+        for name in [*worlds.CONTROLS, *worlds.ENTRIES]:
+            world.start(name)
+        core = world.nodes['entry-1'].core
+        world.run_until(lambda: core.session.configuration.revision > 0, 5.0)
+        self.assertFalse(core.session.may_work(world.now_s))
+        answer = worlds.await_answer(world, submit(world, 'entry-1'))
+        self.assertIsInstance(answer, contracts.Complete)
+
+    def test_entry_without_targets_refuses_at_once_in_the_end(self) -> None:
+        world = make_world()
+        for position in range(3):
+            world.kill(f'runner-{position + 1}')
+        world.run(entry.SETTLE_S + 2.0)
+        request = submit(world, 'entry-1')
+        self.assertIsInstance(world.replies[request][1], contracts.NotRun)
+
     def test_room_is_never_exceeded(self) -> None:
         world = make_world(agents=1)
         requests = [
