--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -163,8 +163,6 @@
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self._queue: collections.deque[contracts.TaskKey] = collections.deque()
-        # Attempt of each task that occupies a slot.
-        self._attempts: dict[contracts.TaskKey, int] = {}
         self._renewed_s = float('-inf')
         self._now_s = float('-inf')
         self._left = False
@@ -347,8 +345,7 @@
         now_s: float,
     ) -> effects.Effects:
         key = contracts.TaskKey(start.submission, start.index)
-        self.slots.occupy(key, peer, now_s, start.demand)
-        self._attempts[key] = start.attempt
+        self.slots.occupy(key, peer, now_s, start.demand, start.attempt)
         self.entries[peer].running += 1
         self.records.hold(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
@@ -371,13 +368,10 @@
         stopped: bool,
         now_s: float,
     ) -> effects.Effects:
-        occupant = self.slots.release(key)
-        attempt = self._attempts.pop(key, 0)
+        occupant = self._vacate(key)
         if occupant is None:
-            self.counters['ends_unexpected'] += 1
             return []
         view = self.entries[occupant.entry]
-        view.running = max(0, view.running - 1)
         self.counters['tasks_ended'] += 1
         asked = self._fill_slots(now_s)
         favoured = self._choose_waiting(occupant.entry, now_s)
@@ -391,7 +385,7 @@
             round((now_s - occupant.started_s) * 1000),
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
-            attempt,
+            occupant.attempt,
             self._measure_room(),
         )
         self.records.end(key, finished, now_s)
@@ -400,18 +394,25 @@
             asked += offers
         return asked + self._finish_stop()
 
+    def _vacate(self, key: contracts.TaskKey) -> machines.Occupant | None:
+        """Free what a task occupies; None when it occupies nothing."""
+        occupant = self.slots.release(key)
+        if occupant is None:
+            self.counters['ends_unexpected'] += 1
+            return None
+        view = self.entries[occupant.entry]
+        view.running = max(0, view.running - 1)
+        return occupant
+
     def _reject_task(
         self, key: contracts.TaskKey, reason: str, now_s: float
     ) -> effects.Effects:
         """Take back a start that the target did not carry out."""
-        occupant = self.slots.release(key)
-        attempt = self._attempts.pop(key, 0)
+        occupant = self._vacate(key)
         if occupant is None:
-            self.counters['ends_unexpected'] += 1
             return []
-        view = self.entries[occupant.entry]
-        view.running = max(0, view.running - 1)
         self.counters['starts_rejected'] += 1
+        attempt = occupant.attempt
         self.records.fence(key, attempt, reason, now_s)
         declined = self._tell_declined(occupant.entry, key, attempt, reason)
         return [declined, *self._fill_slots(now_s), *self._finish_stop()]
--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -38,6 +38,7 @@
 from eelgrassworks.contracts.submission import Failed
 from eelgrassworks.contracts.submission import MAX_TASKS
 from eelgrassworks.contracts.submission import NotRun
+from eelgrassworks.contracts.submission import read_caller_id
 from eelgrassworks.contracts.submission import Submission
 from eelgrassworks.contracts.submission import TaskKey
 
@@ -77,4 +78,5 @@
     'Submission',
     'TaskKey',
     'UndrainTarget',
+    'read_caller_id',
 ]
--- a/eelgrassworks/contracts/submission.py
+++ b/eelgrassworks/contracts/submission.py
@@ -46,6 +46,16 @@
     demand: room.Room = room.NO_ROOM
     estimate_s: float = 0.0
 
+    @property
+    def caller_id(self) -> str:
+        """Return the id that the caller gave to a transient job."""
+        return read_caller_id(self.id)
+
+
+def read_caller_id(submission: str) -> str:
+    """Return the caller's part of the id of a transient job."""
+    return submission.partition('/')[0]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Complete:
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -9,7 +9,6 @@
 import collections
 import dataclasses
 import heapq
-import math
 from typing import Final
 
 from eelgrassworks import answers
@@ -19,6 +18,7 @@
 from eelgrassworks import effects
 from eelgrassworks import errors
 from eelgrassworks import inquiries
+from eelgrassworks import joblog
 from eelgrassworks import jobs
 from eelgrassworks import placement
 from eelgrassworks import session
@@ -139,9 +139,7 @@
         self._inquiries = inquiries.Inquiries(self.session)
         self._changes = changes.Changes(self.session)
         self._deadlines: list[tuple[float, str]] = []
-        # Open transient jobs by the id that callers gave.
-        self._transient: dict[str, str] = {}
-        self._next_scope = 0
+        self._transient = jobs.TransientIds(options.session.nonce)
         self._awake_s = float('-inf')
         # Kinds and response times of complete jobs, for the process to take.
         self.latencies: collections.deque[tuple[str, float]] = (
@@ -189,7 +187,7 @@
     ) -> effects.Effects:
         self.counters['submissions'] += 1
         if submission.transient:
-            submission = self._scope(submission)
+            submission = self._transient.scope(submission)
         job = self.table.find(submission.id)
         if job is not None:
             self.counters['resubmissions'] += 1
@@ -198,7 +196,9 @@
         if refusal is None:
             return self._admit(request, submission, now_s)
         self.counters[f'refused_{refusal.code}'] += 1
-        logged = self._log_refusal(submission, refusal, now_s)
+        logged = joblog.log_refusal(
+            submission, refusal, self._describe_inputs(now_s)
+        )
         if not submission.claimed:
             reply = effects.Reply(request, contracts.NotRun(refusal))
             return [logged, reply]
@@ -214,23 +214,6 @@
             now_s,
         )
 
-    def _log_refusal(
-        self,
-        submission: contracts.Submission,
-        refusal: errors.Refusal,
-        now_s: float,
-    ) -> effects.Log:
-        return effects.Log(
-            'job_refused',
-            {
-                'id': submission.id,
-                'kind': submission.kind,
-                'code': refusal.code,
-                'tasks': len(submission.payloads),
-                **self._describe_inputs(now_s),
-            },
-        )
-
     def _describe_inputs(self, now_s: float) -> dict[str, object]:
         """Return what decides about jobs here, with its version and age."""
         lease_s = self.session.lease.measure_remaining(now_s)
@@ -241,40 +224,6 @@
             'lease_s': round(lease_s, 2),
         }
 
-    def _log_end(
-        self, job: jobs.Job, answer: contracts.Answer, now_s: float
-    ) -> effects.Log:
-        outcome, code = _name_answer(answer)
-        return effects.Log(
-            'job_ended',
-            {
-                'id': job.submission.id,
-                'kind': job.submission.kind,
-                'outcome': outcome,
-                'code': code,
-                'age_s': round(now_s - job.arrived_s, 3),
-                'due_s': round(job.due_s - job.arrived_s, 3),
-                'tasks': len(job.submission.payloads),
-                'left': job.remaining,
-                'attempts': max(job.attempts.values(), default=0),
-                'failures': sum(job.failures.values()),
-                **self._describe_inputs(now_s),
-            },
-        )
-
-    def _scope(self, submission: contracts.Submission) -> contracts.Submission:
-        """Give a transient job an id that no other owner uses.
-
-        A caller's id may be submitted again here or elsewhere once the
-        caller has left; while it is open here it stays one job.
-        """
-        known = self._transient.get(submission.id)
-        if known is None:
-            self._next_scope += 1
-            run = self.options.session.nonce
-            known = f'{submission.id}/{run:x}-{self._next_scope}'
-        return dataclasses.replace(submission, id=known)
-
     def _attach_local(
         self, request: int, digest: str, job: jobs.Job
     ) -> effects.Effects:
@@ -345,7 +294,7 @@
                 errors.Code.OVERLOADED,
                 queued=queued,
                 limit_s=round(schedule.due_s - now_s, 3),
-                retry_s=math.ceil(shedding.advise_retry(wait_s)),
+                retry_s=shedding.advise_retry(wait_s, submission.id),
             )
         if self._is_settling(now_s):
             return None
@@ -407,8 +356,7 @@
         # Started tasks go on beyond this time, waiting ones do not.
         give_up_s = schedule.useless_s - submission.estimate_s
         heapq.heappush(self._deadlines, (give_up_s, submission.id))
-        caller_id = submission.id.partition('/')[0]
-        self._transient[caller_id] = submission.id
+        self._transient.open(submission)
 
     def _activate(self, job: jobs.Job) -> None:
         job.activate()
@@ -701,10 +649,12 @@
     def _end_job(
         self, job: jobs.Job, answer: contracts.Answer, now_s: float
     ) -> effects.Effects:
-        asked: effects.Effects = [self._log_end(job, answer, now_s)]
+        asked: effects.Effects = [
+            joblog.log_end(job, answer, now_s, self._describe_inputs(now_s))
+        ]
         asked += _tell_waiters(job, answer)
         self._note_latency(job, answer, now_s)
-        self._forget_transient(job)
+        self._transient.close(job.submission)
         self.table.end(job, answer, now_s)
         return asked
 
@@ -715,16 +665,11 @@
             age_s = now_s - job.arrived_s
             self.latencies.append((job.submission.kind, age_s))
 
-    def _forget_transient(self, job: jobs.Job) -> None:
-        if job.submission.transient:
-            caller_id = job.submission.id.partition('/')[0]
-            self._transient.pop(caller_id, None)
-
     def _drop_job(
         self, job: jobs.Job, answer: contracts.Answer
     ) -> effects.Effects:
         """Answer a job of which nothing was sent, and forget it."""
-        self._forget_transient(job)
+        self._transient.close(job.submission)
         self.table.drop(job.submission.id)
         return _tell_waiters(job, answer)
 
@@ -808,7 +753,7 @@
                     now_s,
                     queued=self.dispatcher.queue.length,
                     limit_s=round(now_s - job.arrived_s, 3),
-                    retry_s=math.ceil(shedding.RETRY_MIN_S),
+                    retry_s=shedding.advise_retry(0.0, job.submission.id),
                 )
             elif job.answer is None and job.deadline_s <= now_s:
                 asked += self._break_job(
@@ -872,17 +817,6 @@
         }
 
 
-def _name_answer(answer: contracts.Answer) -> tuple[str, str]:
-    """Return the outcome and the code of an answer, for a log line."""
-    match answer:
-        case contracts.Complete():
-            return 'complete', ''
-        case contracts.NotRun(refusal):
-            return 'not-run', refusal.code
-        case contracts.Failed(refusal):
-            return 'failed', refusal.code
-
-
 def _tell_waiters(job: jobs.Job, answer: contracts.Answer) -> effects.Effects:
     """Send an answer to every request that waits for the job."""
     local: effects.Effects = [
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -20,6 +20,7 @@
 from eelgrassworks import discovery
 from eelgrassworks import effects
 from eelgrassworks import heldtarget
+from eelgrassworks import holds
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import machines
@@ -45,20 +46,18 @@
     """Calls to the target; an answer that stays out is an event as well."""
 
     async def start(
-        self, call: heldtarget.StartCall
-    ) -> heldtarget.StartTold | heldtarget.OrderUnanswered:
+        self, call: holds.StartCall
+    ) -> holds.StartTold | holds.OrderUnanswered:
         """Ask the target to start a task."""
 
     async def stop(
-        self, call: heldtarget.StopCall
-    ) -> heldtarget.StopTold | heldtarget.OrderUnanswered:
+        self, call: holds.StopCall
+    ) -> holds.StopTold | holds.OrderUnanswered:
         """Ask the target to stop a task."""
 
     async def hold(
-        self, call: heldtarget.HoldCall
-    ) -> (
-        heldtarget.HoldTold | heldtarget.HoldFenced | heldtarget.HoldUnanswered
-    ):
+        self, call: holds.HoldCall
+    ) -> holds.HoldTold | holds.HoldFenced | holds.HoldUnanswered:
         """Renew the lease and ask what runs and what has ended."""
 
     async def close(self) -> None:
@@ -120,7 +119,7 @@
 
     # Reports of the target.
 
-    def take_report(self, report: heldtarget.TargetReport) -> None:
+    def take_report(self, report: holds.TargetReport) -> None:
         """Take what the target says about itself; late reports are ignored."""
         now_s = clock.read_now()
         held = self.held
@@ -139,13 +138,11 @@
         """Take the target's word that it ends now."""
         if self.held is not None and self.held.life.name == name:
             logs.log('target_left', target=name)
-            self.dispatch_held(heldtarget.TargetLeft())
+            self.dispatch_held(holds.TargetLeft())
 
-    def _begin_life(
-        self, report: heldtarget.TargetReport, now_s: float
-    ) -> None:
+    def _begin_life(self, report: holds.TargetReport, now_s: float) -> None:
         if self.held is not None and not self.held.over:
-            self.dispatch_held(heldtarget.TargetLeft())
+            self.dispatch_held(holds.TargetLeft())
         logs.log(
             'target_began',
             target=report.life.name,
@@ -201,7 +198,7 @@
         match effect:
             case effects.StartTask():
                 self.dispatch_held(
-                    heldtarget.StartWanted(
+                    holds.StartWanted(
                         effect.key,
                         effect.attempt,
                         effect.payload,
@@ -209,11 +206,11 @@
                     )
                 )
             case effects.StopTask(key):
-                self.dispatch_held(heldtarget.StopWanted(key))
+                self.dispatch_held(holds.StopWanted(key))
             case _:
                 raise TypeError(f'unexpected effect {effect}')
 
-    def dispatch_held(self, event: heldtarget.HeldEvent) -> None:
+    def dispatch_held(self, event: holds.HeldEvent) -> None:
         """Give an event to the target's decisions and carry out the rest."""
         held = self.held
         if held is None:
@@ -224,19 +221,19 @@
             self._wake.set()
 
     def _carry_out_held(
-        self, held: heldtarget.HeldTarget, effect: heldtarget.HeldEffect
+        self, held: heldtarget.HeldTarget, effect: holds.HeldEffect
     ) -> None:
         match effect:
-            case heldtarget.StartCall():
+            case holds.StartCall():
                 self._spawn(self._call_start(held, effect))
-            case heldtarget.StopCall():
+            case holds.StopCall():
                 self._spawn(self._call_stop(held, effect))
-            case heldtarget.RunOver(key, succeeded, stopped, reason):
+            case holds.RunOver(key, succeeded, stopped, reason):
                 body = b'' if succeeded else reason.encode()
                 self.dispatch(agent.TaskEnded(key, succeeded, body, stopped))
-            case heldtarget.RunRejected(key, reason):
+            case holds.RunRejected(key, reason):
                 self.dispatch(agent.TaskRejected(key, reason))
-            case heldtarget.SoundnessChanged(sound):
+            case holds.SoundnessChanged(sound):
                 self._announced = True
                 logs.log(
                     'target_sound' if sound else 'target_silent',
@@ -245,14 +242,14 @@
                 self.dispatch(agent.TargetChecked(sound))
 
     async def _call_start(
-        self, held: heldtarget.HeldTarget, call: heldtarget.StartCall
+        self, held: heldtarget.HeldTarget, call: holds.StartCall
     ) -> None:
         told = await self._target_link.start(call)
         if held is self.held:
             self.dispatch_held(told)
 
     async def _call_stop(
-        self, held: heldtarget.HeldTarget, call: heldtarget.StopCall
+        self, held: heldtarget.HeldTarget, call: holds.StopCall
     ) -> None:
         told = await self._target_link.stop(call)
         if held is self.held:
@@ -271,9 +268,9 @@
                 continue
             self.dispatch_held(told)
             match told:
-                case heldtarget.HoldUnanswered(refused=True):
+                case holds.HoldUnanswered(refused=True):
                     await asyncio.sleep(REFUSED_PAUSE_S)
-                case heldtarget.HoldTold() if call.wait_s == 0:
+                case holds.HoldTold() if call.wait_s == 0:
                     # Strange runs take a moment to end.
                     await asyncio.sleep(REFUSED_PAUSE_S)
                 case _:
@@ -283,7 +280,7 @@
         """Return the event for the passing of time."""
         now_s = clock.read_now()
         self.carry_out(self.discovery.tick(now_s))
-        self.dispatch_held(heldtarget.Ticked())
+        self.dispatch_held(holds.Ticked())
         if self.agent is not None and self.held is not None:
             self.agent.speed = round(self.held.meter.measure(), 3)
         return agent.Ticked()
--- a/eelgrassworks/heldtarget.py
+++ b/eelgrassworks/heldtarget.py
@@ -15,6 +15,8 @@
 from typing import Final
 
 from eelgrassworks import contracts
+from eelgrassworks import holds
+from eelgrassworks import machines
 from eelgrassworks.links import messages
 
 # Lease that each hold and each start asks for.  With the silence after which
@@ -46,232 +48,6 @@
 CRAWL_FACTOR: Final = 3.0
 # Progress is measured this long before a run is said to crawl.
 CRAWL_LOOK_S: Final = 0.2
-# Weight of the speed that was measured a second ago.
-SPEED_DECAY: Final = 0.4
-# Run time that has to be seen before a speed is told, in seconds.
-SPEED_MIN_S: Final = 0.3
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Life:
-    """One life of a target, from its start to its end."""
-
-    name: str
-    born_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TaskName:
-    """What a target calls a task: the caller's job and the task's index."""
-
-    job: str
-    index: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetReport:
-    """What a target says about itself.
-
-    ``sequence`` grows with each report of one life; ``clock_ms`` is the
-    target's own steady clock.
-    """
-
-    life: Life
-    sequence: int
-    service: str
-    failure_domain: str
-    room: contracts.Room
-    labels: tuple[str, ...]
-    clock_ms: int
-    draining: bool
-
-
-# Calls.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartCall:
-    """Start an attempt unless ``deadline_ms`` of the target has passed."""
-
-    name: TaskName
-    attempt: int
-    payload: bytes
-    deadline_ms: int
-    fence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopCall:
-    """Stop an attempt, or keep it from ever starting."""
-
-    name: TaskName
-    attempt: int
-    fence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldCall:
-    """Renew the lease and ask what runs and what has ended.
-
-    Without ``deadline_ms`` the lease stays as it is.  ``seen`` is the number
-    of the last end that was taken.
-    """
-
-    number: int
-    deadline_ms: int | None
-    fence: int
-    seen: int
-    wait_s: float
-
-
-# Answers.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartTold:
-    """The target took the start, or refused it for a reason."""
-
-    name: TaskName
-    attempt: int
-    accepted: bool
-    reason: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopTold:
-    """The target took the stop."""
-
-    name: TaskName
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderUnanswered:
-    """A start or stop got no answer; it may still be carried out."""
-
-    name: TaskName
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
-    """End number ``number``: an attempt is over.
-
-    ``failed`` is set when the run failed by itself, ``succeeded`` when it
-    is done; otherwise it was stopped or its lease ended.
-    """
-
-    number: int
-    name: TaskName
-    attempt: int
-    succeeded: bool
-    failed: bool
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Running:
-    """An attempt that runs, and how much of its work is done."""
-
-    name: TaskName
-    attempt: int
-    percent: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldTold:
-    """What runs and what has ended, as of one hold."""
-
-    number: int
-    life: Life
-    clock_ms: int
-    running: tuple[Running, ...]
-    ended: tuple[Ended, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldFenced:
-    """Another agent process has used a higher fence."""
-
-    clock_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldUnanswered:
-    """A hold got no answer; ``refused`` when nobody listens there."""
-
-    refused: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetLeft:
-    """The target said that it ends now."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartWanted:
-    """The agent wants a task to start; it has room for it."""
-
-    key: contracts.TaskKey
-    attempt: int
-    payload: bytes
-    estimate_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopWanted:
-    """The agent wants a task to end."""
-
-    key: contracts.TaskKey
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticked:
-    """Time passed."""
-
-
-HeldEvent = (
-    StartWanted
-    | StopWanted
-    | StartTold
-    | StopTold
-    | OrderUnanswered
-    | HoldTold
-    | HoldFenced
-    | HoldUnanswered
-    | TargetLeft
-    | Ticked
-)
-
-# What the agent hears.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunOver:
-    """An attempt has ended and holds no room any more."""
-
-    key: contracts.TaskKey
-    succeeded: bool
-    stopped: bool
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunRejected:
-    """An attempt never started and never will."""
-
-    key: contracts.TaskKey
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SoundnessChanged:
-    """The target answers again, or no longer does."""
-
-    sound: bool
-
-
-HeldEffect = StartCall | StopCall | RunOver | RunRejected | SoundnessChanged
 
 
 @dataclasses.dataclass(slots=True)
@@ -297,44 +73,18 @@
     stalled: bool = False
 
 
-class SpeedMeter:
-    """Speed of a target: declared work done in a second of run time.
-
-    It is taken from the progress of running tasks, so it follows a target
-    that turns slow before any task has ended there.
-    """
-
-    def __init__(self) -> None:
-        self._done_s = 0.0
-        self._ran_s = 0.0
-        self._noted_s = 0.0
-
-    def note(self, done_s: float, ran_s: float, now_s: float) -> None:
-        """Record declared work that was done in some run time."""
-        decay = SPEED_DECAY ** max(0.0, now_s - self._noted_s)
-        self._noted_s = now_s
-        self._done_s = self._done_s * decay + done_s
-        self._ran_s = self._ran_s * decay + ran_s
-
-    def measure(self) -> float:
-        """Return the speed; 0 while too little was seen."""
-        if self._ran_s < SPEED_MIN_S:
-            return 0.0
-        return self._done_s / self._ran_s
-
-
 class HeldTarget:
     """What an agent knows of one life of its target."""
 
-    def __init__(self, life: Life, clock_ms: int, now_s: float) -> None:
+    def __init__(self, life: holds.Life, clock_ms: int, now_s: float) -> None:
         self.life = life
         self.counters: collections.Counter[str] = collections.Counter()
         self.clean = False
         self.sound = False
-        self.meter = SpeedMeter()
-        self._runs: dict[TaskName, Run] = {}
+        self.meter = machines.SpeedMeter()
+        self._runs: dict[holds.TaskName, Run] = {}
         # Runs that this process did not order, by when they were stopped.
-        self._strange: dict[tuple[TaskName, int], float] = {}
+        self._strange: dict[tuple[holds.TaskName, int], float] = {}
         self._clock_ms = clock_ms
         self._clock_read_s = now_s
         self._fence = life.born_ms + clock_ms
@@ -363,37 +113,39 @@
         """Return the numbers of known and strange runs."""
         return {'runs': len(self._runs), 'strange': len(self._strange)}
 
-    def handle(self, event: HeldEvent, now_s: float) -> list[HeldEffect]:
+    def handle(
+        self, event: holds.HeldEvent, now_s: float
+    ) -> list[holds.HeldEffect]:
         """Take one event and return the effects it has."""
         match event:
-            case StartWanted():
+            case holds.StartWanted():
                 return self._start(event, now_s)
-            case StopWanted(key):
+            case holds.StopWanted(key):
                 return self._stop_key(key, now_s)
-            case StartTold():
+            case holds.StartTold():
                 return self._take_start_told(event, now_s)
-            case StopTold(name, attempt):
+            case holds.StopTold(name, attempt):
                 return self._take_stop_told(name, attempt)
-            case OrderUnanswered(name, attempt):
+            case holds.OrderUnanswered(name, attempt):
                 return self._take_unanswered(name, attempt, now_s)
-            case HoldTold():
+            case holds.HoldTold():
                 return self._take_hold(event, now_s)
-            case HoldFenced(clock_ms):
+            case holds.HoldFenced(clock_ms):
                 self._read_clock(clock_ms, now_s)
                 fence = self.life.born_ms + clock_ms
                 self._fence = max(self._fence + 1, fence)
                 self.counters['fenced'] += 1
                 return []
-            case HoldUnanswered(refused):
+            case holds.HoldUnanswered(refused):
                 return self._take_silence(refused, now_s)
-            case TargetLeft():
+            case holds.TargetLeft():
                 return self._end_life('left')
-            case Ticked():
+            case holds.Ticked():
                 return self._tick(now_s)
 
     # Calls.
 
-    def begin_hold(self, now_s: float) -> HoldCall:
+    def begin_hold(self, now_s: float) -> holds.HoldCall:
         """Return the next hold to send."""
         self._hold_number += 1
         deadline_ms: int | None = None
@@ -401,7 +153,7 @@
         # whether or not it hears the holds.
         if self._runs and now_s - self._heard_s < SILENCE_S:
             deadline_ms = self._make_deadline(now_s)
-        return HoldCall(
+        return holds.HoldCall(
             self._hold_number,
             deadline_ms,
             self._fence,
@@ -424,36 +176,42 @@
 
     # Orders.
 
-    def _start(self, wanted: StartWanted, now_s: float) -> list[HeldEffect]:
+    def _start(
+        self, wanted: holds.StartWanted, now_s: float
+    ) -> list[holds.HeldEffect]:
         key, attempt = wanted.key, wanted.attempt
         name = make_name(key)
         if self.over or not self.clean:
-            return [RunRejected(key, 'unhealthy')]
+            return [holds.RunRejected(key, 'unhealthy')]
         if name in self._runs:
             # An earlier owner's run of the same task is not over yet.
-            return [RunRejected(key, 'twin')]
+            return [holds.RunRejected(key, 'twin')]
         deadline_ms = self._make_deadline(now_s)
         self._runs[name] = Run(key, attempt, deadline_ms, wanted.estimate_s)
         return [
-            StartCall(name, attempt, wanted.payload, deadline_ms, self._fence)
+            holds.StartCall(
+                name, attempt, wanted.payload, deadline_ms, self._fence
+            )
         ]
 
     def _stop_key(
         self, key: contracts.TaskKey, now_s: float
-    ) -> list[HeldEffect]:
+    ) -> list[holds.HeldEffect]:
         name = make_name(key)
         run = self._runs.get(name)
         if run is None or run.key != key or run.stopped_s is not None:
             return []
         return [self._stop(name, run, now_s)]
 
-    def _stop(self, name: TaskName, run: Run, now_s: float) -> StopCall:
+    def _stop(
+        self, name: holds.TaskName, run: Run, now_s: float
+    ) -> holds.StopCall:
         run.stopped_s = now_s
-        return StopCall(name, run.attempt, self._fence)
+        return holds.StopCall(name, run.attempt, self._fence)
 
     def _take_start_told(
-        self, told: StartTold, now_s: float
-    ) -> list[HeldEffect]:
+        self, told: holds.StartTold, now_s: float
+    ) -> list[holds.HeldEffect]:
         run = self._find(told.name, told.attempt)
         if run is None:
             return []
@@ -466,19 +224,19 @@
             return []
         del self._runs[told.name]
         self.counters[f'refused_{told.reason}'] += 1
-        return [RunRejected(run.key, told.reason)]
+        return [holds.RunRejected(run.key, told.reason)]
 
     def _take_stop_told(
-        self, name: TaskName, attempt: int
-    ) -> list[HeldEffect]:
+        self, name: holds.TaskName, attempt: int
+    ) -> list[holds.HeldEffect]:
         run = self._find(name, attempt)
         if run is not None:
             run.settled_after = self._hold_number
         return []
 
     def _take_unanswered(
-        self, name: TaskName, attempt: int, now_s: float
-    ) -> list[HeldEffect]:
+        self, name: holds.TaskName, attempt: int, now_s: float
+    ) -> list[holds.HeldEffect]:
         run = self._find(name, attempt)
         if run is None:
             return []
@@ -486,7 +244,7 @@
         # The stop also keeps a start from being carried out later.
         return [self._stop(name, run, now_s)]
 
-    def _find(self, name: TaskName, attempt: int) -> Run | None:
+    def _find(self, name: holds.TaskName, attempt: int) -> Run | None:
         run = self._runs.get(name)
         if run is None or run.attempt != attempt:
             return None
@@ -494,7 +252,9 @@
 
     # Holds.
 
-    def _take_hold(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
+    def _take_hold(
+        self, told: holds.HoldTold, now_s: float
+    ) -> list[holds.HeldEffect]:
         if told.life.born_ms != self.life.born_ms:
             # Another life answers there, so this one is over.
             return self._end_life('reborn')
@@ -508,11 +268,13 @@
         paused = now_s < self._paused_until_s
         if not self.sound and self.clean and not paused:
             self.sound = True
-            asked.append(SoundnessChanged(True))
+            asked.append(holds.SoundnessChanged(True))
         return asked
 
-    def _take_ends(self, ended: tuple[Ended, ...]) -> list[HeldEffect]:
-        asked: list[HeldEffect] = []
+    def _take_ends(
+        self, ended: tuple[holds.Ended, ...]
+    ) -> list[holds.HeldEffect]:
+        asked: list[holds.HeldEffect] = []
         for end in sorted(ended, key=lambda each: each.number):
             if end.number <= self._seen:
                 continue
@@ -526,15 +288,19 @@
                 self._pause_s = 0.0
             stopped = not end.succeeded and not end.failed
             reason = STALLED if stopped and run.stalled else end.reason
-            asked.append(RunOver(run.key, end.succeeded, stopped, reason))
+            asked.append(
+                holds.RunOver(run.key, end.succeeded, stopped, reason)
+            )
         return asked
 
-    def _compare(self, told: HoldTold, now_s: float) -> list[HeldEffect]:
+    def _compare(
+        self, told: holds.HoldTold, now_s: float
+    ) -> list[holds.HeldEffect]:
         """Compare what the target lists with what was ordered."""
         listed = {
             (each.name, each.attempt): each.percent for each in told.running
         }
-        asked: list[HeldEffect] = []
+        asked: list[holds.HeldEffect] = []
         for name, run in list(self._runs.items()):
             percent = listed.get((name, run.attempt))
             if percent is not None:
@@ -555,13 +321,13 @@
             stopped_s = self._strange.get((name, attempt), float('-inf'))
             if now_s - stopped_s >= STOP_PATIENCE_S:
                 self._strange[(name, attempt)] = now_s
-                asked.append(StopCall(name, attempt, self._fence))
+                asked.append(holds.StopCall(name, attempt, self._fence))
         self.clean = not self._strange
         return asked
 
     def _watch(
-        self, name: TaskName, run: Run, percent: int, now_s: float
-    ) -> list[HeldEffect]:
+        self, name: holds.TaskName, run: Run, percent: int, now_s: float
+    ) -> list[holds.HeldEffect]:
         """Follow the progress of a run; stop one that stands still."""
         if run.looked_s is None:
             run.began_s = run.looked_s = run.moved_s = now_s
@@ -599,7 +365,7 @@
         left_s = looked_s * (100 - run.percent) / run.percent
         return left_s > CRAWL_FACTOR * run.estimate_s
 
-    def _pause(self, now_s: float) -> list[HeldEffect]:
+    def _pause(self, now_s: float) -> list[holds.HeldEffect]:
         """Take no new tasks for a while after one has stood still."""
         if now_s < self._paused_until_s:
             return []
@@ -609,14 +375,16 @@
         self._paused_until_s = now_s + self._pause_s
         return self._note_silence()
 
-    def _is_settled(self, run: Run, told: HoldTold) -> bool:
+    def _is_settled(self, run: Run, told: holds.HoldTold) -> bool:
         """Tell whether an attempt that is not listed can never run."""
         after = run.settled_after
         if after is not None and told.number > after:
             return True
         return not run.confirmed and told.clock_ms > run.deadline_ms
 
-    def _take_silence(self, refused: bool, now_s: float) -> list[HeldEffect]:
+    def _take_silence(
+        self, refused: bool, now_s: float
+    ) -> list[holds.HeldEffect]:
         self.counters['holds_unanswered'] += 1
         if refused:
             self._refusals += 1
@@ -627,14 +395,14 @@
             return self._note_silence()
         return []
 
-    def _note_silence(self) -> list[HeldEffect]:
+    def _note_silence(self) -> list[holds.HeldEffect]:
         if not self.sound:
             return []
         self.sound = False
-        return [SoundnessChanged(False)]
+        return [holds.SoundnessChanged(False)]
 
-    def _tick(self, now_s: float) -> list[HeldEffect]:
-        asked: list[HeldEffect] = []
+    def _tick(self, now_s: float) -> list[holds.HeldEffect]:
+        asked: list[holds.HeldEffect] = []
         silent_s = now_s - max(self._lease_end_s, self._heard_s)
         if self._runs and silent_s > LAPSE_MARGIN_S:
             self.counters['lapses'] += 1
@@ -646,23 +414,26 @@
             asked.append(self._stop(name, run, now_s))
         return asked
 
-    def _end_runs(self, reason: str) -> list[HeldEffect]:
+    def _end_runs(self, reason: str) -> list[holds.HeldEffect]:
         """Take every run for ended: leases have run out, or the life."""
         runs, self._runs = self._runs, {}
-        return [RunOver(run.key, False, True, reason) for run in runs.values()]
+        return [
+            holds.RunOver(run.key, False, True, reason)
+            for run in runs.values()
+        ]
 
-    def _end_life(self, reason: str) -> list[HeldEffect]:
+    def _end_life(self, reason: str) -> list[holds.HeldEffect]:
         self.over = True
         self._strange = {}
         return self._end_runs(reason) + self._note_silence()
 
 
-def make_name(key: contracts.TaskKey) -> TaskName:
+def make_name(key: contracts.TaskKey) -> holds.TaskName:
     """Return what the target calls a task."""
-    return TaskName(key.submission.partition('/')[0], key.index)
+    return holds.TaskName(contracts.read_caller_id(key.submission), key.index)
 
 
-def _report_gone(run: Run) -> HeldEffect:
+def _report_gone(run: Run) -> holds.HeldEffect:
     if run.confirmed:
-        return RunOver(run.key, False, True, 'vanished')
-    return RunRejected(run.key, 'unanswered')
+        return holds.RunOver(run.key, False, True, 'vanished')
+    return holds.RunRejected(run.key, 'unanswered')
--- /dev/null
+++ b/eelgrassworks/joblog.py
@@ -0,0 +1,61 @@
+"""Log lines about jobs: what was decided, and the inputs that decided it."""
+
+from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import errors
+from eelgrassworks import jobs
+
+
+def log_refusal(
+    submission: contracts.Submission,
+    refusal: errors.Refusal,
+    inputs: dict[str, object],
+) -> effects.Log:
+    """Return the line of a job that was not admitted."""
+    return effects.Log(
+        'job_refused',
+        {
+            'id': submission.id,
+            'kind': submission.kind,
+            'code': refusal.code,
+            'tasks': len(submission.payloads),
+            **inputs,
+        },
+    )
+
+
+def log_end(
+    job: jobs.Job,
+    answer: contracts.Answer,
+    now_s: float,
+    inputs: dict[str, object],
+) -> effects.Log:
+    """Return the line of a job that was answered."""
+    outcome, code = _name_answer(answer)
+    return effects.Log(
+        'job_ended',
+        {
+            'id': job.submission.id,
+            'kind': job.submission.kind,
+            'outcome': outcome,
+            'code': code,
+            'age_s': round(now_s - job.arrived_s, 3),
+            'due_s': round(job.due_s - job.arrived_s, 3),
+            'tasks': len(job.submission.payloads),
+            'left': job.remaining,
+            'attempts': max(job.attempts.values(), default=0),
+            'failures': sum(job.failures.values()),
+            **inputs,
+        },
+    )
+
+
+def _name_answer(answer: contracts.Answer) -> tuple[str, str]:
+    """Return the outcome and the code of an answer."""
+    match answer:
+        case contracts.Complete():
+            return 'complete', ''
+        case contracts.NotRun(refusal):
+            return 'not-run', refusal.code
+        case contracts.Failed(refusal):
+            return 'failed', refusal.code
--- a/eelgrassworks/jobs.py
+++ b/eelgrassworks/jobs.py
@@ -173,3 +173,34 @@
         return [
             job for job in self.jobs.values() if job.state != JobState.ENDED
         ]
+
+
+class TransientIds:
+    """Ids of transient jobs, which no other owner uses.
+
+    A caller's id may be submitted again, here or elsewhere, once its job has
+    ended or its caller has left; while the job is open here it stays one
+    job.  ``run`` tells this run of the entry from any other.
+    """
+
+    def __init__(self, run: int) -> None:
+        self._run = run
+        self._count = 0
+        self._open: dict[str, str] = {}
+
+    def scope(self, submission: contracts.Submission) -> contracts.Submission:
+        """Return the submission under the id of its open job, or a new one."""
+        known = self._open.get(submission.id)
+        if known is None:
+            self._count += 1
+            known = f'{submission.id}/{self._run:x}-{self._count}'
+        return dataclasses.replace(submission, id=known)
+
+    def open(self, submission: contracts.Submission) -> None:
+        """Record that the job of a scoped submission is open."""
+        self._open[submission.caller_id] = submission.id
+
+    def close(self, submission: contracts.Submission) -> None:
+        """Record that a job has ended, if it is a transient one."""
+        if submission.transient:
+            self._open.pop(submission.caller_id, None)
--- a/eelgrassworks/machines/__init__.py
+++ b/eelgrassworks/machines/__init__.py
@@ -2,9 +2,20 @@
 
 from eelgrassworks.machines.machine import Vm
 from eelgrassworks.machines.machine import Worker
+from eelgrassworks.machines.speed import SpeedMeter
+from eelgrassworks.machines.target import Occupant
 from eelgrassworks.machines.target import Slots
 from eelgrassworks.machines.target import Target
 from eelgrassworks.machines.view import Outstanding
 from eelgrassworks.machines.view import TargetView
 
-__all__ = ['Outstanding', 'Slots', 'Target', 'TargetView', 'Vm', 'Worker']
+__all__ = [
+    'Occupant',
+    'Outstanding',
+    'Slots',
+    'SpeedMeter',
+    'Target',
+    'TargetView',
+    'Vm',
+    'Worker',
+]
--- /dev/null
+++ b/eelgrassworks/machines/speed.py
@@ -0,0 +1,34 @@
+"""Speed of a target, measured from the progress of what runs there."""
+
+from typing import Final
+
+# Weight of the speed that was measured a second ago.
+DECAY: Final = 0.4
+# Run time that has to be seen before a speed is told, in seconds.
+MIN_RUN_S: Final = 0.3
+
+
+class SpeedMeter:
+    """Speed of a target: declared work done in a second of run time.
+
+    It is taken from the progress of running tasks, so it follows a target
+    that turns slow before any task has ended there.
+    """
+
+    def __init__(self) -> None:
+        self._done_s = 0.0
+        self._ran_s = 0.0
+        self._noted_s = 0.0
+
+    def note(self, done_s: float, ran_s: float, now_s: float) -> None:
+        """Record declared work that was done in some run time."""
+        decay = DECAY ** max(0.0, now_s - self._noted_s)
+        self._noted_s = now_s
+        self._done_s = self._done_s * decay + done_s
+        self._ran_s = self._ran_s * decay + ran_s
+
+    def measure(self) -> float:
+        """Return the speed; 0 while too little was seen."""
+        if self._ran_s < MIN_RUN_S:
+            return 0.0
+        return self._done_s / self._ran_s
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -39,6 +39,7 @@
     entry: str
     started_s: float
     demand: contracts.Room = contracts.NO_ROOM
+    attempt: int = 0
 
 
 class Slots:
@@ -78,13 +79,14 @@
         entry: str,
         now_s: float,
         demand: contracts.Room = contracts.NO_ROOM,
+        attempt: int = 0,
     ) -> None:
         """Put a task into a free slot."""
         if not self.fits(demand):
             raise ValueError(f'no free slot for task {key}')
         if key in self.occupants:
             raise ValueError(f'task {key} occupies a slot already')
-        self.occupants[key] = Occupant(entry, now_s, demand)
+        self.occupants[key] = Occupant(entry, now_s, demand, attempt)
         self.free_room = self.free_room.subtract(demand)
 
     def release(self, key: contracts.TaskKey) -> Occupant | None:
--- a/eelgrassworks/platform/reports.py
+++ b/eelgrassworks/platform/reports.py
@@ -5,7 +5,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import heldagentprocess
-from eelgrassworks import heldtarget
+from eelgrassworks import holds
 from eelgrassworks import logs
 from eelgrassworks.platform import nodefile
 from eelgrassworks.platform import wire
@@ -53,13 +53,13 @@
         return web.json_response({})
 
 
-def parse_report(name: str, body: bytes) -> heldtarget.TargetReport:
+def parse_report(name: str, body: bytes) -> holds.TargetReport:
     """Decode a report; raises MsgspecError when it is not one."""
     beat = msgspec.json.decode(body, type=wire.Beat)
     if beat.state not in STATES:
         raise msgspec.ValidationError(f'state {beat.state!r} is unknown')
-    return heldtarget.TargetReport(
-        heldtarget.Life(name, beat.born),
+    return holds.TargetReport(
+        holds.Life(name, beat.born),
         beat.seq,
         beat.service,
         beat.zone,
--- a/eelgrassworks/platform/runnerlink.py
+++ b/eelgrassworks/platform/runnerlink.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from eelgrassworks import heldtarget
+from eelgrassworks import holds
 from eelgrassworks import logs
 from eelgrassworks.platform import wire
 
@@ -26,8 +27,8 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def start(
-        self, call: heldtarget.StartCall
-    ) -> heldtarget.StartTold | heldtarget.OrderUnanswered:
+        self, call: holds.StartCall
+    ) -> holds.StartTold | holds.OrderUnanswered:
         """Ask the target to start a task."""
         body = {
             'task': format_task(call.name),
@@ -38,16 +39,16 @@
         }
         told = await self._call('/api/run-start', body, 0.0)
         if not isinstance(told, tuple):
-            return heldtarget.OrderUnanswered(call.name, call.attempt)
+            return holds.OrderUnanswered(call.name, call.attempt)
         status, answer = told
         if status == 200:
-            return heldtarget.StartTold(call.name, call.attempt, True)
+            return holds.StartTold(call.name, call.attempt, True)
         reason = answer.reason if status == 409 else f'status-{status}'
-        return heldtarget.StartTold(call.name, call.attempt, False, reason)
+        return holds.StartTold(call.name, call.attempt, False, reason)
 
     async def stop(
-        self, call: heldtarget.StopCall
-    ) -> heldtarget.StopTold | heldtarget.OrderUnanswered:
+        self, call: holds.StopCall
+    ) -> holds.StopTold | holds.OrderUnanswered:
         """Ask the target to stop a task."""
         body = {
             'task': format_task(call.name),
@@ -56,14 +57,12 @@
         }
         told = await self._call('/api/run-stop', body, 0.0)
         if isinstance(told, tuple) and told[0] == 200:
-            return heldtarget.StopTold(call.name, call.attempt)
-        return heldtarget.OrderUnanswered(call.name, call.attempt)
+            return holds.StopTold(call.name, call.attempt)
+        return holds.OrderUnanswered(call.name, call.attempt)
 
     async def hold(
-        self, call: heldtarget.HoldCall
-    ) -> (
-        heldtarget.HoldTold | heldtarget.HoldFenced | heldtarget.HoldUnanswered
-    ):
+        self, call: holds.HoldCall
+    ) -> holds.HoldTold | holds.HoldFenced | holds.HoldUnanswered:
         """Renew the lease and ask what runs and what has ended."""
         body: dict[str, Any] = {'fence': call.fence, 'ackSeq': call.seen}
         if call.deadline_ms is not None:
@@ -72,17 +71,17 @@
             body['waitMs'] = round(call.wait_s * 1000)
         told = await self._call('/api/hold', body, call.wait_s)
         if not isinstance(told, tuple):
-            return heldtarget.HoldUnanswered(told)
+            return holds.HoldUnanswered(told)
         status, answer = told
         if status == 409:
-            return heldtarget.HoldFenced(answer.clock_ms)
+            return holds.HoldFenced(answer.clock_ms)
         if status != 200:
-            return heldtarget.HoldUnanswered(False)
+            return holds.HoldUnanswered(False)
         try:
             return _make_hold_told(call.number, answer)
         except (TypeError, ValueError, IndexError) as error:
             logs.log('hold_invalid', reason=str(error))
-            return heldtarget.HoldUnanswered(False)
+            return holds.HoldUnanswered(False)
 
     async def close(self) -> None:
         """Close the connections to the target."""
@@ -120,28 +119,28 @@
             return False
 
 
-def format_task(name: heldtarget.TaskName) -> str:
+def format_task(name: holds.TaskName) -> str:
     """Return a task's name: job, occurrence, step and index."""
     return f'{name.job}.0.0.{name.index}'
 
 
-def parse_task(text: str) -> heldtarget.TaskName:
+def parse_task(text: str) -> holds.TaskName:
     """Return the task that a name stands for; raises ValueError."""
     job, _, rest = text.partition('.')
-    return heldtarget.TaskName(job, int(rest.rpartition('.')[2]))
+    return holds.TaskName(job, int(rest.rpartition('.')[2]))
 
 
-def _make_hold_told(number: int, answer: wire.Hold) -> heldtarget.HoldTold:
-    return heldtarget.HoldTold(
+def _make_hold_told(number: int, answer: wire.Hold) -> holds.HoldTold:
+    return holds.HoldTold(
         number,
-        heldtarget.Life('', answer.born),
+        holds.Life('', answer.born),
         answer.clock_ms,
         tuple(
-            heldtarget.Running(parse_task(row[0]), int(row[1]), int(row[3]))
+            holds.Running(parse_task(row[0]), int(row[1]), int(row[3]))
             for row in answer.running
         ),
         tuple(
-            heldtarget.Ended(
+            holds.Ended(
                 int(row[0]),
                 parse_task(row[1]),
                 int(row[2]),
--- a/eelgrassworks/shedding.py
+++ b/eelgrassworks/shedding.py
@@ -13,8 +13,11 @@
 
 import collections
 import dataclasses
+import math
 from typing import Final
 
+import xxhash
+
 from eelgrassworks import contracts
 
 # Long enough for tens of ends at one entry, shorter than a burst.
@@ -25,7 +28,7 @@
 ESTIMATE_ERROR: Final = 0.4
 # Below this wait a queue is a ripple, and a prediction says nothing.
 RIPPLE_S: Final = 0.02
-# Bounds of what a caller is told to wait before it tries again, in seconds.
+# Bounds of the first moment at which a refused caller should come back.
 RETRY_MIN_S: Final = 1.0
 RETRY_MAX_S: Final = 5.0
 
@@ -98,6 +101,12 @@
     return wait_s > RIPPLE_S and now_s + wait_s > schedule.due_s
 
 
-def advise_retry(wait_s: float) -> float:
-    """Return when a refused caller should come back, in seconds."""
-    return min(RETRY_MAX_S, max(RETRY_MIN_S, 2 * wait_s))
+def advise_retry(wait_s: float, submission: str) -> int:
+    """Return when a refused caller should come back, in whole seconds.
+
+    Callers that were refused together come back spread over as long again,
+    so that they do not make the next peak.
+    """
+    first_s = min(RETRY_MAX_S, max(RETRY_MIN_S, 2 * wait_s))
+    draw = xxhash.xxh32_intdigest(submission.encode()) / 2**32
+    return math.ceil(first_s * (1 + draw))
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -1,53 +1,54 @@
-"""Decisions about a target that keeps tasks only while they are held."""
+"""Decisions about a target that keeps tasks only while they are holds."""
 
 import unittest
 
 import ddt
 
 from eelgrassworks import contracts
-from eelgrassworks import heldtarget as held
+from eelgrassworks import heldtarget
+from eelgrassworks import holds
 
-LIFE = held.Life('i-1', 1_000_000)
-NEXT_LIFE = held.Life('i-1', 2_000_000)
+LIFE = holds.Life('i-1', 1_000_000)
+NEXT_LIFE = holds.Life('i-1', 2_000_000)
 KEY = contracts.TaskKey('job/owner-1', 0)
 OTHER_KEY = contracts.TaskKey('job/owner-2', 0)
-NAME = held.make_name(KEY)
-STRANGE = held.TaskName('strange', 3)
+NAME = heldtarget.make_name(KEY)
+STRANGE = holds.TaskName('strange', 3)
 CLOCK_MS = 5000
 HOLD = 'hold'
 
-WANT = held.StartWanted(KEY, 1, b'spec', 1.0)
-TAKEN = held.StartTold(NAME, 1, True)
-SILENT = held.OrderUnanswered(NAME, 1)
-STOPPED = held.StopTold(NAME, 1)
-LOST = held.HoldUnanswered(False)
-REFUSED = held.HoldUnanswered(True)
+WANT = holds.StartWanted(KEY, 1, b'spec', 1.0)
+TAKEN = holds.StartTold(NAME, 1, True)
+SILENT = holds.OrderUnanswered(NAME, 1)
+STOPPED = holds.StopTold(NAME, 1)
+LOST = holds.HoldUnanswered(False)
+REFUSED = holds.HoldUnanswered(True)
 
 
 def list_runs(
     number: int,
-    *running: held.Running,
+    *running: holds.Running,
     clock_ms: int = CLOCK_MS,
-    ended: tuple[held.Ended, ...] = (),
-    life: held.Life = LIFE,
-) -> held.HoldTold:
+    ended: tuple[holds.Ended, ...] = (),
+    life: holds.Life = LIFE,
+) -> holds.HoldTold:
     """Return the answer to a hold."""
-    return held.HoldTold(number, life, clock_ms, running, ended)
+    return holds.HoldTold(number, life, clock_ms, running, ended)
 
 
 def end(
-    number: int, how: str, name: held.TaskName = NAME, attempt: int = 1
-) -> tuple[held.Ended, ...]:
+    number: int, how: str, name: holds.TaskName = NAME, attempt: int = 1
+) -> tuple[holds.Ended, ...]:
     """Return one listed end."""
-    ended = held.Ended(
+    ended = holds.Ended(
         number, name, attempt, how == 'done', how == 'failed', how
     )
     return (ended,)
 
 
-def run(percent: int = 0) -> held.Running:
+def run(percent: int = 0) -> holds.Running:
     """Return the row of the run that the tests order."""
-    return held.Running(NAME, 1, percent)
+    return holds.Running(NAME, 1, percent)
 
 
 # What happens, each with the time in seconds, and the effects of the last
@@ -80,7 +81,7 @@
             (0.0, WANT),
             (0.1, TAKEN),
             (0.2, list_runs(2, ended=end(1, 'done'))),
-            (0.3, held.StartWanted(KEY, 2, b'spec')),
+            (0.3, holds.StartWanted(KEY, 2, b'spec')),
             (0.4, list_runs(3, ended=end(1, 'done'))),
         ),
         [],
@@ -128,9 +129,9 @@
         (
             (0.0, WANT),
             (0.1, TAKEN),
-            (0.2, held.StopWanted(KEY)),
-            (0.25, held.Ticked()),
-            (0.35, held.Ticked()),
+            (0.2, holds.StopWanted(KEY)),
+            (0.25, holds.Ticked()),
+            (0.35, holds.Ticked()),
         ),
         [('StopCall', 1)],
     ),
@@ -139,28 +140,28 @@
         (
             (0.0, WANT),
             (0.1, SILENT),
-            (0.2, held.StartTold(NAME, 1, False, 'late')),
+            (0.2, holds.StartTold(NAME, 1, False, 'late')),
         ),
         [],
     ),
     (
         'a refused start frees the room',
-        ((0.0, WANT), (0.1, held.StartTold(NAME, 1, False, 'room'))),
+        ((0.0, WANT), (0.1, holds.StartTold(NAME, 1, False, 'room'))),
         [('RunRejected', 'room')],
     ),
     (
         'a run of another owner keeps the name',
-        ((0.0, WANT), (0.1, held.StartWanted(OTHER_KEY, 1, b'spec'))),
+        ((0.0, WANT), (0.1, holds.StartWanted(OTHER_KEY, 1, b'spec'))),
         [('RunRejected', 'twin')],
     ),
     (
         'runs of an earlier process are stopped',
-        ((0.0, list_runs(2, held.Running(STRANGE, 4, 10))),),
+        ((0.0, list_runs(2, holds.Running(STRANGE, 4, 10))),),
         [('StopCall', 4)],
     ),
     (
         'and nothing starts beside them',
-        ((0.0, list_runs(2, held.Running(STRANGE, 4, 10))), (0.1, WANT)),
+        ((0.0, list_runs(2, holds.Running(STRANGE, 4, 10))), (0.1, WANT)),
         [('RunRejected', 'unhealthy')],
     ),
     (
@@ -206,10 +207,10 @@
     (
         'a later run is not, since its work may be long',
         (
-            (0.0, held.StartWanted(KEY, 2, b'spec', 1.0)),
-            (0.1, list_runs(2, held.Running(NAME, 2, 0))),
-            (0.2, list_runs(3, held.Running(NAME, 2, 2))),
-            (0.35, list_runs(4, held.Running(NAME, 2, 5))),
+            (0.0, holds.StartWanted(KEY, 2, b'spec', 1.0)),
+            (0.1, list_runs(2, holds.Running(NAME, 2, 0))),
+            (0.2, list_runs(3, holds.Running(NAME, 2, 2))),
+            (0.35, list_runs(4, holds.Running(NAME, 2, 5))),
         ),
         [],
     ),
@@ -262,7 +263,7 @@
             (0.3, HOLD),
             (0.5, LOST),
             (0.6, HOLD),
-            (1.1, held.Ticked()),
+            (1.1, holds.Ticked()),
         ),
         [('RunOver', 'lapsed', True)],
     ),
@@ -273,7 +274,7 @@
             (0.1, TAKEN),
             (0.3, HOLD),
             (0.5, LOST),
-            (0.9, held.Ticked()),
+            (0.9, holds.Ticked()),
         ),
         [],
     ),
@@ -284,28 +285,28 @@
     ),
     (
         'a target that leaves takes its runs with it',
-        ((0.0, WANT), (0.1, TAKEN), (0.2, held.TargetLeft())),
+        ((0.0, WANT), (0.1, TAKEN), (0.2, holds.TargetLeft())),
         [('RunOver', 'left', True), ('SoundnessChanged', False)],
     ),
 )
 
 
-def describe(effect: held.HeldEffect) -> object:
+def describe(effect: holds.HeldEffect) -> object:
     """Return what tells an effect from others."""
     match effect:
-        case held.StartCall() | held.StopCall():
+        case holds.StartCall() | holds.StopCall():
             return type(effect).__name__, effect.attempt
-        case held.RunOver(_, _, stopped, reason):
+        case holds.RunOver(_, _, stopped, reason):
             return 'RunOver', reason, stopped
-        case held.RunRejected(_, reason):
+        case holds.RunRejected(_, reason):
             return 'RunRejected', reason
-        case held.SoundnessChanged(sound):
+        case holds.SoundnessChanged(sound):
             return 'SoundnessChanged', sound
 
 
-def make_target() -> held.HeldTarget:
+def make_target() -> heldtarget.HeldTarget:
     """Return a target that was found sound."""
-    target = held.HeldTarget(LIFE, CLOCK_MS, 0.0)
+    target = heldtarget.HeldTarget(LIFE, CLOCK_MS, 0.0)
     number = target.begin_hold(0.0).number
     target.handle(list_runs(number), 0.0)
     return target
@@ -322,7 +323,7 @@
         expected: list[object],
     ) -> None:
         target = make_target()
-        effects: list[held.HeldEffect] = []
+        effects: list[holds.HeldEffect] = []
         for at_s, event in script:
             if event == HOLD:
                 target.begin_hold(at_s)
@@ -338,7 +339,7 @@
 
     def test_fence_rises_over_processes_and_lives(self) -> None:
         fences = [
-            held.HeldTarget(life, clock_ms, 0.0).begin_hold(0.0).fence
+            heldtarget.HeldTarget(life, clock_ms, 0.0).begin_hold(0.0).fence
             for life, clock_ms in ((LIFE, 10), (LIFE, 400), (NEXT_LIFE, 5))
         ]
         self.assertEqual(fences, sorted(set(fences)))
@@ -346,7 +347,7 @@
     def test_fenced_process_takes_a_higher_fence(self) -> None:
         target = make_target()
         before = target.begin_hold(0.0).fence
-        target.handle(held.HoldFenced(CLOCK_MS + 7), 0.1)
+        target.handle(holds.HoldFenced(CLOCK_MS + 7), 0.1)
         self.assertGreater(target.begin_hold(0.2).fence, before)
 
     def test_seen_ends_are_acknowledged(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 import json
+import pathlib
 import tempfile
+import tomllib
 from typing import Any
 import unittest
 from unittest import mock
@@ -13,7 +15,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import errors
-from eelgrassworks import heldtarget
+from eelgrassworks import holds
 from eelgrassworks import locator
 from eelgrassworks import process
 from eelgrassworks.platform import __main__ as daemon
@@ -193,8 +195,14 @@
         found = locator.Locator(sheet).find(host, path)
         self.assertEqual(found.name if found else None, expected)
 
+    def test_build_installs_what_the_project_depends_on(self) -> None:
+        root = pathlib.Path(__file__).parent.parent
+        project = tomllib.loads((root / 'pyproject.toml').read_text())
+        listed = (root / 'requirements.txt').read_text().split()
+        self.assertEqual(listed, project['project']['dependencies'])
+
     def test_task_name(self) -> None:
-        name = heldtarget.TaskName('5c0e7a21d94b36f8', 17)
+        name = holds.TaskName('5c0e7a21d94b36f8', 17)
         text = runnerlink.format_task(name)
         self.assertEqual(text, '5c0e7a21d94b36f8.0.0.17')
         self.assertEqual(runnerlink.parse_task(text), name)
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -86,6 +86,13 @@
     def test_wait(self, ahead: float, rate: float, expected: float) -> None:
         self.assertAlmostEqual(shedding.predict_wait(ahead, rate), expected)
 
+    def test_refused_callers_come_back_spread(self) -> None:
+        told = [
+            shedding.advise_retry(1.5, f'{number:016x}')
+            for number in range(200)
+        ]
+        self.assertEqual(set(told), {4, 5, 6})
+
     def test_rate_forgets(self) -> None:
         rate = shedding.EndRate()
         rate.note(4.0, 10.0)
