Measure work in one place, and drop what the reading found needless

Found by reading the whole change: the product of processor and run time stood in two modules, a method that only returned an attribute, a branch that did nothing, a setting that nothing reads. Behaviour is unchanged; ruled out for now: sharing the frame of the five specifications, and the reads and lookups of control, which are alike in shape and differ in what they answer. 193 tests of the modules concerned passed; no bench run, since no decision changed.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -386,7 +386,7 @@
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
             occupant.attempt,
-            self._measure_room(),
+            self.slots.free_room,
         )
         self.records.end(key, finished, now_s)
         asked.append(effects.Send(occupant.entry, finished))
@@ -488,7 +488,7 @@
             if self.options.target.has_room
             else -len(self._queue),
             self.entries[peer].starts_seen,
-            self._measure_room(),
+            self.slots.free_room,
         )
         return effects.Send(peer, declined)
 
@@ -505,10 +505,6 @@
             return -len(self._queue) if self._queue else self.slots.free
         return max(0, self.slots.free - kept) - len(self._queue)
 
-    def _measure_room(self) -> contracts.Room:
-        """Return the room that no running task has taken."""
-        return self.slots.free_room
-
     def _choose_waiting(self, owner: str, now_s: float) -> str:
         """Return the entry to offer a free slot to; empty for none.
 
@@ -548,7 +544,7 @@
         offered = messages.SlotsOffered(
             self._count_usable(peer, now_s),
             view.starts_seen,
-            self._measure_room(),
+            self.slots.free_room,
         )
         return [effects.Send(peer, offered)]
 
@@ -637,7 +633,7 @@
                     accepting,
                     target.service,
                     target.room,
-                    self._measure_room(),
+                    self.slots.free_room,
                     self.speed,
                 ),
             )
--- a/eelgrassworks/contracts/room.py
+++ b/eelgrassworks/contracts/room.py
@@ -17,6 +17,10 @@
             and self.memory_mib >= other.memory_mib
         )
 
+    def measure_work(self, run_s: float) -> float:
+        """Return the processor-seconds of a run of ``run_s`` seconds."""
+        return self.cpu_millis / 1000 * run_s
+
     def add(self, other: 'Room') -> 'Room':
         """Return the sum of both."""
         return Room(
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -447,8 +447,9 @@
             return Taken([], [TaskBroke(key, view.target.name, reason)])
         view.ramp()
         if job is not None:
-            cpu = job.submission.demand.cpu_millis / 1000
-            self._end_rate.note(cpu * job.submission.estimate_s, now_s)
+            submission = job.submission
+            work = submission.demand.measure_work(submission.estimate_s)
+            self._end_rate.note(work, now_s)
         self._learn(view, sent.kind, finished.run_ms / 1000)
         return Taken([], [TaskDone(key, finished.body)])
 
@@ -463,9 +464,7 @@
         if declined.reason == messages.BUSY:
             if not view.target.has_room:
                 view.block()
-        elif declined.reason in messages.ATTEMPT_REASONS:
-            pass
-        else:
+        elif declined.reason not in messages.ATTEMPT_REASONS:
             view.accepting = False
         key = contracts.TaskKey(declined.submission, declined.index)
         sent = self._settle_attempt(view, key, declined.attempt)
--- a/eelgrassworks/platform/reports.py
+++ b/eelgrassworks/platform/reports.py
@@ -1,5 +1,7 @@
 """Liveness reports of the target beside an agent."""
 
+from typing import Final
+
 from aiohttp import web
 import msgspec
 
@@ -10,7 +12,7 @@
 from eelgrassworks.platform import nodefile
 from eelgrassworks.platform import wire
 
-STATES = frozenset({'ready', 'draining'})
+STATES: Final = frozenset({'ready', 'draining'})
 
 
 class Reports:
--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -37,7 +37,6 @@
     data_dir: str | None = None
     # Address of the target beside this process.
     app: str | None = None
-    heartbeat_ms: int = 1500
     fault_tolerance: dict[str, int] = {}
     bounds: dict[str, Any] = {}
 
--- a/eelgrassworks/queues.py
+++ b/eelgrassworks/queues.py
@@ -32,8 +32,7 @@
     @property
     def work(self) -> float:
         """Return the declared work that waits, in processor-seconds."""
-        cpu_s = self.demand.cpu_millis / 1000 * self.estimate_s
-        return len(self.indices) * cpu_s
+        return len(self.indices) * self.demand.measure_work(self.estimate_s)
 
 
 @dataclasses.dataclass(slots=True)
