Give the platform's path tests ports that follow each other

A process takes its ports at offsets from the first of its range, and the stand-in's range passed over ports that the other run held, so an offset could meet one of them. Change: the range is a block without gaps.

--- a/tests/platformstandins.py
+++ b/tests/platformstandins.py
@@ -16,6 +16,7 @@
 HOST = 'queues.example'
 PREFIX = '/reads/'
 SERVICE = 'cover-check'
+PORTS = 12
 
 
 class Runner:
@@ -137,9 +138,21 @@
     return {**job, **changes}
 
 
+def find_port_block() -> list[int]:
+    """Return free ports that follow each other.
+
+    A process takes ports at offsets from the first of its range, so a port
+    in between that another program holds must not be passed over.
+    """
+    while True:
+        ports = deployment.find_ports(PORTS)
+        if ports[-1] - ports[0] == PORTS - 1:
+            return ports
+
+
 def make_node(folder: str, role: str) -> wire.NodeFile:
     """Return the settings of a process on this machine."""
-    ports = deployment.find_ports(12)
+    ports = find_port_block()
     fields = {
         'node': role,
         'ip': '127.0.0.1',
