--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -694,7 +694,8 @@
     # Time.
 
     def _tick(self, now_s: float) -> effects.Effects:
-        asked = self.session.tick(now_s) + self._log_lease(now_s)
+        asked = self.session.tick(now_s, eager=bool(self._changes))
+        asked += self._log_lease(now_s)
         asked += self._take_from_agent(self.dispatcher.tick(now_s), now_s)
         asked += self._expire_jobs(now_s)
         asked += self._inquiries.press(now_s)
--- a/eelgrassworks/session.py
+++ b/eelgrassworks/session.py
@@ -17,6 +17,8 @@
 from eelgrassworks.links import messages
 
 RENEWAL_INTERVAL_S: Final = 0.4
+# While an operator waits to hear that a change is in force everywhere.
+EAGER_INTERVAL_S: Final = 0.1
 LEADER_PATIENCE_S: Final = 0.6
 # A replica that is there answers at once, so the search for a leader that
 # has fallen silent is quick.
@@ -197,12 +199,14 @@
         self.leader = leader
         return self._renew(now_s) + self._resend(now_s, 0.0)
 
-    def tick(self, now_s: float) -> effects.Effects:
-        """Renew the lease, look for a leader and resend requests."""
+    def tick(self, now_s: float, eager: bool = False) -> effects.Effects:
+        """Renew the lease, look for a leader and resend requests.
+
+        With ``eager`` the leader is asked more often what is in force.
+        """
         asked: effects.Effects = []
         searching = now_s - self._leader_heard_s > LEADER_PATIENCE_S
-        interval_s = SEARCH_INTERVAL_S if searching else RENEWAL_INTERVAL_S
-        if now_s - self._renewed_s >= interval_s:
+        if now_s - self._renewed_s >= _choose_interval(searching, eager):
             if searching:
                 self._try_next_replica()
             asked += self._renew(now_s)
@@ -246,3 +250,10 @@
             replicas.index(self.leader) if self.leader in replicas else -1
         )
         self.leader = replicas[(position + 1) % len(replicas)]
+
+
+def _choose_interval(searching: bool, eager: bool) -> float:
+    """Return the seconds from one renewal to the next."""
+    if searching:
+        return SEARCH_INTERVAL_S
+    return EAGER_INTERVAL_S if eager else RENEWAL_INTERVAL_S
