Give the log, the front ends and the experiments rooms of their own

Cause: 50 flat modules, and a circle of callers, entryprocess and operators that only an import for types hid. Change: replication/, fronts/ and trials/; jobs, queues, ids and locator go to contracts/, the held target, placement and breakers to machines/, grants to zones/, session and discovery to links/. A process knows no front end any more: main, embedded and platform/ give it its fronts, of which the product's own HTTP interface of an entry is one (fronts.entryapi). tests/test_layout.py: no circles, who may not know whom. No decision changed.

--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -11,7 +11,7 @@
 import time
 from typing import Any
 
-from eelgrassworks import ideal
+from eelgrassworks.trials import ideal
 from tests import deployment
 
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,14 +11,14 @@
 from typing import Any
 
 from benchmarks import measure
-from eelgrassworks import commands
 from eelgrassworks import contracts
-from eelgrassworks import ids
 from eelgrassworks import keyrecords
-from eelgrassworks import ledger
-from eelgrassworks import queues
-from eelgrassworks import virtual
+from eelgrassworks.contracts import ids
+from eelgrassworks.contracts import queues
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import ledger
+from eelgrassworks.trials import virtual
 from tests import worlds
 
 CLAIMS = 200_000
--- a/deploy/precompile.py
+++ b/deploy/precompile.py
@@ -13,7 +13,7 @@
     'eelgrassworks.controlprocess',
     'eelgrassworks.entryprocess',
     'eelgrassworks.heldagentprocess',
-    'eelgrassworks.journal',
+    'eelgrassworks.replication.journal',
     'eelgrassworks.platform.__main__',
     'eelgrassworks.platform.ingress',
     'eelgrassworks.platform.operatorapi',
--- a/eelgrassworks/agentprocess.py
+++ b/eelgrassworks/agentprocess.py
@@ -6,7 +6,6 @@
 
 from aiohttp import web
 
-from eelgrassworks import admin
 from eelgrassworks import agent
 from eelgrassworks import clock
 from eelgrassworks import effects
@@ -15,6 +14,7 @@
 from eelgrassworks import process
 from eelgrassworks import settings
 from eelgrassworks import targetclient
+from eelgrassworks.fronts import admin
 from eelgrassworks.links import transport
 
 HEALTH_INTERVAL_S: Final = 1.0
--- a/eelgrassworks/changes.py
+++ b/eelgrassworks/changes.py
@@ -9,7 +9,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
-from eelgrassworks import session
+from eelgrassworks.links import session
 
 CHANGE_WAIT_S: Final = 10.0
 
--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -21,9 +21,9 @@
 
 from eelgrassworks import clock
 from eelgrassworks import errors
-from eelgrassworks import ids
 from eelgrassworks import settings
-from eelgrassworks import sheet
+from eelgrassworks.contracts import ids
+from eelgrassworks.fronts import sheet
 
 EXIT_REFUSED: Final = 1
 EXIT_USAGE: Final = 2
@@ -228,7 +228,7 @@
             options: preset, load, seconds, seed, entries, stragglers, burst,
                 cancels, failing, hanging, closing, max_wait_s.
         """
-        from eelgrassworks import comparison
+        from eelgrassworks.trials import comparison
 
         trial = comparison.Trial(**options)
         names = [name for name in (policy, against) if name]
@@ -399,7 +399,7 @@
 
 def _make_policy(name: str) -> Any:
     """Return the policy of a name, or exit with the names there are."""
-    from eelgrassworks import placement
+    from eelgrassworks.machines import placement
 
     base, _, suffix = name.partition('+')
     if base == 'late-binding' and not suffix:
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -10,17 +10,17 @@
 from typing import Any
 from typing import Final
 
-from eelgrassworks import commands
 from eelgrassworks import contracts
 from eelgrassworks import effects
-from eelgrassworks import grants
-from eelgrassworks import ledger
 from eelgrassworks import moments
-from eelgrassworks import replica
-from eelgrassworks import roles
 from eelgrassworks import zones
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import ledger
+from eelgrassworks.replication import replica
+from eelgrassworks.replication import roles
+from eelgrassworks.zones import grants
 
 ENTRY_TTL_S: Final = 5.0
 SNAPSHOT_INTERVAL: Final = 4096
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -14,19 +14,19 @@
 
 from aiohttp import web
 
-from eelgrassworks import admin
 from eelgrassworks import clock
 from eelgrassworks import control
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import journal
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import metrics
 from eelgrassworks import process
-from eelgrassworks import roles
 from eelgrassworks import settings
+from eelgrassworks.fronts import admin
 from eelgrassworks.links import transport
+from eelgrassworks.replication import journal
+from eelgrassworks.replication import roles
 
 DISK_ID_BYTES: Final = 8
 # A full disk gets room again by others; a restart takes about as long.
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -12,14 +12,14 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
-from eelgrassworks import health
-from eelgrassworks import jobs
 from eelgrassworks import machines
-from eelgrassworks import placement
-from eelgrassworks import queues
 from eelgrassworks import shedding
 from eelgrassworks import zones
+from eelgrassworks.contracts import jobs
+from eelgrassworks.contracts import queues
 from eelgrassworks.links import messages
+from eelgrassworks.machines import health
+from eelgrassworks.machines import placement
 
 AGENT_SILENCE_S: Final = 2.0
 AGENT_LOST_S: Final = 5.0
--- a/eelgrassworks/embedded.py
+++ b/eelgrassworks/embedded.py
@@ -23,14 +23,15 @@
 from eelgrassworks import contracts
 from eelgrassworks import controlprocess
 from eelgrassworks import entryprocess
-from eelgrassworks import ideal
-from eelgrassworks import ids
-from eelgrassworks import journal
 from eelgrassworks import links
 from eelgrassworks import process
 from eelgrassworks import settings
 from eelgrassworks import standin
+from eelgrassworks.contracts import ids
+from eelgrassworks.fronts import entryapi
 from eelgrassworks.links import bus
+from eelgrassworks.replication import journal
+from eelgrassworks.trials import ideal
 
 HOST: Final = '127.0.0.1'
 ANY_ADDRESS: Final = 'tcp://127.0.0.1:0'
@@ -97,12 +98,14 @@
         self.entry = entryprocess.EntryProcess(
             _make_entry(), self._open_link('entry-1')
         )
+        api = entryapi.EntryApi(self.entry)
+        self.entry.fronts.append(api)
         self.processes = [control, self.entry]
         for position in range(self.plan.targets):
             self.processes.append(await self._make_agent(position))
         for each in self.processes:
             await each.start()
-        return f'http://{HOST}:{self.entry.port}'
+        return f'http://{HOST}:{api.port}'
 
     async def _make_agent(self, position: int) -> process.Process:
         target = standin.StandIn(
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -19,12 +19,12 @@
 from eelgrassworks import errors
 from eelgrassworks import inquiries
 from eelgrassworks import joblog
-from eelgrassworks import jobs
-from eelgrassworks import placement
-from eelgrassworks import session
 from eelgrassworks import shedding
+from eelgrassworks.contracts import jobs
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
+from eelgrassworks.links import session
+from eelgrassworks.machines import placement
 
 MAX_QUEUED_TASKS: Final = 50_000
 # After a start, or after control was lost, targets and leases come back
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -1,23 +1,21 @@
-"""The process of an entry: its decisions, its HTTP borders and its links."""
+"""The process of an entry: its decisions and its links.
+
+Front ends bring the requests; the product's own is ``fronts.entryapi``.
+"""
 
 import asyncio
 from typing import Any
 
-from aiohttp import web
-
-from eelgrassworks import admin
-from eelgrassworks import callers
 from eelgrassworks import clock
 from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import links
 from eelgrassworks import metrics
-from eelgrassworks import operators
-from eelgrassworks import placement
 from eelgrassworks import process
-from eelgrassworks import session
 from eelgrassworks import settings
+from eelgrassworks.links import session
 from eelgrassworks.links import transport
+from eelgrassworks.machines import placement
 
 
 class EntryProcess(process.Process):
@@ -31,7 +29,6 @@
         )
         super().__init__('entry', settings.make_vm(model.vm), link, measures)
         self.model = model
-        self.port = 0
         self.entry = entry.Entry(
             entry.EntryOptions(
                 session.SessionOptions(
@@ -51,14 +48,6 @@
         await super().start()
         for name, address in self.model.replicas.items():
             self.link.connect(name, address)
-        application = web.Application(
-            client_max_size=self.model.body_limit_bytes
-        )
-        admin.Admin(self, self.model.tokens.operators).add_routes(application)
-        callers.Callers(self).add_routes(application)
-        operators.Operators(self).add_routes(application)
-        http = self.model.http
-        self.port = await self.serve(application, http.host, http.port)
 
     def learn_replicas(self, replicas: dict[str, str]) -> None:
         """Take control replicas that new settings name."""
--- a/eelgrassworks/admin.py
+++ b/eelgrassworks/fronts/admin.py
@@ -3,9 +3,9 @@
 from aiohttp import web
 import expression
 
-from eelgrassworks import problems
 from eelgrassworks import process
-from eelgrassworks import tokens
+from eelgrassworks.fronts import problems
+from eelgrassworks.fronts import tokens
 
 
 class Admin:
--- a/eelgrassworks/callers.py
+++ b/eelgrassworks/fronts/callers.py
@@ -10,7 +10,6 @@
 from typing import Annotated
 from typing import Any
 from typing import Final
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 import expression
@@ -19,14 +18,12 @@
 from eelgrassworks import clock
 from eelgrassworks import contracts
 from eelgrassworks import entry
+from eelgrassworks import entryprocess
 from eelgrassworks import errors
-from eelgrassworks import ids
-from eelgrassworks import problems
 from eelgrassworks import settings
-from eelgrassworks import tokens
-
-if TYPE_CHECKING:
-    from eelgrassworks import entryprocess
+from eelgrassworks.contracts import ids
+from eelgrassworks.fronts import problems
+from eelgrassworks.fronts import tokens
 
 ID_HEADER: Final = 'Idempotency-Key'
 TEAM_HEADER: Final = 'Team'
@@ -127,7 +124,7 @@
 class Callers:
     """Serves callers for one entry."""
 
-    def __init__(self, owner: 'entryprocess.EntryProcess') -> None:
+    def __init__(self, owner: entryprocess.EntryProcess) -> None:
         self._owner = owner
         self._anonymous = 0
 
--- a/eelgrassworks/operators.py
+++ b/eelgrassworks/fronts/operators.py
@@ -3,7 +3,6 @@
 from typing import Annotated
 from typing import Any
 from typing import Final
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 import expression
@@ -13,14 +12,12 @@
 from eelgrassworks import clock
 from eelgrassworks import contracts
 from eelgrassworks import entry
+from eelgrassworks import entryprocess
 from eelgrassworks import errors
-from eelgrassworks import problems
 from eelgrassworks import settings
-from eelgrassworks import sheet
-from eelgrassworks import tokens
-
-if TYPE_CHECKING:
-    from eelgrassworks import entryprocess
+from eelgrassworks.fronts import problems
+from eelgrassworks.fronts import sheet
+from eelgrassworks.fronts import tokens
 
 CHANGE_ID_HEADER: Final = 'Idempotency-Key'
 MAX_CHANGE_ID: Final = 100
@@ -100,7 +97,7 @@
 class Operators:
     """Serves operators for one entry."""
 
-    def __init__(self, owner: 'entryprocess.EntryProcess') -> None:
+    def __init__(self, owner: entryprocess.EntryProcess) -> None:
         self._owner = owner
 
     def add_routes(self, application: web.Application) -> None:
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -14,21 +14,21 @@
 
 from aiohttp import web
 
-from eelgrassworks import admin
 from eelgrassworks import agent
 from eelgrassworks import clock
-from eelgrassworks import discovery
 from eelgrassworks import effects
-from eelgrassworks import heldtarget
-from eelgrassworks import holds
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import machines
 from eelgrassworks import metrics
 from eelgrassworks import process
 from eelgrassworks import settings
+from eelgrassworks.fronts import admin
+from eelgrassworks.links import discovery
 from eelgrassworks.links import messages
 from eelgrassworks.links import transport
+from eelgrassworks.machines import heldtarget
+from eelgrassworks.machines import holds
 
 # An entry stops counting on its tasks here after this silence; together with
 # the lease at the target it ends before callers submit again.
--- a/eelgrassworks/inquiries.py
+++ b/eelgrassworks/inquiries.py
@@ -12,8 +12,8 @@
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import session
 from eelgrassworks.links import messages
+from eelgrassworks.links import session
 
 CLAIM_WAIT_S: Final = 3.0
 ATTACH_RESEND_S: Final = 1.0
--- a/eelgrassworks/joblog.py
+++ b/eelgrassworks/joblog.py
@@ -3,7 +3,7 @@
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import jobs
+from eelgrassworks.contracts import jobs
 
 
 def log_refusal(
--- a/eelgrassworks/load.py
+++ b/eelgrassworks/load.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from eelgrassworks import clock
-from eelgrassworks import ids
+from eelgrassworks.contracts import ids
 
 MAX_JOBS: Final = 100_000
 MAX_SECONDS: Final = 3600.0
--- a/eelgrassworks/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -15,9 +15,9 @@
 from typing import Final
 
 from eelgrassworks import contracts
-from eelgrassworks import holds
 from eelgrassworks import machines
 from eelgrassworks.links import messages
+from eelgrassworks.machines import holds
 
 # Lease that each hold and each start asks for.  With the silence after which
 # an agent stops the tasks of an entry it stays below the time after which
--- a/eelgrassworks/main.py
+++ b/eelgrassworks/main.py
@@ -86,15 +86,18 @@
     match model:
         case settings.ControlSettings():
             from eelgrassworks import controlprocess
-            from eelgrassworks import journal
+            from eelgrassworks.replication import journal
 
             return controlprocess.ControlProcess(
                 model, link, journal.SystemDisk()
             )
         case settings.EntrySettings():
             from eelgrassworks import entryprocess
+            from eelgrassworks.fronts import entryapi
 
-            return entryprocess.EntryProcess(model, link)
+            running = entryprocess.EntryProcess(model, link)
+            running.fronts.append(entryapi.EntryApi(running))
+            return running
         case settings.AgentSettings():
             from eelgrassworks import agentprocess
 
--- a/eelgrassworks/platform/__main__.py
+++ b/eelgrassworks/platform/__main__.py
@@ -39,8 +39,8 @@
 def make_control(node: wire.NodeFile) -> process.Process:
     """Return a control replica with the operators' front end."""
     from eelgrassworks import controlprocess
-    from eelgrassworks import journal
     from eelgrassworks.platform import operatorapi
+    from eelgrassworks.replication import journal
 
     model = nodefile.make_control(node)
     if node.first_start and model.name in nodefile.list_replicas(node):
@@ -55,12 +55,14 @@
 def make_entry(node: wire.NodeFile) -> process.Process:
     """Return an entry with the callers' front end."""
     from eelgrassworks import entryprocess
+    from eelgrassworks.fronts import entryapi
     from eelgrassworks.platform import ingress
 
     model = nodefile.make_entry(node)
     running = entryprocess.EntryProcess(
         model, make_link(model.name, model.listen)
     )
+    running.fronts.append(entryapi.EntryApi(running))
     running.fronts.append(ingress.Ingress(running, node))
     return running
 
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -10,7 +10,7 @@
 from eelgrassworks import entry
 from eelgrassworks import entryprocess
 from eelgrassworks import errors
-from eelgrassworks import locator
+from eelgrassworks.contracts import locator
 from eelgrassworks.platform import nodefile
 from eelgrassworks.platform import wire
 
--- a/eelgrassworks/platform/reports.py
+++ b/eelgrassworks/platform/reports.py
@@ -7,8 +7,8 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import heldagentprocess
-from eelgrassworks import holds
 from eelgrassworks import logs
+from eelgrassworks.machines import holds
 from eelgrassworks.platform import nodefile
 from eelgrassworks.platform import wire
 
--- a/eelgrassworks/platform/runnerlink.py
+++ b/eelgrassworks/platform/runnerlink.py
@@ -6,9 +6,9 @@
 import aiohttp
 import msgspec
 
-from eelgrassworks import heldtarget
-from eelgrassworks import holds
 from eelgrassworks import logs
+from eelgrassworks.machines import heldtarget
+from eelgrassworks.machines import holds
 from eelgrassworks.platform import wire
 
 # How a run ended through its own fault or the target's.
--- a/eelgrassworks/journal.py
+++ b/eelgrassworks/replication/journal.py
@@ -28,12 +28,12 @@
 import msgspec
 import xxhash
 
-from eelgrassworks import commands
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import ledger
-from eelgrassworks import roles
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import ledger
+from eelgrassworks.replication import roles
 
 IDENTITY_NAME: Final = 'identity'
 SNAPSHOT_NAME: Final = 'snapshot'
--- a/eelgrassworks/ledger.py
+++ b/eelgrassworks/replication/ledger.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from eelgrassworks import commands
 from eelgrassworks import contracts
-from eelgrassworks import ids
+from eelgrassworks.contracts import ids
 from eelgrassworks.links import codec
+from eelgrassworks.replication import commands
 
 CLAIM_WINDOW_MS: Final = 900_000
 CLAIM_FUTURE_MS: Final = 60_000
--- a/eelgrassworks/membership.py
+++ b/eelgrassworks/replication/membership.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Iterable
 
-from eelgrassworks import commands
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
 
 
 class Membership:
--- a/eelgrassworks/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -16,17 +16,17 @@
 import dataclasses
 from typing import Final
 
-from eelgrassworks import commands
-from eelgrassworks import durability
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import ledger
-from eelgrassworks import membership
 from eelgrassworks import moments
-from eelgrassworks import replicatedlog
-from eelgrassworks import roles
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import durability
+from eelgrassworks.replication import ledger
+from eelgrassworks.replication import membership
+from eelgrassworks.replication import replicatedlog
+from eelgrassworks.replication import roles
 
 # Three lost heartbeats; with the second at random above it a close that
 # meets a lost leader is in force within 3 s.
--- a/eelgrassworks/roles.py
+++ b/eelgrassworks/replication/roles.py
@@ -5,8 +5,8 @@
 
 import dataclasses
 
-from eelgrassworks import commands
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/comparison.py
+++ b/eelgrassworks/trials/comparison.py
@@ -11,9 +11,9 @@
 from typing import Any
 from typing import Final
 
-from eelgrassworks import experiment
-from eelgrassworks import placement
-from eelgrassworks import workload
+from eelgrassworks.machines import placement
+from eelgrassworks.trials import experiment
+from eelgrassworks.trials import workload
 
 PLOT_LOADS: Final = (0.3, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95)
 COLUMNS: Final = (
--- a/eelgrassworks/experiment.py
+++ b/eelgrassworks/trials/experiment.py
@@ -14,12 +14,12 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import entry
-from eelgrassworks import ideal
-from eelgrassworks import ids
 from eelgrassworks import machines
-from eelgrassworks import placement
-from eelgrassworks import virtual
-from eelgrassworks import workload
+from eelgrassworks.contracts import ids
+from eelgrassworks.machines import placement
+from eelgrassworks.trials import ideal
+from eelgrassworks.trials import virtual
+from eelgrassworks.trials import workload
 
 KIND: Final = 'crack-flag'
 JOB_LIMIT_S: Final = 60.0
--- a/eelgrassworks/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -16,18 +16,18 @@
 from typing import Final
 
 from eelgrassworks import agent
-from eelgrassworks import commands
 from eelgrassworks import contracts
 from eelgrassworks import control
 from eelgrassworks import effects
 from eelgrassworks import entry
-from eelgrassworks import journal
-from eelgrassworks import ledger
 from eelgrassworks import machines
 from eelgrassworks import moments
-from eelgrassworks import placement
-from eelgrassworks import roles
-from eelgrassworks import session
+from eelgrassworks.links import session
+from eelgrassworks.machines import placement
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import journal
+from eelgrassworks.replication import ledger
+from eelgrassworks.replication import roles
 
 TICK_S: Final = 0.05
 LATENCY_S: Final = 0.0005
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -18,7 +18,7 @@
 
 import aiohttp
 
-from eelgrassworks import ids
+from eelgrassworks.contracts import ids
 
 KEY = 'a key for tests of processes'
 DOMAINS = ('accra-central', 'tema-port', 'kasoa-west')
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -12,8 +12,8 @@
 from eelgrassworks import changes
 from eelgrassworks import contracts
 from eelgrassworks import errors
-from eelgrassworks import virtual
 from eelgrassworks.links import messages
+from eelgrassworks.trials import virtual
 from tests import worlds
 
 MINUTE_S = 60.0
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -12,14 +12,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from eelgrassworks import callers
 from eelgrassworks import clock
 from eelgrassworks import embedded
-from eelgrassworks import ids
 from eelgrassworks import links
-from eelgrassworks import operators
-from eelgrassworks import sheet
 from eelgrassworks import targetclient
+from eelgrassworks.contracts import ids
+from eelgrassworks.fronts import callers
+from eelgrassworks.fronts import operators
+from eelgrassworks.fronts import sheet
 from eelgrassworks.links import messages
 
 TEAM = {'Team': 'inspectors'}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,10 +6,10 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import entry
-from eelgrassworks import health
 from eelgrassworks import machines
-from eelgrassworks import placement
-from eelgrassworks import queues
+from eelgrassworks.contracts import queues
+from eelgrassworks.machines import health
+from eelgrassworks.machines import placement
 from tests import worlds
 
 # Outcomes as letters (s succeeded, f failed), the time after them in
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,7 +12,7 @@
 import ddt
 
 from eelgrassworks import contracts
-from eelgrassworks import virtual
+from eelgrassworks.trials import virtual
 from tests import scenarios
 from tests import worlds
 
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -11,13 +11,13 @@
 from eelgrassworks import agent
 from eelgrassworks import contracts
 from eelgrassworks import entry
-from eelgrassworks import grants
-from eelgrassworks import jobs
 from eelgrassworks import keyrecords
-from eelgrassworks import ledger
-from eelgrassworks import replica
-from eelgrassworks import virtual
 from eelgrassworks import zones
+from eelgrassworks.contracts import jobs
+from eelgrassworks.replication import ledger
+from eelgrassworks.replication import replica
+from eelgrassworks.trials import virtual
+from eelgrassworks.zones import grants
 from tests import scenarios
 from tests import worlds
 
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -5,8 +5,8 @@
 import ddt
 
 from eelgrassworks import contracts
-from eelgrassworks import heldtarget
-from eelgrassworks import holds
+from eelgrassworks.machines import heldtarget
+from eelgrassworks.machines import holds
 
 LIFE = holds.Life('i-1', 1_000_000)
 NEXT_LIFE = holds.Life('i-1', 2_000_000)
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -7,10 +7,10 @@
 import expression
 
 from eelgrassworks import errors
-from eelgrassworks import ids
 from eelgrassworks import logs
 from eelgrassworks import settings
-from eelgrassworks import sheet
+from eelgrassworks.contracts import ids
+from eelgrassworks.fronts import sheet
 
 HEADER = ','.join(sheet.COLUMNS)
 KIND = 'kind,crack-flag,tema-port,yes,2000,,,'
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,13 +9,13 @@
 
 import ddt
 
-from eelgrassworks import commands
 from eelgrassworks import effects
 from eelgrassworks import errors
-from eelgrassworks import journal
-from eelgrassworks import ledger
 from eelgrassworks import links
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import journal
+from eelgrassworks.replication import ledger
 
 VOTERS = {'control-1': 'disk-1'}
 IDENTITY = journal.Identity('test', 'control-1', 'disk-1', VOTERS)
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,102 @@
+"""The layout: which part may know which, and no circles."""
+
+import ast
+import graphlib
+import pathlib
+import unittest
+
+import ddt
+
+ROOT = pathlib.Path(__file__).parent.parent
+PACKAGE = 'eelgrassworks'
+
+# A part, and what it must not import.
+FORBIDDEN: tuple[tuple[str, str], ...] = (
+    ('contracts', 'machines'),
+    ('contracts', 'links'),
+    ('machines', 'replication'),
+    ('machines', 'fronts'),
+    ('zones', 'links'),
+    ('links', 'replication'),
+    ('links', 'fronts'),
+    ('replication', 'fronts'),
+    ('replication', 'trials'),
+    ('entry', 'fronts'),
+    ('entryprocess', 'fronts'),
+    ('entryprocess', 'platform'),
+    ('entryprocess', 'trials'),
+    ('heldagentprocess', 'platform'),
+    ('heldagentprocess', 'trials'),
+    ('controlprocess', 'platform'),
+    ('controlprocess', 'trials'),
+    ('fronts', 'platform'),
+    ('platform', 'trials'),
+    ('trials', 'platform'),
+)
+
+
+def name_module(path: pathlib.Path) -> str:
+    """Return the dotted name of a file within the package."""
+    parts = path.relative_to(ROOT / PACKAGE).with_suffix('').parts
+    return '.'.join(part for part in parts if part != '__init__')
+
+
+def read_imports() -> dict[str, set[str]]:
+    """Return what each module imports when it is loaded."""
+    paths = sorted((ROOT / PACKAGE).rglob('*.py'))
+    known = {name_module(path) for path in paths}
+    return {
+        name_module(path): list_imports(ast.parse(path.read_text()), known)
+        for path in paths
+    }
+
+
+def list_imports(tree: ast.Module, known: set[str]) -> set[str]:
+    """Return the modules of the package that a file imports at its top."""
+    found: set[str] = set()
+    for node in tree.body:
+        if not isinstance(node, ast.ImportFrom) or not node.module:
+            continue
+        head, _, inside = node.module.partition('.')
+        if head != PACKAGE:
+            continue
+        for each in node.names:
+            name = f'{inside}.{each.name}'.lstrip('.')
+            found.add(name if name in known else inside)
+    return found - {''}
+
+
+def is_within(module: str, part: str) -> bool:
+    """Tell whether a module belongs to a part."""
+    return module == part or module.startswith(f'{part}.')
+
+
+@ddt.ddt
+class LayoutTest(unittest.TestCase):
+    def test_no_circles(self) -> None:
+        order = graphlib.TopologicalSorter(read_imports()).static_order()
+        self.assertIn('entryprocess', list(order))
+
+    @ddt.data(*FORBIDDEN)
+    @ddt.unpack
+    def test_part_does_not_know(self, part: str, other: str) -> None:
+        found = {
+            f'{module} imports {imported}'
+            for module, imports in read_imports().items()
+            for imported in imports
+            if is_within(module, part) and is_within(imported, other)
+        }
+        self.assertEqual(found, set())
+
+    def test_no_imports_for_types_alone(self) -> None:
+        """They would hide a circle."""
+        found = [
+            str(path)
+            for path in (ROOT / PACKAGE).rglob('*.py')
+            if 'TYPE_CHECKING' in path.read_text()
+        ]
+        self.assertEqual(found, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,15 +5,15 @@
 
 import ddt
 
-from eelgrassworks import commands
 from eelgrassworks import contracts
-from eelgrassworks import discovery
 from eelgrassworks import effects
-from eelgrassworks import ledger
 from eelgrassworks import links
-from eelgrassworks import session
-from eelgrassworks import virtual
+from eelgrassworks.links import discovery
 from eelgrassworks.links import messages
+from eelgrassworks.links import session
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import ledger
+from eelgrassworks.trials import virtual
 from tests import worlds
 
 NEW = 'control-9'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,9 +15,9 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import errors
-from eelgrassworks import holds
-from eelgrassworks import locator
 from eelgrassworks import process
+from eelgrassworks.contracts import locator
+from eelgrassworks.machines import holds
 from eelgrassworks.platform import __main__ as daemon
 from eelgrassworks.platform import ingress
 from eelgrassworks.platform import operatorapi
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -13,11 +13,11 @@
 
 from eelgrassworks import controlprocess
 from eelgrassworks import exposition
-from eelgrassworks import journal
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import settings
 from eelgrassworks.links import bus
+from eelgrassworks.replication import journal
 
 NAME = '127.0.0.1'
 PATIENCE_S = 10.0
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -4,14 +4,14 @@
 
 import ddt
 
-from eelgrassworks import commands
 from eelgrassworks import contracts
 from eelgrassworks import control
-from eelgrassworks import ids
-from eelgrassworks import ledger
 from eelgrassworks import links
-from eelgrassworks import virtual
+from eelgrassworks.contracts import ids
 from eelgrassworks.links import messages
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import ledger
+from eelgrassworks.trials import virtual
 from tests import scenarios
 from tests import worlds
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -8,10 +8,10 @@
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import machines
-from eelgrassworks import placement
-from eelgrassworks import queues
 from eelgrassworks import shedding
-from eelgrassworks import virtual
+from eelgrassworks.contracts import queues
+from eelgrassworks.machines import placement
+from eelgrassworks.trials import virtual
 from tests import test_transient
 from tests import worlds
 
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -10,7 +10,7 @@
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import errors
-from eelgrassworks import virtual
+from eelgrassworks.trials import virtual
 from tests import worlds
 
 # The settings of agents whose targets hold tasks under leases.
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -6,9 +6,9 @@
 from eelgrassworks import changes
 from eelgrassworks import contracts
 from eelgrassworks import entry
-from eelgrassworks import ids
 from eelgrassworks import machines
-from eelgrassworks import virtual
+from eelgrassworks.contracts import ids
+from eelgrassworks.trials import virtual
 
 DOMAINS = ('accra-central', 'tema-port', 'kasoa-west')
 CONTROLS = ('control-1', 'control-2', 'control-3')
