--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -28,6 +28,8 @@
 MAX_OBJECTIONS: Final = 16
 DEFAULT_RUN_S: Final = 0.3
 RUN_SMOOTHING: Final = 0.02
+# Two renewals of an agent that did not come; its tasks may stand still.
+PACE_SILENCE_S: Final = 0.5
 # A lease of an entry at an agent, one of an agent at its target, the time
 # of a stop and of the messages between.
 HOLD_CHAIN_S: Final = 1.35
@@ -90,7 +92,7 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._cancels: dict[str, list[str]] = {}
         self._wanted = 0
-        self._end_rate = shedding.EndRate()
+        self.end_rate = shedding.EndRate()
 
     # Configuration and capacity.
 
@@ -182,7 +184,21 @@
         ahead = self.queue.measure_ahead(team, due_s, now_s)
         if not ahead:
             return 0.0
-        return shedding.predict_wait(ahead, self._end_rate.measure(now_s))
+        rate = max(self.end_rate.measure(now_s), self._measure_pace(now_s))
+        return shedding.predict_wait(ahead, rate)
+
+    def _measure_pace(self, now_s: float) -> float:
+        """Return the declared work that running tasks do.
+
+        The result is in processor-seconds a second.  Ends lag behind starts
+        by a run time, so they say too little while targets fill up: after a
+        start of this entry, or a return of targets.
+        """
+        return sum(
+            view.pace
+            for view in self.views.values()
+            if now_s - view.heard_s < PACE_SILENCE_S
+        )
 
     def put_back(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
@@ -449,7 +465,7 @@
         if job is not None:
             submission = job.submission
             work = submission.demand.measure_work(submission.estimate_s)
-            self._end_rate.note(work, now_s)
+            self.end_rate.note(work, now_s)
         self._learn(view, sent.kind, finished.run_ms / 1000)
         return Taken([], [TaskDone(key, finished.body)])
 
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -65,7 +65,7 @@
     starts still on their way; a negative number is the length of the queue
     at the target.  ``suspect`` is set while the agent is silent;
     ``allowance`` bounds the outstanding tasks of a target that has just come
-    or returned.
+    or returned; ``sent_cpu_millis`` is the processor of outstanding tasks.
     """
 
     target: target.Target
@@ -86,6 +86,7 @@
     allowance: int = FIRST_ALLOWANCE
     ramped_s: float = float('-inf')
     told_speed: float = 0.0
+    sent_cpu_millis: int = 0
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
     # Demands of the latest starts, the newest last.
     _demands: collections.deque[contracts.Room] = dataclasses.field(
@@ -104,6 +105,14 @@
             return 1.0
         return self.speed.ratio
 
+    @property
+    def pace(self) -> float:
+        """Return the declared work that outstanding tasks do a second.
+
+        In processor-seconds a second.
+        """
+        return self.sent_cpu_millis / 1000 / self.slowness
+
     def covers(self, demand: contracts.Room) -> bool:
         """Tell whether a task would start at once, as far as is known."""
         if not self.target.has_room:
@@ -161,6 +170,7 @@
     def send(self, key: contracts.TaskKey, start: Outstanding) -> None:
         """Record that a start was sent."""
         self.outstanding[key] = start
+        self.sent_cpu_millis += start.demand.cpu_millis
         self.starts_sent += 1
         self._demands.append(start.demand)
         self._estimate_free()
@@ -168,6 +178,8 @@
     def settle(self, key: contracts.TaskKey) -> Outstanding | None:
         """Forget an outstanding key; None when it was not outstanding."""
         sent = self.outstanding.pop(key, None)
+        if sent is not None:
+            self.sent_cpu_millis -= sent.demand.cpu_millis
         self._estimate_free()
         return sent
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -6,9 +6,11 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import dispatcher
 from eelgrassworks import entry
 from eelgrassworks import machines
 from eelgrassworks import shedding
+from eelgrassworks.contracts import jobs
 from eelgrassworks.contracts import queues
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import virtual
@@ -37,6 +39,16 @@
     (5.0, 0.0, 0.0),
 )
 
+# Work that has ended at an entry that has just begun, slowness of the target
+# that it has filled, silence of the target's agent, and the predicted wait of
+# a job behind as much work again, in seconds.
+FIRST_WAITS: tuple[tuple[float, float, float, float], ...] = (
+    (0.0, 1.0, 0.0, 0.4),
+    (0.8, 1.0, 0.0, 0.4),
+    (0.8, 2.0, 0.0, 0.8),
+    (0.8, 1.0, 0.6, 4.0),
+)
+
 # Due times of three jobs, the time, and the order in which they go.
 ORDERS: tuple[tuple[tuple[float, float, float], float, str], ...] = (
     ((3.0, 1.0, 2.0), 0.0, 'bca'),
@@ -86,6 +98,38 @@
     def test_wait(self, ahead: float, rate: float, expected: float) -> None:
         self.assertAlmostEqual(shedding.predict_wait(ahead, rate), expected)
 
+    @ddt.data(*FIRST_WAITS)
+    @ddt.unpack
+    def test_wait_before_many_ends(
+        self, ended: float, slowness: float, silent_s: float, expected: float
+    ) -> None:
+        """Targets have filled up after a start, and little has ended."""
+        found = dispatcher.Dispatcher(placement.LateBinding(), jobs.JobTable())
+        view = make_view(slowness)
+        found.views['runner-1'] = view
+        for index in range(4):
+            view.send(
+                contracts.TaskKey('job', index),
+                machines.Outstanding(
+                    'callers',
+                    'read',
+                    1,
+                    0,
+                    4.0,
+                    100.0,
+                    100.0,
+                    test_transient.DEMAND,
+                ),
+            )
+        found.queue.add(
+            'callers', 'next', 'read', 4, 200.0, test_transient.DEMAND, 0.4
+        )
+        now_s = 100.2
+        found.end_rate.note(ended, now_s)
+        view.heard_s = now_s - silent_s
+        wait_s = found.predict_wait('callers', 300.0, now_s)
+        self.assertAlmostEqual(wait_s, expected)
+
     def test_refused_callers_come_back_spread(self) -> None:
         told = [
             shedding.advise_retry(1.5, f'{number:016x}')
