Let kinds that operators call urgent go first

Cause: the priority of a kind was read, kept and not used; jobs went by due time alone, so that a long job of an urgent kind waited behind short ones. Change: within a team the order is late or not, priority, due time, and the predicted wait counts what goes first by the same rule.

--- a/eelgrassworks/contracts/jobs.py
+++ b/eelgrassworks/contracts/jobs.py
@@ -38,7 +38,8 @@
     of other entries that receive the answer.  ``attempts`` counts the fenced
     starts of a task, ``objections`` those that were not for want of a slot,
     ``failures`` the runs that failed by themselves.  ``due_s`` is the latest
-    start that still meets the objective; an answer after ``useless_s`` is of
+    start that still meets the objective, ``priority`` the urgency of the
+    kind, 0 first; an answer after ``useless_s`` is of
     no use.  ``has_run`` stays set once any run of a task has ended.
     """
 
@@ -57,6 +58,7 @@
     remaining: int = 0
     ended_s: float = 0.0
     due_s: float = 0.0
+    priority: int = 0
     useless_s: float = float('inf')
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
     has_run: bool = False
--- a/eelgrassworks/contracts/queues.py
+++ b/eelgrassworks/contracts/queues.py
@@ -16,10 +16,11 @@
 class QueuedJob:
     """The tasks of one job that wait, in the order of their indices.
 
-    ``due_s`` is the latest start that still meets the job's objective.
-    Within a team the job that is due first goes first; jobs whose due time
-    has passed come behind all others, the latest of them first, since it is
-    the one that may still be of use.
+    ``due_s`` is the latest start that still meets the job's objective, and
+    ``priority`` the urgency of its kind, 0 first.  Within a team the most
+    urgent kind goes first, and of one urgency the job that is due first; jobs
+    whose due time has passed come behind all others, the latest of them
+    first, since it is the one that may still be of use.
     """
 
     submission: str
@@ -28,6 +29,7 @@
     due_s: float = 0.0
     demand: contracts.Room = contracts.NO_ROOM
     estimate_s: float = 0.0
+    priority: int = 0
 
     @property
     def work(self) -> float:
@@ -76,6 +78,7 @@
         due_s: float = 0.0,
         demand: contracts.Room = contracts.NO_ROOM,
         estimate_s: float = 0.0,
+        priority: int = 0,
     ) -> None:
         """Queue all tasks of a job by its due time, then by arrival."""
         team = self._wake(team_name)
@@ -86,6 +89,7 @@
             due_s,
             demand,
             estimate_s,
+            priority,
         )
         team.waiting += count
         self.length += count
@@ -99,6 +103,7 @@
         due_s: float = 0.0,
         demand: contracts.Room = contracts.NO_ROOM,
         estimate_s: float = 0.0,
+        priority: int = 0,
     ) -> None:
         """Return a task that was not started to the front of its team."""
         team = self._wake(team_name)
@@ -111,6 +116,7 @@
                 due_s,
                 demand,
                 estimate_s,
+                priority,
             )
             team.jobs = {submission: job, **team.jobs}
         job.indices.appendleft(index)
@@ -118,9 +124,9 @@
         self.length += 1
 
     def measure_ahead(
-        self, team_name: str, due_s: float, now_s: float
+        self, team_name: str, due_s: float, now_s: float, priority: int = 0
     ) -> float:
-        """Return the work of a team that goes before a job due later.
+        """Return the work of a team that goes before a job due then.
 
         The result is in processor-seconds.
         """
@@ -130,7 +136,8 @@
         return sum(
             job.work
             for job in team.jobs.values()
-            if now_s <= job.due_s < due_s
+            if now_s <= job.due_s
+            and (job.priority, job.due_s) < (priority, due_s)
         )
 
     def pick(
@@ -202,6 +209,7 @@
             self._active.pop(name, None)
 
 
-def _rank(job: QueuedJob, now_s: float) -> tuple[bool, float]:
-    late = job.due_s < now_s
-    return late, -job.due_s if late else job.due_s
+def _rank(job: QueuedJob, now_s: float) -> tuple[bool, int, float]:
+    if job.due_s < now_s:
+        return True, 0, -job.due_s
+    return False, job.priority, job.due_s
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -177,11 +177,14 @@
             job.due_s,
             submission.demand,
             submission.estimate_s,
+            job.priority,
         )
 
-    def predict_wait(self, team: str, due_s: float, now_s: float) -> float:
+    def predict_wait(
+        self, team: str, due_s: float, now_s: float, priority: int = 0
+    ) -> float:
         """Predict when a job that is due then would start, in seconds."""
-        ahead = self.queue.measure_ahead(team, due_s, now_s)
+        ahead = self.queue.measure_ahead(team, due_s, now_s, priority)
         if not ahead:
             return 0.0
         rate = max(self.end_rate.measure(now_s), self._measure_pace(now_s))
@@ -211,6 +214,7 @@
             job.due_s,
             submission.demand,
             submission.estimate_s,
+            job.priority,
         )
 
     def remove(self, job: jobs.Job) -> None:
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -284,7 +284,7 @@
         queued = self.dispatcher.queue.length
         schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
         wait_s = self.dispatcher.predict_wait(
-            submission.team, schedule.due_s, now_s
+            submission.team, schedule.due_s, now_s, kind.priority
         )
         count = len(submission.payloads)
         if queued + count > MAX_QUEUED_TASKS or shedding.should_refuse(
@@ -352,6 +352,7 @@
         kind = self.session.configuration.sheet.kinds[submission.kind]
         schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
         job.due_s = schedule.due_s
+        job.priority = kind.priority
         job.useless_s = schedule.useless_s
         # Started tasks go on beyond this time, waiting ones do not.
         give_up_s = schedule.useless_s - submission.estimate_s
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -58,6 +58,28 @@
     ((0.0, 0.0, 0.0), 2.0, 'abc'),
 )
 
+# Priorities and due times of three jobs, the time, and the order.
+PRIORITIES: tuple[
+    tuple[tuple[int, int, int], tuple[float, float, float], float, str], ...
+] = (
+    ((0, 0, 0), (3.0, 1.0, 2.0), 0.0, 'bca'),
+    ((1, 2, 0), (1.0, 1.0, 9.0), 0.0, 'cab'),
+    ((1, 0, 0), (1.0, 3.0, 2.0), 0.0, 'cba'),
+    # Nothing that is late goes before what can be in time.
+    ((0, 1, 2), (1.0, 3.0, 4.0), 2.0, 'bca'),
+    ((0, 1, 0), (1.0, 1.5, 4.0), 2.0, 'cba'),
+)
+
+# Priority and due time of a job that comes, and the work ahead of it: 1 core
+# second each of priority 0, due at 2, and priority 1, due at 1.
+AHEAD: tuple[tuple[int, float, float], ...] = (
+    (0, 1.5, 0.0),
+    (0, 2.5, 1.0),
+    (1, 0.5, 1.0),
+    (1, 1.5, 2.0),
+    (2, 0.5, 2.0),
+)
+
 # Seconds that are left for the start, declared run time, slowness of the
 # targets, and which may be used.
 SPEEDS: tuple[
@@ -81,6 +103,17 @@
     return view
 
 
+def take_all(queue: queues.FairQueue, now_s: float) -> str:
+    """Empty a queue of jobs of one task; return them in their order."""
+    order = ''
+    while queue.length:
+        picked = queue.pick(set(), now_s)
+        assert picked is not None
+        order += picked[1].submission
+        queue.take(*picked)
+    return order
+
+
 @ddt.ddt
 class SheddingTest(unittest.TestCase):
     @ddt.data(*ADMISSIONS)
@@ -153,13 +186,33 @@
         queue = queues.FairQueue()
         for name, due in zip('abc', due_s, strict=True):
             queue.add('callers', name, 'read', 1, due)
-        order = ''
-        while queue.length:
-            picked = queue.pick(set(), now_s)
-            assert picked is not None
-            order += picked[1].submission
-            queue.take(*picked)
-        self.assertEqual(order, expected)
+        self.assertEqual(take_all(queue, now_s), expected)
+
+    @ddt.data(*PRIORITIES)
+    @ddt.unpack
+    def test_urgent_kinds_go_first(
+        self,
+        priorities: tuple[int, int, int],
+        due_s: tuple[float, float, float],
+        now_s: float,
+        expected: str,
+    ) -> None:
+        queue = queues.FairQueue()
+        for name, priority, due in zip('abc', priorities, due_s, strict=True):
+            queue.add('callers', name, 'read', 1, due, priority=priority)
+        self.assertEqual(take_all(queue, now_s), expected)
+
+    @ddt.data(*AHEAD)
+    @ddt.unpack
+    def test_work_ahead(
+        self, priority: int, due_s: float, expected: float
+    ) -> None:
+        queue = queues.FairQueue()
+        core = contracts.Room(1000, 0)
+        queue.add('callers', 'a', 'read', 1, 2.0, core, 1.0, 0)
+        queue.add('callers', 'b', 'read', 1, 1.0, core, 1.0, 1)
+        ahead = queue.measure_ahead('callers', due_s, 0.0, priority)
+        self.assertAlmostEqual(ahead, expected)
 
     @ddt.data(*SPEEDS)
     @ddt.unpack
