--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -4,6 +4,7 @@
 under the virtual clock.
 """
 
+import collections
 import json
 import os
 import sys
@@ -79,7 +80,8 @@
     queue = queues.FairQueue()
     before = read_memory_bytes()
     for number in range(1000):
-        queue.add('team', f'job-{number}', 'kind', contracts.MAX_TASKS)
+        indices = collections.deque(range(contracts.MAX_TASKS))
+        queue.add('team', queues.QueuedJob(f'job-{number}', 'kind', indices))
     used = read_memory_bytes() - before
     return {'memory_bytes': round(used / 1000 / contracts.MAX_TASKS, 1)}
 
--- a/eelgrassworks/contracts/queues.py
+++ b/eelgrassworks/contracts/queues.py
@@ -69,59 +69,23 @@
         queue = self.teams.get(team)
         return 0 if queue is None else queue.waiting
 
-    def add(
-        self,
-        team_name: str,
-        submission: str,
-        kind: str,
-        count: int,
-        due_s: float = 0.0,
-        demand: contracts.Room = contracts.NO_ROOM,
-        estimate_s: float = 0.0,
-        priority: int = 0,
-    ) -> None:
-        """Queue all tasks of a job by its due time, then by arrival."""
+    def add(self, team_name: str, job: QueuedJob) -> None:
+        """Queue a job behind those of its team that came before it."""
         team = self._wake(team_name)
-        team.jobs[submission] = QueuedJob(
-            submission,
-            kind,
-            collections.deque(range(count)),
-            due_s,
-            demand,
-            estimate_s,
-            priority,
-        )
-        team.waiting += count
-        self.length += count
-
-    def put_back(
-        self,
-        team_name: str,
-        submission: str,
-        kind: str,
-        index: int,
-        due_s: float = 0.0,
-        demand: contracts.Room = contracts.NO_ROOM,
-        estimate_s: float = 0.0,
-        priority: int = 0,
-    ) -> None:
-        """Return a task that was not started to the front of its team."""
+        team.jobs[job.submission] = job
+        team.waiting += len(job.indices)
+        self.length += len(job.indices)
+
+    def put_back(self, team_name: str, job: QueuedJob) -> None:
+        """Return tasks that were not started to the front of their team."""
         team = self._wake(team_name)
-        job = team.jobs.get(submission)
-        if job is None:
-            job = QueuedJob(
-                submission,
-                kind,
-                collections.deque(),
-                due_s,
-                demand,
-                estimate_s,
-                priority,
-            )
-            team.jobs = {submission: job, **team.jobs}
-        job.indices.appendleft(index)
-        team.waiting += 1
-        self.length += 1
+        known = team.jobs.get(job.submission)
+        if known is None:
+            team.jobs = {job.submission: job, **team.jobs}
+        else:
+            known.indices.extendleft(reversed(job.indices))
+        team.waiting += len(job.indices)
+        self.length += len(job.indices)
 
     def measure_ahead(
         self, team_name: str, due_s: float, now_s: float, priority: int = 0
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -168,17 +169,8 @@
 
     def add(self, job: jobs.Job) -> None:
         """Queue every task of a job."""
-        submission = job.submission
-        self.queue.add(
-            submission.team,
-            submission.id,
-            submission.kind,
-            len(submission.payloads),
-            job.due_s,
-            submission.demand,
-            submission.estimate_s,
-            job.priority,
-        )
+        indices = range(len(job.submission.payloads))
+        self.queue.add(job.submission.team, _make_queued(job, indices))
 
     def predict_wait(
         self, team: str, due_s: float, now_s: float, priority: int = 0
@@ -205,17 +197,7 @@
 
     def put_back(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
-        submission = job.submission
-        self.queue.put_back(
-            submission.team,
-            submission.id,
-            submission.kind,
-            index,
-            job.due_s,
-            submission.demand,
-            submission.estimate_s,
-            job.priority,
-        )
+        self.queue.put_back(job.submission.team, _make_queued(job, (index,)))
 
     def remove(self, job: jobs.Job) -> None:
         """Drop the waiting tasks of a job and cancel the sent ones."""
@@ -693,3 +675,17 @@
             },
             'counters': dict(self.counters),
         }
+
+
+def _make_queued(job: jobs.Job, indices: Iterable[int]) -> queues.QueuedJob:
+    """Return what the queue knows of these tasks of a job."""
+    submission = job.submission
+    return queues.QueuedJob(
+        submission.id,
+        submission.kind,
+        collections.deque(indices),
+        job.due_s,
+        submission.demand,
+        submission.estimate_s,
+        job.priority,
+    )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 """Queues, breakers, ramps and cancellations at an entry."""
 
+import collections
 import unittest
 
 import ddt
@@ -51,6 +52,13 @@
     return view
 
 
+def make_queued(submission: str, tasks: int) -> queues.QueuedJob:
+    """Return a job of equal tasks that waits."""
+    return queues.QueuedJob(
+        submission, 'kind', collections.deque(range(tasks))
+    )
+
+
 @ddt.ddt
 class DispatchTest(unittest.TestCase):
     @ddt.data(*BREAKERS)
@@ -80,7 +88,7 @@
         queue = queues.FairQueue()
         for name, share in (('one', one), ('two', two)):
             queue.set_quota(contracts.Quota(name, share, 1000, 0))
-            queue.add(name, f'job-{name}', 'kind', 100)
+            queue.add(name, make_queued(f'job-{name}', 100))
         taken = []
         for _ in range(30):
             picked = queue.pick(set())
@@ -93,7 +101,7 @@
     def test_running_limit(self) -> None:
         queue = queues.FairQueue()
         queue.set_quota(contracts.Quota('one', 1.0, 1000, 2))
-        queue.add('one', 'job', 'kind', 5)
+        queue.add('one', make_queued('job', 5))
         for _ in range(2):
             picked = queue.pick(set())
             if picked is None:
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -1,5 +1,6 @@
 """Load that exceeds the room: who is refused, who waits, who goes first."""
 
+import collections
 import dataclasses
 import unittest
 
@@ -103,6 +104,26 @@
     return view
 
 
+def make_queued(
+    submission: str,
+    tasks: int,
+    due_s: float,
+    demand: contracts.Room = contracts.NO_ROOM,
+    estimate_s: float = 0.0,
+    priority: int = 0,
+) -> queues.QueuedJob:
+    """Return a job of equal tasks that waits."""
+    return queues.QueuedJob(
+        submission,
+        'read',
+        collections.deque(range(tasks)),
+        due_s,
+        demand,
+        estimate_s,
+        priority,
+    )
+
+
 def take_all(queue: queues.FairQueue, now_s: float) -> str:
     """Empty a queue of jobs of one task; return them in their order."""
     order = ''
@@ -154,9 +175,8 @@
                     test_transient.DEMAND,
                 ),
             )
-        found.queue.add(
-            'callers', 'next', 'read', 4, 200.0, test_transient.DEMAND, 0.4
-        )
+        queued = make_queued('next', 4, 200.0, test_transient.DEMAND, 0.4)
+        found.queue.add('callers', queued)
         now_s = 100.2
         found.end_rate.note(ended, now_s)
         view.heard_s = now_s - silent_s
@@ -185,7 +205,7 @@
     ) -> None:
         queue = queues.FairQueue()
         for name, due in zip('abc', due_s, strict=True):
-            queue.add('callers', name, 'read', 1, due)
+            queue.add('callers', make_queued(name, 1, due))
         self.assertEqual(take_all(queue, now_s), expected)
 
     @ddt.data(*PRIORITIES)
@@ -199,7 +219,7 @@
     ) -> None:
         queue = queues.FairQueue()
         for name, priority, due in zip('abc', priorities, due_s, strict=True):
-            queue.add('callers', name, 'read', 1, due, priority=priority)
+            queue.add('callers', make_queued(name, 1, due, priority=priority))
         self.assertEqual(take_all(queue, now_s), expected)
 
     @ddt.data(*AHEAD)
@@ -209,8 +229,8 @@
     ) -> None:
         queue = queues.FairQueue()
         core = contracts.Room(1000, 0)
-        queue.add('callers', 'a', 'read', 1, 2.0, core, 1.0, 0)
-        queue.add('callers', 'b', 'read', 1, 1.0, core, 1.0, 1)
+        queue.add('callers', make_queued('a', 1, 2.0, core, 1.0, 0))
+        queue.add('callers', make_queued('b', 1, 1.0, core, 1.0, 1))
         ahead = queue.measure_ahead('callers', due_s, 0.0, priority)
         self.assertAlmostEqual(ahead, expected)
 
