--- /dev/null
+++ b/eelgrassworks/admission.py
@@ -0,0 +1,125 @@
+"""Admission at an entry: which jobs are refused when they come, and why.
+
+A job is refused at once if it can never be served, or not in time; what is
+refused here has not run and never will.
+"""
+
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks import dispatcher
+from eelgrassworks import errors
+from eelgrassworks import inquiries
+from eelgrassworks import shedding
+from eelgrassworks.links import session
+
+MAX_QUEUED_TASKS: Final = 50_000
+# After a start, or after control was lost, targets and leases come back
+# within about this time; a job that may still be in time waits for them.
+SETTLE_S: Final = 2.0
+
+
+class Admission:
+    """The limits of one entry, over what it knows of control and targets."""
+
+    def __init__(
+        self,
+        control: session.Session,
+        placing: dispatcher.Dispatcher,
+        max_wait_s: float,
+    ) -> None:
+        self._session = control
+        self._dispatcher = placing
+        self._max_wait_s = max_wait_s
+        self._settling_since_s = float('-inf')
+
+    def settle(self, now_s: float) -> None:
+        """Begin to wait for targets that have not announced themselves."""
+        self._settling_since_s = now_s
+
+    def find_refusal(
+        self, submission: contracts.Submission, now_s: float
+    ) -> errors.Refusal | None:
+        """Return why a job is not admitted; None when it is."""
+        configuration = self._session.configuration
+        sheet = configuration.sheet
+        count = len(submission.payloads)
+        if not configuration.revision:
+            return errors.refuse(
+                errors.Code.UNAVAILABLE, limit_s=inquiries.CLAIM_WAIT_S
+            )
+        kind = sheet.kinds.get(submission.kind)
+        if kind is None:
+            return errors.refuse(
+                errors.Code.UNKNOWN_KIND,
+                kind=submission.kind,
+                revision=configuration.revision,
+            )
+        quota = sheet.quotas.get(submission.team)
+        if quota is None:
+            return errors.refuse(
+                errors.Code.UNKNOWN_TEAM,
+                team=submission.team,
+                revision=configuration.revision,
+            )
+        if submission.transient:
+            return self._find_transient_refusal(submission, kind, now_s)
+        if not kind.repeatable and not submission.claimed:
+            return errors.refuse(errors.Code.ID_REQUIRED, kind=kind.name)
+        queue = self._dispatcher.queue
+        if queue.count_waiting(quota.team) + count > quota.max_queued:
+            return errors.refuse(
+                errors.Code.QUOTA, team=quota.team, limit=quota.max_queued
+            )
+        return self._find_overload(submission, count)
+
+    def _find_transient_refusal(
+        self,
+        submission: contracts.Submission,
+        kind: contracts.Kind,
+        now_s: float,
+    ) -> errors.Refusal | None:
+        """Return why a transient job cannot be served in time."""
+        queued = self._dispatcher.queue.length
+        schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
+        wait_s = self._dispatcher.predict_wait(
+            submission.team, schedule.due_s, now_s, kind.priority
+        )
+        count = len(submission.payloads)
+        if queued + count > MAX_QUEUED_TASKS or shedding.should_refuse(
+            schedule, wait_s, now_s
+        ):
+            return errors.refuse(
+                errors.Code.OVERLOADED,
+                queued=queued,
+                limit_s=round(schedule.due_s - now_s, 3),
+                retry_s=shedding.advise_retry(wait_s, submission.id),
+            )
+        if self._is_settling(now_s):
+            return None
+        if not self._dispatcher.can_hold(submission.kind, submission.demand):
+            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
+        return None
+
+    def _is_settling(self, now_s: float) -> bool:
+        """Tell whether targets may not have announced themselves yet."""
+        return now_s - self._settling_since_s < SETTLE_S
+
+    def _find_overload(
+        self, submission: contracts.Submission, count: int
+    ) -> errors.Refusal | None:
+        queued = self._dispatcher.queue.length
+        wait_s = self._dispatcher.estimate_work(submission.kind, queued)
+        work_s = self._dispatcher.estimate_work(submission.kind, count)
+        if work_s == float('inf'):
+            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
+        limit_s = submission.time_limit_s
+        if (
+            wait_s > self._max_wait_s
+            or wait_s + work_s > limit_s
+            or queued + count > MAX_QUEUED_TASKS
+        ):
+            return errors.refuse(
+                errors.Code.OVERLOADED, queued=queued, limit_s=limit_s
+            )
+        return None
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -1,4 +1,4 @@
-"""Decisions of an entry: admission, claims, gathering and answers.
+"""Decisions of an entry: claims, gathering and answers.
 
 An entry owns the jobs whose claims it won.  It answers each job once, whole;
 a request that meets a job already known attaches to it, here or at the entry
@@ -11,6 +11,7 @@
 import heapq
 from typing import Final
 
+from eelgrassworks import admission
 from eelgrassworks import answers
 from eelgrassworks import changes
 from eelgrassworks import contracts
@@ -26,10 +27,6 @@
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
 
-MAX_QUEUED_TASKS: Final = 50_000
-# After a start, or after control was lost, targets and leases come back
-# within about this time; a job that may still be in time waits for them.
-SETTLE_S: Final = 2.0
 # Response times between two looks of the process at them.
 KEPT_LATENCIES: Final = 10_000
 # A gap between two ticks after which callers may have turned elsewhere:
@@ -146,8 +143,9 @@
             collections.deque(maxlen=KEPT_LATENCIES)
         )
         self._has_lease = False
-        # When the lease was gained or lost, or this process began.
-        self._leased_s = float('-inf')
+        self._admission = admission.Admission(
+            self.session, self.dispatcher, options.max_wait_s
+        )
 
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
         """Take one event and return the effects it has."""
@@ -240,90 +238,9 @@
         self, submission: contracts.Submission, now_s: float
     ) -> errors.Refusal | None:
         """Return why a job is not admitted; None when it is."""
-        configuration = self.session.configuration
-        sheet = configuration.sheet
-        count = len(submission.payloads)
         if self._has_lingered(now_s):
             return errors.refuse(errors.Code.STOPPING)
-        if not configuration.revision:
-            return errors.refuse(
-                errors.Code.UNAVAILABLE, limit_s=inquiries.CLAIM_WAIT_S
-            )
-        kind = sheet.kinds.get(submission.kind)
-        if kind is None:
-            return errors.refuse(
-                errors.Code.UNKNOWN_KIND,
-                kind=submission.kind,
-                revision=configuration.revision,
-            )
-        quota = sheet.quotas.get(submission.team)
-        if quota is None:
-            return errors.refuse(
-                errors.Code.UNKNOWN_TEAM,
-                team=submission.team,
-                revision=configuration.revision,
-            )
-        if submission.transient:
-            return self._find_transient_refusal(submission, kind, now_s)
-        if not kind.repeatable and not submission.claimed:
-            return errors.refuse(errors.Code.ID_REQUIRED, kind=kind.name)
-        queue = self.dispatcher.queue
-        if queue.count_waiting(quota.team) + count > quota.max_queued:
-            return errors.refuse(
-                errors.Code.QUOTA, team=quota.team, limit=quota.max_queued
-            )
-        return self._find_overload(submission, count)
-
-    def _find_transient_refusal(
-        self,
-        submission: contracts.Submission,
-        kind: contracts.Kind,
-        now_s: float,
-    ) -> errors.Refusal | None:
-        """Return why a transient job cannot be served in time."""
-        queued = self.dispatcher.queue.length
-        schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
-        wait_s = self.dispatcher.predict_wait(
-            submission.team, schedule.due_s, now_s, kind.priority
-        )
-        count = len(submission.payloads)
-        if queued + count > MAX_QUEUED_TASKS or shedding.should_refuse(
-            schedule, wait_s, now_s
-        ):
-            return errors.refuse(
-                errors.Code.OVERLOADED,
-                queued=queued,
-                limit_s=round(schedule.due_s - now_s, 3),
-                retry_s=shedding.advise_retry(wait_s, submission.id),
-            )
-        if self._is_settling(now_s):
-            return None
-        if not self.dispatcher.can_hold(submission.kind, submission.demand):
-            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
-        return None
-
-    def _is_settling(self, now_s: float) -> bool:
-        """Tell whether targets may not have announced themselves yet."""
-        return now_s - self._leased_s < SETTLE_S
-
-    def _find_overload(
-        self, submission: contracts.Submission, count: int
-    ) -> errors.Refusal | None:
-        queued = self.dispatcher.queue.length
-        wait_s = self.dispatcher.estimate_work(submission.kind, queued)
-        work_s = self.dispatcher.estimate_work(submission.kind, count)
-        if work_s == float('inf'):
-            return errors.refuse(errors.Code.NO_TARGET, kind=submission.kind)
-        limit_s = submission.time_limit_s
-        if (
-            wait_s > self.options.max_wait_s
-            or wait_s + work_s > limit_s
-            or queued + count > MAX_QUEUED_TASKS
-        ):
-            return errors.refuse(
-                errors.Code.OVERLOADED, queued=queued, limit_s=limit_s
-            )
-        return None
+        return self._admission.find_refusal(submission, now_s)
 
     def _admit(
         self, request: int, submission: contracts.Submission, now_s: float
@@ -710,7 +627,7 @@
         if has_lease == self._has_lease:
             return []
         self._has_lease = has_lease
-        self._leased_s = now_s
+        self._admission.settle(now_s)
         event = 'lease_gained' if has_lease else 'lease_lost'
         fields = self._describe_inputs(now_s)
         return [effects.Log(event, {'leader': self.session.leader, **fields})]
@@ -724,7 +641,7 @@
         paused_s = now_s - self._awake_s
         if paused_s == float('inf'):
             # The first event: a lease and targets are still to be found.
-            self._leased_s = now_s
+            self._admission.settle(now_s)
         self._awake_s = now_s
         if not PAUSE_S < paused_s < float('inf'):
             return []
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -6,6 +6,7 @@
 import asyncio
 from typing import Any
 
+from eelgrassworks import admission
 from eelgrassworks import clock
 from eelgrassworks import effects
 from eelgrassworks import entry
@@ -56,7 +57,7 @@
 
     async def await_configuration(self) -> bool:
         """Wait for a configuration after the start; False without one."""
-        for _ in range(round(entry.SETTLE_S / self.tick_interval_s)):
+        for _ in range(round(admission.SETTLE_S / self.tick_interval_s)):
             if self.entry.session.configuration.revision:
                 return True
             await asyncio.sleep(self.tick_interval_s)
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -7,6 +7,7 @@
 
 import ddt
 
+from eelgrassworks import admission
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import errors
@@ -245,7 +246,7 @@
         world = make_world()
         for position in range(3):
             world.kill(f'runner-{position + 1}')
-        world.run(entry.SETTLE_S + 2.0)
+        world.run(admission.SETTLE_S + 2.0)
         request = submit(world, 'entry-1')
         self.assertIsInstance(world.replies[request][1], contracts.NotRun)
 
