Freeze what is loaded before a process begins

Ruled out: collections during the imports (117 and 10 small ones; the start took as long without them, within noise). Change: gc.freeze() before the loop runs. A collection after it: below 0.1 ms.

--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import signal
 from typing import Any
 from typing import Final
@@ -230,6 +231,9 @@
 
     async def run(self) -> int:
         """Run until the process ends; return its exit status."""
+        # What is loaded now stays.  The first full collection would walk all
+        # of it within a second of the start and stop the loop for 70 ms.
+        gc.freeze()
         await self.start()
         await self.ended.wait()
         await self.finish()
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import errno
+import gc
 import io
 import pathlib
 import tempfile
@@ -152,6 +153,17 @@
                 await running.close()
 
 
+class StartTest(RepairCase):
+    async def test_loaded_objects_are_not_collected_again(self) -> None:
+        """A full collection soon after a start would stop the loop."""
+        self.addCleanup(gc.unfreeze)
+        running = self.make_process()
+        running.ended.set()
+        before = gc.get_freeze_count()
+        await running.run()
+        self.assertGreater(gc.get_freeze_count(), before)
+
+
 class FullPipe(io.StringIO):
     """A stream that takes nothing for a while."""
 
