--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -17,7 +17,6 @@
 from typing import Final
 
 from eelgrassworks import effects
-from eelgrassworks import errors
 from eelgrassworks import moments
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
@@ -27,6 +26,7 @@
 from eelgrassworks.replication import membership
 from eelgrassworks.replication import replicatedlog
 from eelgrassworks.replication import roles
+from eelgrassworks.replication import standing
 
 # Three lost heartbeats; with the second at random above it a close that
 # meets a lost leader is in force within 3 s.
@@ -72,8 +72,7 @@
         self._incoming: roles.Incoming | None = None
         self._heard_s = float('-inf')
         self._asked_s = float('-inf')
-        self._seen: dict[str, tuple[int, int]] = {}
-        self._standing: set[str] = set()
+        self._standing = standing.Standing(options.name, options.disk)
         self._election_s = moment.now_s + FIRST_ELECTION_S * (
             1 + moment.entropy
         )
@@ -129,9 +128,9 @@
     @property
     def has_standing(self) -> bool:
         """Tell whether a majority vouched for this data folder."""
-        voters = set(self.members.voters)
-        vouching = (self._standing & voters) | {self.options.name}
-        return len(vouching) >= self.membership.majority
+        return self._standing.is_given(
+            self.members.voters, self.membership.majority
+        )
 
     def learn_names(self, names: tuple[str, ...]) -> None:
         """Ask these replicas as well for admission."""
@@ -183,8 +182,7 @@
                     return []
                 return self._stand(moment, trial=False, transfer=True)
             case messages.StandingAsked(disk):
-                seen_index, seen_term = self._seen.get(disk, (0, 0))
-                told = messages.StandingTold(disk, seen_index, seen_term)
+                told = self._standing.tell(disk)
                 return [effects.Send(peer, told), *self._ask_back(peer)]
             case messages.StandingTold():
                 return self._take_standing(peer, message)
@@ -390,7 +388,7 @@
     def _take_vote(
         self, peer: str, told: messages.VoteTold, moment: moments.Moment
     ) -> effects.Effects:
-        self._note_seen(told.disk, 0, told.term)
+        self._standing.note_seen(told.disk, 0, told.term)
         role = self.role
         if not isinstance(role, roles.Candidate) or told.trial != role.trial:
             return []
@@ -538,7 +536,7 @@
                 max(told.match, 0) + 1, self.log.last_index + 1
             )
             return self._send_append(role, peer, moment)
-        self._note_seen(told.disk, told.match, told.term)
+        self._standing.note_seen(told.disk, told.match, told.term)
         progress.match = max(progress.match, told.match)
         progress.following = max(progress.following, progress.match + 1)
         progress.offset = 0
@@ -661,7 +659,7 @@
         writes = self._follow(peer, asked.term, moment)
         for disk, index in asked.durable.items():
             # A disk that is away has not seen the term of this append.
-            self._note_seen(disk, index, 0)
+            self._standing.note_seen(disk, index, 0)
         previous = asked.previous_index
         held = self.log.find_term(previous)
         if previous > self.log.last_index or (
@@ -731,23 +729,21 @@
 
     def _ask_back(self, peer: str) -> effects.Effects:
         """Ask a replica that has just returned for its word as well."""
-        if not self.is_member or self.has_standing or peer in self._standing:
+        if not self.is_member or self.has_standing:
+            return []
+        if self._standing.has_word_of(peer):
             return []
         return [effects.Send(peer, messages.StandingAsked(self.options.disk))]
 
     def _take_standing(
         self, peer: str, told: messages.StandingTold
     ) -> effects.Effects:
-        if told.disk != self.options.disk or self.has_standing:
+        if self.has_standing:
             return []
-        if told.seen_index > self.log.last_index or told.seen_term > self.term:
-            return [effects.Halt(_refuse_regression(told.disk))]
-        self._standing.add(peer)
-        return []
-
-    def _note_seen(self, disk: str, index: int, term: int) -> None:
-        seen_index, seen_term = self._seen.get(disk, (0, 0))
-        self._seen[disk] = (max(seen_index, index), max(seen_term, term))
+        refusal = self._standing.take(
+            peer, told, self.log.last_index, self.term
+        )
+        return [] if refusal is None else [effects.Halt(refusal)]
 
     # Snapshots.
 
@@ -899,14 +895,3 @@
             ),
             'counters': dict(self.counters),
         }
-
-
-def _refuse_regression(disk: str) -> errors.Refusal:
-    return errors.refuse(
-        errors.Code.DATA_FOLDER,
-        folder=disk,
-        damaged='yes',
-        reason='it is older than the state it once acknowledged',
-        remedy='empty the folder and start the replica; it rejoins as a '
-        'learner',
-    )
