--- a/eelgrassworks/contracts/queues.py
+++ b/eelgrassworks/contracts/queues.py
@@ -19,8 +19,9 @@
     ``due_s`` is the latest start that still meets the job's objective, and
     ``priority`` the urgency of its kind, 0 first.  Within a team the most
     urgent kind goes first, and of one urgency the job that is due first; jobs
-    whose due time has passed come behind all others, the latest of them
-    first, since it is the one that may still be of use.
+    whose due time has passed before they have ``begun`` come behind all
+    others, the latest of them first, since it is the one that may still be of
+    use.  One that has begun keeps its place, since its work would be wasted.
     """
 
     submission: str
@@ -30,6 +31,11 @@
     demand: contracts.Room = contracts.NO_ROOM
     estimate_s: float = 0.0
     priority: int = 0
+    begun: bool = False
+
+    def is_demoted(self, now_s: float) -> bool:
+        """Tell whether the job goes behind all that can be in time."""
+        return self.due_s < now_s and not self.begun
 
     @property
     def work(self) -> float:
@@ -84,6 +90,7 @@
             team.jobs = {job.submission: job, **team.jobs}
         else:
             known.indices.extendleft(reversed(job.indices))
+            known.begun = job.begun
         team.waiting += len(job.indices)
         self.length += len(job.indices)
 
@@ -100,7 +107,7 @@
         return sum(
             job.work
             for job in team.jobs.values()
-            if now_s <= job.due_s
+            if not job.is_demoted(now_s)
             and (job.priority, job.due_s) < (priority, due_s)
         )
 
@@ -133,6 +140,7 @@
         """Remove and return the next task index of a job."""
         team = self.teams[team_name]
         index = job.indices.popleft()
+        job.begun = True
         if not job.indices:
             del team.jobs[job.submission]
         self._virtual_s = max(self._virtual_s, team.virtual_s)
@@ -174,6 +182,6 @@
 
 
 def _rank(job: QueuedJob, now_s: float) -> tuple[bool, int, float]:
-    if job.due_s < now_s:
+    if job.is_demoted(now_s):
         return True, 0, -job.due_s
     return False, job.priority, job.due_s
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -688,4 +688,5 @@
         submission.demand,
         submission.estimate_s,
         job.priority,
+        job.may_have_run(),
     )
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -71,6 +71,15 @@
     ((0, 1, 0), (1.0, 1.5, 4.0), 2.0, 'cba'),
 )
 
+# Due times of three jobs of two tasks, which of them have begun, the time, and
+# the order of what is left.
+BEGUN: tuple[tuple[tuple[float, float, float], str, float, str], ...] = (
+    ((1.0, 1.5, 4.0), '', 2.0, 'ccbbaa'),
+    ((1.0, 1.5, 4.0), 'a', 2.0, 'accbb'),
+    ((1.0, 1.5, 1.2), 'ca', 2.0, 'acbb'),
+    ((3.0, 4.0, 5.0), 'c', 2.0, 'aabbc'),
+)
+
 # Priority and due time of a job that comes, and the work ahead of it: 1 core
 # second each of priority 0, due at 2, and priority 1, due at 1.
 AHEAD: tuple[tuple[int, float, float], ...] = (
@@ -222,6 +231,26 @@
             queue.add('callers', make_queued(name, 1, due, priority=priority))
         self.assertEqual(take_all(queue, now_s), expected)
 
+    @ddt.data(*BEGUN)
+    @ddt.unpack
+    def test_begun_jobs_are_finished_late_rather_than_wasted(
+        self,
+        due_s: tuple[float, float, float],
+        begun: str,
+        now_s: float,
+        expected: str,
+    ) -> None:
+        queue = queues.FairQueue()
+        waiting = {
+            name: make_queued(name, 2, due)
+            for name, due in zip('abc', due_s, strict=True)
+        }
+        for job in waiting.values():
+            queue.add('callers', job)
+        for name in begun:
+            queue.take('callers', waiting[name])
+        self.assertEqual(take_all(queue, now_s), expected)
+
     @ddt.data(*AHEAD)
     @ddt.unpack
     def test_work_ahead(
