Start programs without a byte-code cache of their own

Cause: the cache of compiled modules goes by the path of their sources. It missed fronts.entryapi, which entries import when they start, so that each start compiled it; and if the programs were started under another path than the build, every library would be compiled at each start. The test that should have told looked at the modules of its own process and passed when others had imported them. Change: back to modules compiled beside their sources; -S and the empty certificate store stay.

--- a/benchmarks/imports.py
+++ b/benchmarks/imports.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 ROOT: Final = pathlib.Path(__file__).parent.parent
-OPTIONS: Final = ('-S', '-OO', '-X', 'pycache_prefix=target/pycache')
+OPTIONS: Final = ('-S',)
 RUNS: Final = 5
 # In the order in which a process imports them.
 STEPS: Final[tuple[tuple[str, ...], ...]] = (
