Add an experiment with room, priorities, objectives and a loss of all

Change: trials/objectives.py and the command 'objectives' play the mix of the users' sheets under the virtual clock for each placement policy, on the same arrivals, and count ends by kind and by time, with a plot. Baselines bind at once, so their queues at targets are long.

--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -252,6 +252,36 @@
         else:
             print(comparison.format_table(rows))
 
+    def objectives(
+        self,
+        policies: str | tuple[str, ...] = 'late-binding',
+        plot: str = '',
+        **options: Any,
+    ) -> None:
+        """Run transient jobs with objectives under a virtual clock.
+
+        Args:
+            policies: policies to run, with commas; append +speeds for learnt
+                speeds.
+            plot: file for a plot of the share in time over the run.
+            options: load, seconds, seed, entries, loss_s.
+        """
+        from eelgrassworks.trials import objectives
+
+        # The command line gives a tuple where it can read one.
+        names = policies.split(',') if isinstance(policies, str) else policies
+        results = objectives.run_policies(
+            objectives.Plan(**options),
+            [_make_policy(name) for name in names],
+            lambda name: print(f'{name} ...', file=sys.stderr),
+        )
+        if plot:
+            objectives.plot_windows(results, plot)
+        if self._as_json:
+            print(json.dumps([dataclasses.asdict(each) for each in results]))
+        else:
+            print(objectives.format_results(results))
+
     def load(
         self,
         kind: str = 'crack-flag',
--- a/eelgrassworks/trials/experiment.py
+++ b/eelgrassworks/trials/experiment.py
@@ -263,7 +263,7 @@
 
     def _sum_up(self) -> Result:
         result = Result(
-            _name_policy(self.setup.policy), self.plan.load, len(self.jobs)
+            name_policy(self.setup.policy), self.plan.load, len(self.jobs)
         )
         ratios = histogram.HdrHistogram(1, MAX_RATIO, 3)
         responses = histogram.HdrHistogram(1, 1_000_000_000, 3)
@@ -362,7 +362,8 @@
         return busy_s / (slots * (end_s - begin_s))
 
 
-def _name_policy(policy: placement.Policy) -> str:
+def name_policy(policy: placement.Policy) -> str:
+    """Return the name of a policy, as the command line takes it."""
     names = {kind: name for name, kind in placement.POLICIES.items()}
     learnt = '+speeds' if policy.learnt else ''
     return names[type(policy)] + learnt
--- /dev/null
+++ b/eelgrassworks/trials/objectives.py
@@ -0,0 +1,355 @@
+"""Experiment with transient jobs: room, priorities, objectives, total losses.
+
+Plays the mix of a users' sheet against entries and targets under the virtual
+clock, and counts for each kind which jobs were answered in time, late, with a
+refusal, or not at all.  Every policy of ``machines.placement`` meets the same
+arrivals, so that the named baselines compare with the product's own.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import random
+from typing import Final
+
+from hdrh import histogram
+
+from eelgrassworks import contracts
+from eelgrassworks import entry
+from eelgrassworks import machines
+from eelgrassworks.machines import placement
+from eelgrassworks.trials import experiment
+from eelgrassworks.trials import virtual
+
+SERVICE: Final = 'cover-check'
+TEAM: Final = 'callers'
+DOMAINS: Final = ('accra-central', 'tema-port', 'kasoa-west')
+CONTROLS: Final = ('control-1', 'control-2', 'control-3')
+# Room and slowness of the targets of one failure domain.
+TARGETS: Final = (
+    (contracts.Room(32_000, 65_536), 1.0),
+    (contracts.Room(32_000, 65_536), 1.6),
+    (contracts.Room(48_000, 65_536), 0.7),
+    (contracts.Room(32_000, 65_536), 1.0),
+)
+# Every task declares the same room, so that baselines can count places.
+TASK_CPU_MILLIS: Final = 3100
+MEMORY_MIB: Final = 64
+# How far a declared run time may be off, either way.
+ESTIMATE_ERROR: Final = 0.4
+LIMIT_S: Final = 5.0
+WARM_UP_S: Final = 3.0
+WINDOW_S: Final = 2.0
+# How long processes are away after a loss of all: the platform's pause and
+# a start; replicas return one after the other.
+AWAY_S: Final = 0.8
+APART_S: Final = 0.1
+# The settings of agents whose targets hold tasks under leases.
+ENTRY_TTL_S: Final = 0.6
+HOLD_LEASE_S: Final = 0.62
+QUEUE_LIMIT: Final = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindOfWork:
+    """A kind of request and its share of the arrivals."""
+
+    kind: contracts.Kind
+    share: float
+    tasks: int
+    run_s: float
+
+
+def _make_kind(name: str, priority: int) -> contracts.Kind:
+    return contracts.Kind(
+        name,
+        frozenset(DOMAINS),
+        True,
+        LIMIT_S,
+        service=SERVICE,
+        priority=priority,
+        attempts=2,
+        stretch=1.6,
+        objective_s=0.06,
+    )
+
+
+MIX: Final = (
+    KindOfWork(_make_kind('crack-flag', 0), 0.245, 8, 0.12),
+    KindOfWork(_make_kind('structural-read', 2), 0.044, 4, 1.8),
+    KindOfWork(_make_kind('lid-missing', 1), 0.711, 2, 0.4),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What is offered: ``load`` is a share of the room.
+
+    All processes are lost at ``loss_s``, or never if it is 0.
+    """
+
+    load: float = 0.8
+    seconds: float = 20.0
+    seed: int = 1
+    entries: int = 3
+    loss_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedJob:
+    """A job: when it comes, what it declares and what it takes."""
+
+    number: int
+    arrived_s: float
+    work: KindOfWork
+    declared_s: float
+    run_s: float
+
+    @property
+    def objective_s(self) -> float:
+        """Return the response that is in time."""
+        kind = self.work.kind
+        return kind.stretch * self.run_s + kind.objective_s
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """How the jobs of one kind, or of one window, ended."""
+
+    name: str
+    offered: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    lost: int = 0
+    p50_s: float = 0.0
+    p99_s: float = 0.0
+
+    def note(self, answer: object, response_s: float, in_time: bool) -> None:
+        """Count the end of one job."""
+        self.offered += 1
+        match answer:
+            case contracts.Complete() if in_time:
+                self.in_time += 1
+            case contracts.Complete():
+                self.late += 1
+            case contracts.NotRun():
+                self.refused += 1
+            case contracts.Failed():
+                self.failed += 1
+            case _:
+                self.lost += 1
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What one policy showed, by kind and by the time of arrival."""
+
+    policy: str
+    kinds: list[Outcome]
+    windows: list[Outcome]
+
+    @property
+    def share_in_time(self) -> float:
+        """Return the share of all jobs that were answered in time."""
+        offered = sum(each.offered for each in self.kinds)
+        return sum(each.in_time for each in self.kinds) / max(1, offered)
+
+
+def plan_jobs(plan: Plan) -> list[PlannedJob]:
+    """Return the jobs of a plan in order of arrival."""
+    source = random.Random(plan.seed)
+    room_cores = sum(
+        room.cpu_millis / 1000 / slowness for room, slowness in TARGETS
+    ) * len(DOMAINS)
+    mean_work = sum(
+        each.share * each.tasks * each.run_s * TASK_CPU_MILLIS / 1000
+        for each in MIX
+    )
+    rate = plan.load * room_cores / mean_work
+    jobs: list[PlannedJob] = []
+    now_s = source.expovariate(rate)
+    while now_s < plan.seconds:
+        work = source.choices(MIX, [each.share for each in MIX])[0]
+        run_s = work.run_s * source.uniform(0.5, 1.5)
+        error = 1 + source.uniform(-ESTIMATE_ERROR, ESTIMATE_ERROR)
+        jobs.append(PlannedJob(len(jobs), now_s, work, run_s * error, run_s))
+        now_s += source.expovariate(rate)
+    return jobs
+
+
+class Experiment:
+    """One run of one policy under one plan."""
+
+    def __init__(self, plan: Plan, policy: placement.Policy) -> None:
+        self.plan = plan
+        self.policy = policy
+        self.jobs = plan_jobs(plan)
+        self.entries = tuple(f'entry-{n + 1}' for n in range(plan.entries))
+        self.world = virtual.World(plan.seed)
+        self._asked: dict[int, tuple[int, float]] = {}
+        self._slowness: dict[str, float] = {}
+        self._build()
+
+    def _build(self) -> None:
+        world = self.world
+        world.hold_lease_s = HOLD_LEASE_S
+        world.run_model = self._run_task
+        world.add_control(CONTROLS)
+        for name in self.entries:
+            world.add_entry(name, CONTROLS, self.policy)
+        # The baselines bind at once, so their queues at targets are long.
+        late = isinstance(self.policy, placement.LateBinding)
+        limit = QUEUE_LIMIT if late else len(self.jobs)
+        for domain in DOMAINS:
+            for position, (room, slowness) in enumerate(TARGETS):
+                target = machines.Target(
+                    f'{domain}-{position + 1}',
+                    f'worker-{domain}-{position + 1}',
+                    domain,
+                    room.cpu_millis // TASK_CPU_MILLIS,
+                    frozenset(),
+                    SERVICE,
+                    room,
+                )
+                self._slowness[target.name] = slowness
+                world.add_agent(target, self.entries, limit, ENTRY_TTL_S)
+
+    def _run_task(
+        self, target: str, key: contracts.TaskKey, _: str, payload: bytes
+    ) -> tuple[float, bool]:
+        return self.jobs[int(payload)].run_s * self._slowness[target], True
+
+    def run(self) -> Result:
+        """Run the whole plan and return what it showed."""
+        world = self.world
+        quota = contracts.Quota(TEAM, 1.0, 1_000_000, 0)
+        kinds = {each.kind.name: each.kind for each in MIX}
+        sheet = contracts.Sheet(kinds, {TEAM: quota})
+        change = contracts.ReplaceSheet(1, sheet, b'')
+        asked = contracts.ChangeRequest(
+            'sheet', 'experiment', contracts.ANY_REVISION, change
+        )
+        world.ask('entry-1', lambda n: entry.ChangeAsked(n, asked))
+        world.run(WARM_UP_S)
+        for job in self.jobs:
+            world.at(job.arrived_s, functools.partial(self._submit, job))
+        if self.plan.loss_s:
+            world.at(self.plan.loss_s, self._lose_all)
+        world.run(self.plan.seconds + 2 * LIMIT_S)
+        return self._sum_up()
+
+    def _lose_all(self) -> None:
+        world = self.world
+        for name in world.nodes:
+            world.kill(name)
+        for position, name in enumerate(list(world.nodes)):
+            apart_s = APART_S * position if name in CONTROLS else 0.0
+            world.at(AWAY_S + apart_s, functools.partial(world.start, name))
+
+    def _submit(self, job: PlannedJob) -> None:
+        world = self.world
+        submission = contracts.Submission(
+            f'{job.number:016x}',
+            'digest',
+            TEAM,
+            job.work.kind.name,
+            (str(job.number).encode(),) * job.work.tasks,
+            LIMIT_S,
+            False,
+            transient=True,
+            demand=contracts.Room(TASK_CPU_MILLIS, MEMORY_MIB),
+            estimate_s=job.declared_s,
+        )
+        name = self.entries[job.number % len(self.entries)]
+        if world.nodes[name].core is None:
+            return
+        request = world.ask(name, lambda n: entry.SubmitAsked(n, submission))
+        self._asked[job.number] = (request, world.now_s)
+
+    def _sum_up(self) -> Result:
+        count = -int(-self.plan.seconds // WINDOW_S)
+        windows = [Outcome(f'{n * WINDOW_S:g} s') for n in range(count)]
+        kinds = {each.kind.name: Outcome(each.kind.name) for each in MIX}
+        responses = {
+            name: histogram.HdrHistogram(1, 100_000_000, 3) for name in kinds
+        }
+        for job in self.jobs:
+            name = job.work.kind.name
+            answer, response_s = self._find_answer(job)
+            in_time = response_s <= job.objective_s
+            kinds[name].note(answer, response_s, in_time)
+            window = windows[int(job.arrived_s // WINDOW_S)]
+            window.note(answer, response_s, in_time)
+            if isinstance(answer, contracts.Complete):
+                responses[name].record_value(int(response_s * 1e6))
+        for name, outcome in kinds.items():
+            values = responses[name]
+            outcome.p50_s = values.get_value_at_percentile(50) / 1e6
+            outcome.p99_s = values.get_value_at_percentile(99) / 1e6
+        policy = experiment.name_policy(self.policy)
+        return Result(policy, list(kinds.values()), windows)
+
+    def _find_answer(self, job: PlannedJob) -> tuple[object, float]:
+        """Return the answer of a job and its response; None without one."""
+        asked = self._asked.get(job.number)
+        if asked is None or asked[0] not in self.world.replies:
+            return None, float('inf')
+        at_s, answer = self.world.replies[asked[0]]
+        return answer, at_s - asked[1]
+
+
+def run_policies(
+    plan: Plan, policies: list[placement.Policy], show: Callable[[str], None]
+) -> list[Result]:
+    """Run each policy on the same arrivals; ``show`` gets each name."""
+    results = []
+    for policy in policies:
+        show(experiment.name_policy(policy))
+        results.append(Experiment(plan, policy).run())
+    return results
+
+
+def format_results(results: list[Result]) -> str:
+    """Return results as a text table, a row for each policy and kind."""
+    heads = ('offered', 'in time', 'late', 'refused', 'failed', 'lost')
+    lines = [
+        f'{"policy":26}{"kind":16}'
+        + ''.join(f'{head:>9}' for head in (*heads, 'p50 s', 'p99 s'))
+    ]
+    for result in results:
+        for each in result.kinds:
+            counts = (
+                each.offered,
+                each.in_time,
+                each.late,
+                each.refused,
+                each.failed,
+                each.lost,
+            )
+            lines.append(
+                f'{result.policy:26}{each.name:16}'
+                + ''.join(f'{count:9}' for count in counts)
+                + f'{each.p50_s:9.3f}{each.p99_s:9.3f}'
+            )
+    return '\n'.join(lines)
+
+
+def plot_windows(results: list[Result], path: str) -> None:
+    """Plot the share in time over the run, a line for each policy."""
+    from matplotlib import figure
+
+    chart = figure.Figure(figsize=(8, 5))
+    axes = chart.subplots()
+    for result in results:
+        shares = [
+            each.in_time / max(1, each.offered) for each in result.windows
+        ]
+        times_s = [WINDOW_S * position for position in range(len(shares))]
+        axes.step(times_s, shares, where='post', label=result.policy)
+    axes.set_xlabel('time of arrival, seconds')
+    axes.set_ylabel('share answered in time')
+    axes.set_ylim(0, 1.05)
+    axes.legend()
+    chart.savefig(path)
--- /dev/null
+++ b/tests/test_objectives.py
@@ -0,0 +1,79 @@
+"""The experiment with objectives: counts, baselines, and losses of all."""
+
+import unittest
+
+import ddt
+
+from eelgrassworks.machines import placement
+from eelgrassworks.trials import objectives
+
+SECONDS = 6.0
+DEFAULT = placement.LateBinding()
+
+# A named baseline, and the load at which it is compared.
+BASELINES: tuple[tuple[placement.Policy, float], ...] = (
+    (placement.LeastOutstanding(learnt=True), 0.8),
+    (placement.TwoChoices(learnt=True), 0.8),
+    (placement.Random(learnt=True), 0.8),
+    (placement.Random(learnt=True), 1.3),
+)
+
+# Load, and the time at which everything is lost, or 0.
+RUNS: tuple[tuple[float, float], ...] = (
+    (0.5, 0.0),
+    (1.5, 0.0),
+    (0.8, 2.0),
+)
+
+
+def run(
+    policy: placement.Policy, load: float, loss_s: float = 0.0
+) -> objectives.Result:
+    """Run one policy for a short time."""
+    plan = objectives.Plan(load, SECONDS, loss_s=loss_s)
+    return objectives.Experiment(plan, policy).run()
+
+
+@ddt.ddt
+class ObjectivesTest(unittest.TestCase):
+    @ddt.data(*RUNS)
+    @ddt.unpack
+    def test_every_job_is_counted_once(
+        self, load: float, loss_s: float
+    ) -> None:
+        result = run(DEFAULT, load, loss_s)
+        planned = objectives.plan_jobs(objectives.Plan(load, SECONDS))
+        for outcomes in (result.kinds, result.windows):
+            offered = sum(each.offered for each in outcomes)
+            ends = sum(
+                each.in_time
+                + each.late
+                + each.refused
+                + each.failed
+                + each.lost
+                for each in outcomes
+            )
+            self.assertEqual(offered, len(planned))
+            self.assertEqual(ends, len(planned))
+
+    @ddt.data(*BASELINES)
+    @ddt.unpack
+    def test_baseline_serves_fewer_in_time(
+        self, baseline: placement.Policy, load: float
+    ) -> None:
+        ours = run(DEFAULT, load).share_in_time
+        self.assertGreater(ours, run(baseline, load).share_in_time)
+
+    def test_nothing_is_lost_without_a_loss(self) -> None:
+        result = run(DEFAULT, 1.5)
+        self.assertEqual(sum(each.lost for each in result.kinds), 0)
+
+    def test_service_returns_after_a_loss_of_all(self) -> None:
+        result = run(DEFAULT, 0.8, 2.0)
+        last = result.windows[-1]
+        self.assertEqual(last.lost + last.refused + last.failed, 0)
+        self.assertGreater(result.windows[1].lost, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
