--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -8,6 +8,7 @@
 import ddt
 
 from eelgrassworks import admission
+from eelgrassworks import agent
 from eelgrassworks import contracts
 from eelgrassworks import entry
 from eelgrassworks import errors
@@ -250,6 +251,27 @@
         request = submit(world, 'entry-1')
         self.assertIsInstance(world.replies[request][1], contracts.NotRun)
 
+    @ddt.data('heard', 'unheard')
+    def test_draining_target_starts_nothing(self, news: str) -> None:
+        """Entries may not hear of it and go on sending."""
+        world = make_world()
+        world.run_model = lambda *_: (0.2, True)
+        if news == 'unheard':
+            for name in worlds.ENTRIES:
+                world.cut.add(('runner-1', name))
+        world.give('runner-1', agent.TargetDraining())
+        drained_s = world.now_s
+        for number in range(20):
+            submit(world, worlds.ENTRIES[number % 2], f'{number:016x}')
+            world.run(0.1)
+        late = [
+            began_s
+            for began_s, _, target in world.tally.runs
+            if target == 'runner-1' and began_s > drained_s
+        ]
+        self.assertEqual(late, [])
+        self.assertGreater(len(world.tally.runs), 60)
+
     def test_room_is_never_exceeded(self) -> None:
         world = make_world(agents=1)
         requests = [
