--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -1,10 +1,15 @@
 """Decisions about a target that keeps tasks only while they are holds."""
 
+import asyncio
 import unittest
 
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import heldagentprocess
+from eelgrassworks import links
+from eelgrassworks import settings
+from eelgrassworks.links import bus
 from eelgrassworks.machines import heldtarget
 from eelgrassworks.machines import holds
 
@@ -365,5 +370,60 @@
         self.assertAlmostEqual(target.meter.measure(), 0.5, places=2)
 
 
+class ResettingLink:
+    """A target that breaks every connection off at once."""
+
+    def __init__(self) -> None:
+        self.holds = 0
+
+    async def start(self, call: holds.StartCall) -> holds.OrderUnanswered:
+        """Break off."""
+        return holds.OrderUnanswered(call.name, call.attempt)
+
+    async def stop(self, call: holds.StopCall) -> holds.OrderUnanswered:
+        """Break off."""
+        return holds.OrderUnanswered(call.name, call.attempt)
+
+    async def hold(self, _: holds.HoldCall) -> holds.HoldUnanswered:
+        """Break off."""
+        self.holds += 1
+        await asyncio.sleep(0)
+        return LOST
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class PaceTest(unittest.IsolatedAsyncioTestCase):
+    # Listed in KNOWN-RED.txt.
+    @unittest.expectedFailure
+    async def test_broken_hold_is_not_repeated_at_once(self) -> None:
+        link = ResettingLink()
+        options = heldagentprocess.HeldAgentOptions(
+            'side-1',
+            settings.WorkerModel('worker-1', 'tema-port'),
+            {},
+            settings.HttpModel('127.0.0.1', 0),
+        )
+        sender = links.Sender('side-1', 1, '')
+        running = heldagentprocess.HeldAgentProcess(
+            options,
+            bus.BusTransport(bus.Bus(), links.Codec(b'k'), sender),
+            link,
+        )
+        room = contracts.Room(8000, 8192)
+        running.take_report(
+            holds.TargetReport(
+                LIFE, 1, 'cover-check', 'tema-port', room, (), CLOCK_MS, False
+            )
+        )
+        holding = asyncio.create_task(running._hold_target())
+        # Turns of the loop, far less than the pause between two holds.
+        for _ in range(200):
+            await asyncio.sleep(0)
+        holding.cancel()
+        self.assertLessEqual(link.holds, 3)
+
+
 if __name__ == '__main__':
     unittest.main()
