Log acceptances, disconnections, starts and ends of tasks

Entries now log job_accepted, request_attached, caller_disconnected and start_sent (with the age of the last contact to the target), agents task_started and task_ended (with the age of the entry's confirmation).

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -367,7 +367,18 @@
         self.entries[peer].running += 1
         self.records.track(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
+        confirmed_s = self.entries[peer].confirmed_s
         return [
+            effects.Log(
+                'task_started',
+                {
+                    'id': key.submission,
+                    'index': key.index,
+                    'attempt': start.attempt,
+                    'entry': peer,
+                    'confirmed_age_s': round(now_s - confirmed_s, 3),
+                },
+            ),
             effects.StartTask(
                 key,
                 start.kind,
@@ -375,7 +386,7 @@
                 start.limit_ms / 1000,
                 start.attempt,
                 start.estimate_ms / 1000,
-            )
+            ),
         ]
 
     def _end_task(
@@ -407,7 +418,20 @@
             self.slots.free_room,
         )
         self.records.end(key, finished, now_s)
-        result.append(effects.Send(occupant.entry, finished))
+        result += [
+            effects.Log(
+                'task_ended',
+                {
+                    'id': key.submission,
+                    'index': key.index,
+                    'attempt': occupant.attempt,
+                    'entry': occupant.entry,
+                    'succeeded': succeeded,
+                    'stopped': finished.stopped,
+                },
+            ),
+            effects.Send(occupant.entry, finished),
+        ]
         if chosen != occupant.entry:
             result += offers
         return result + self._finish_stop()
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -293,7 +293,7 @@
                 blocked.add(kind)
                 continue
             self.queue.pop(team, queued)
-            result.append(self._start(view, team, kind, key, now_s))
+            result += self._start(view, team, kind, key, now_s)
             if not self._find_breaker(view, kind).allows(now_s):
                 serving[kind].remove(view)
         return result
@@ -323,7 +323,7 @@
         kind: str,
         key: contracts.TaskKey,
         now_s: float,
-    ) -> effects.Send:
+    ) -> effects.Effects:
         job = self._table.jobs[key.submission]
         job.record_sent(key.index, view.target.name)
         attempt = job.attempts.get(key.index, 0) + 1
@@ -363,7 +363,17 @@
             submission.demand,
             round(submission.estimate_s * 1000),
         )
-        return effects.Send(view.target.name, start)
+        log_entry = effects.Log(
+            'start_sent',
+            {
+                'id': key.submission,
+                'index': key.index,
+                'attempt': attempt,
+                'target': view.target.name,
+                'contact_age_s': round(now_s - view.last_contact_s, 3),
+            },
+        )
+        return [log_entry, effects.Send(view.target.name, start)]
 
     def _compute_waiting_share(self) -> int:
         """Return the waiting tasks divided by the targets, rounded up."""
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -197,7 +197,7 @@
         job = self.table.find(submission.id)
         if job is not None:
             self.counters['resubmissions'] += 1
-            return self._attach_local(request, submission.digest, job)
+            return self._attach_local(request, submission.digest, job, now_s)
         refusal = self._find_refusal(submission, now_s)
         if refusal is None:
             return self._admit(request, submission, now_s)
@@ -231,7 +231,7 @@
         }
 
     def _attach_local(
-        self, request: int, digest: str, job: jobs.Job
+        self, request: int, digest: str, job: jobs.Job, now_s: float
     ) -> effects.Effects:
         submission = job.submission
         if digest != submission.digest:
@@ -240,7 +240,7 @@
         if job.answer is not None:
             return [effects.Reply(request, job.answer)]
         job.waiters.append(request)
-        return []
+        return [joblog.log_attachment(job, request, now_s)]
 
     def _find_refusal(
         self, submission: contracts.Submission, now_s: float
@@ -258,9 +258,12 @@
         if submission.transient:
             self._schedule_transient(job, now_s)
         self.table.add(job)
+        accepted = joblog.log_acceptance(
+            job, request, self._describe_inputs(now_s)
+        )
         if not submission.claimed:
             self._activate(job)
-            return []
+            return [accepted]
         claim = contracts.Claim(
             submission.id,
             submission.digest,
@@ -269,7 +272,7 @@
         )
         wait_s = min(deadline_s, now_s + inquiries.CLAIM_TIMEOUT_S)
         heapq.heappush(self._deadlines, (wait_s, submission.id))
-        return self.session.claim((claim,), now_s)
+        return [accepted, *self.session.claim((claim,), now_s)]
 
     def _schedule_transient(self, job: jobs.Job, now_s: float) -> None:
         """Set the due time, priority and latest end of a transient job."""
@@ -308,7 +311,7 @@
             )
         if team != job.submission.team:
             return [effects.Reply(request, answers.refuse_foreign_team())]
-        return self._attach_local(request, job.submission.digest, job)
+        return self._attach_local(request, job.submission.digest, job, now_s)
 
     def _cancel(
         self, request: int, submission: str, team: str, now_s: float
@@ -346,6 +349,7 @@
             if request not in job.waiters:
                 continue
             job.waiters.remove(request)
+            result.append(joblog.log_disconnection(job, request, now_s))
             if job.submission.transient and not job.waiters:
                 self.counters['jobs_abandoned'] += 1
                 result += self._abort_job(job, errors.Code.CANCELLED, now_s)
--- a/eelgrassworks/joblog.py
+++ b/eelgrassworks/joblog.py
@@ -24,6 +24,53 @@
     )
 
 
+def log_acceptance(
+    job: jobs.Job, request: int, inputs: dict[str, object]
+) -> effects.Log:
+    """Return the log line for an accepted job."""
+    submission = job.submission
+    return effects.Log(
+        'job_accepted',
+        {
+            'id': submission.id,
+            'kind': submission.kind,
+            'request': request,
+            'limit_s': round(submission.time_limit_s, 3),
+            **_describe_due_time(job),
+            'tasks': len(submission.payloads),
+            **inputs,
+        },
+    )
+
+
+def log_attachment(job: jobs.Job, request: int, now_s: float) -> effects.Log:
+    """Return the log line for a request that waits for an open job."""
+    return effects.Log(
+        'request_attached',
+        {
+            'id': job.submission.id,
+            'request': request,
+            'age_s': round(now_s - job.arrived_s, 3),
+            'waiting': len(job.waiters),
+        },
+    )
+
+
+def log_disconnection(
+    job: jobs.Job, request: int, now_s: float
+) -> effects.Log:
+    """Return the log line for a caller that left before the answer."""
+    return effects.Log(
+        'caller_disconnected',
+        {
+            'id': job.submission.id,
+            'request': request,
+            'age_s': round(now_s - job.arrived_s, 3),
+            'waiting': len(job.waiters),
+        },
+    )
+
+
 def log_end(
     job: jobs.Job,
     answer: contracts.Answer,
