Show with a test that a late start runs beside its restart

The test cuts an entry off from its agents for 4 s and delivers the starts that it sent meanwhile 0.3 s and 2.25 s after the cut, as a connection does that was replaced.

--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,84 @@
+"""Machines that are cut off for some seconds and return.
+
+A connection holds up what was written to it and delivers it after the cut,
+also when its process has replaced the connection by a new one meanwhile.
+"""
+
+from typing import Any
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks.links import messages
+from eelgrassworks.trials import virtual
+from tests import test_transient
+from tests import worlds
+
+CUT_S = 4.0
+LIMIT_S = 12.0
+SEEDS = range(1, 6)
+
+# When the start of a task arrives that a cut has held up, in seconds after
+# the end of the cut, and the number of tasks of the job.
+LATE_STARTS: tuple[tuple[float, int], ...] = (
+    (0.3, 4),
+    (2.25, 1),
+    (2.25, 4),
+    (2.25, 8),
+)
+
+
+def isolate_entry(
+    world: virtual.World, held_type: type, late_s: float
+) -> list[object]:
+    """Cut entry-1 off from all agents for a while.
+
+    Messages of ``held_type`` arrive ``late_s`` after the cut, all others are
+    lost.  Return the list of the held messages, which grows.
+    """
+    route = world.router
+    end_s = world.now_s + CUT_S
+    held: list[object] = []
+
+    def delay(sender: str, receiver: str, message: object) -> list[float]:
+        is_agent_link = 'entry-1' in (sender, receiver) and (
+            'runner' in sender + receiver
+        )
+        if not is_agent_link or world.now_s >= end_s:
+            return route(sender, receiver, message)
+        if not isinstance(message, held_type):
+            return []
+        held.append(message)
+        return [end_s + late_s - world.now_s]
+
+    world.router = delay
+    return held
+
+
+@ddt.ddt
+class IsolationTest(unittest.TestCase):
+    # Guards against a start that is carried out after its entry has given it
+    # up and started the task elsewhere (incident TWICE of kcw-accra).
+    @unittest.expectedFailure
+    @ddt.data(*LATE_STARTS)
+    @ddt.unpack
+    def test_late_start_does_not_run_beside_its_restart(
+        self, late_s: float, tasks: int
+    ) -> None:
+        for seed in SEEDS:
+            world = test_transient.make_world(seed)
+            held = isolate_entry(world, messages.TaskStart, late_s)
+            request = test_transient.submit(
+                world, 'entry-1', tasks=tasks, limit_s=LIMIT_S
+            )
+            world.run(2 * LIMIT_S)
+            answer: Any = worlds.await_answer(world, request)
+            self.assertTrue(held)
+            self.assertEqual(test_transient.find_overlaps(world), [])
+            self.assertIsInstance(answer, contracts.Complete)
+            self.assertEqual(len(world.intervals), tasks)
+
+
+if __name__ == '__main__':
+    unittest.main()
