--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -369,6 +369,14 @@
         self.counters['tasks_started'] += 1
         confirmed_s = self.entries[peer].confirmed_s
         return [
+            effects.StartTask(
+                key,
+                start.kind,
+                start.payload,
+                start.limit_ms / 1000,
+                start.attempt,
+                start.estimate_ms / 1000,
+            ),
             effects.Log(
                 'task_started',
                 {
@@ -379,14 +387,6 @@
                     'confirmed_age_s': round(now_s - confirmed_s, 3),
                 },
             ),
-            effects.StartTask(
-                key,
-                start.kind,
-                start.payload,
-                start.limit_ms / 1000,
-                start.attempt,
-                start.estimate_ms / 1000,
-            ),
         ]
 
     def _end_task(
