--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -266,14 +266,14 @@
         if self._is_stale(start.incarnation, start.stamp_ms, now_s):
             self.counters['starts_stale'] += 1
             return [self._make_unknown(peer, key, start.attempt)]
+        rejection = self._find_rejection_reason(peer, start, now_s)
+        if rejection:
+            return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
                 _log_late_start(peer, start, now_s),
                 *self._decline(peer, start, 'late', now_s),
             ]
-        rejection = self._find_rejection_reason(peer, start, now_s)
-        if rejection:
-            return self._decline(peer, start, rejection, now_s)
         if self.slots.fits(start.demand):
             return self._start_task(peer, start, now_s)
         if not start.patient or len(self._queue) >= self.options.queue_limit:
