Ignore renewals that are older than the view of their target

An entry took a renewal of any incarnation other than the current one as a restart of the agent: it dropped the view and started its tasks elsewhere.

Renewals carry a stamp of the boot clock of the agent's machine, which rises over the agent's incarnations, so a renewal with a lower stamp than the view's is ignored and counted as renewals_outdated. After a reboot of the machine the clock starts anew; its renewals count once the view has been given up for lack of contact.

tests.test_isolation: test_late_renewal_of_an_earlier_incarnation_... failed in all 3 rows before (the tasks never completed under the virtual clock, since two runs took each other's place) and passes now. 233 tests of the dispatch, fences, heldtarget, membership, robustness, shedding, subset and transient modules and of this one passed.

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -391,6 +391,12 @@
         """Update the view of a target from a renewal of its agent."""
         outcomes: list[Outcome] = []
         view = self.views.get(peer)
+        if view is not None and renewal.stamp_ms < view.stamp_ms:
+            # A replaced connection delivered it late.  Stamps rise over the
+            # incarnations of an agent, so the view is newer, and its tasks
+            # still run.
+            self.counters['renewals_outdated'] += 1
+            return DispatchResult([], [])
         if view is not None and view.incarnation != incarnation:
             outcomes = self._drop_target(peer)
             view = None
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -29,6 +29,10 @@
     (2.25, 8),
 )
 
+# How late the renewals of an agent's earlier incarnation arrive after its
+# restart, in seconds.
+LATE_RENEWALS_S: tuple[float, ...] = (1.0, 1.5, 3.0)
+
 
 def isolate_entry(
     world: virtual.World, held_type: type, late_s: float
@@ -57,6 +61,25 @@
     return held
 
 
+def hold_up_renewals(
+    world: virtual.World, agent: str, late_s: float
+) -> None:
+    """Delay the renewals of the agent's current incarnation."""
+    route = world.router
+    run = world.nodes[agent].run
+
+    def delay(sender: str, receiver: str, message: object) -> list[float]:
+        is_late = (
+            isinstance(message, messages.AgentRenewal)
+            and sender == agent
+            and world.nodes[agent].run == run
+        )
+        latency_s = route(sender, receiver, message)
+        return [each + late_s for each in latency_s] if is_late else latency_s
+
+    world.router = delay
+
+
 @ddt.ddt
 class IsolationTest(unittest.TestCase):
     # Guards against a start that is carried out after its entry has given it
@@ -79,6 +102,27 @@
             self.assertIsInstance(answer, contracts.Complete)
             self.assertEqual(len(world.intervals), tasks)
 
+    # Guards against a restart of running tasks when a late renewal of the
+    # agent's earlier incarnation replaces the current one at the entry.
+    @ddt.data(*LATE_RENEWALS_S)
+    def test_late_renewal_of_an_earlier_incarnation_changes_nothing(
+        self, late_s: float
+    ) -> None:
+        for seed in SEEDS:
+            world = test_transient.make_world(seed)
+            hold_up_renewals(world, 'runner-1', late_s)
+            world.run(1.0)
+            world.kill('runner-1')
+            world.start('runner-1')
+            world.run(late_s - 0.7)
+            request = test_transient.submit(
+                world, 'entry-1', tasks=8, limit_s=LIMIT_S
+            )
+            answer: Any = worlds.await_answer(world, request)
+            self.assertIsInstance(answer, contracts.Complete)
+            self.assertEqual(test_transient.find_overlaps(world), [])
+            self.assertEqual(len(world.intervals), 8)
+
 
 if __name__ == '__main__':
     unittest.main()
