Ignore leases that answer renewals of an earlier run of an entry

A new run of an entry took any lease under its name as its own. A lease for the run before it, held up or kept by the leader's socket for the next connection, then either named another incarnation than its own (the process halted as superseded, so ended by itself), or became its incarnation, and its real lease made it halt.

A lease echoes the time at which its renewal was sent. The session now ignores one that answers no renewal of this run: sent before the first renewal of this run, or after now, by the boot clock.

--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -66,6 +66,7 @@
         self._unknown_leader = ''
         self._leader_last_contact_s = float('-inf')
         self._last_renewal_s = float('-inf')
+        self._first_renewal_ms: int | None = None
         self._next_request = 0
         self._pending: dict[int | str, PendingRequest] = {}
 
@@ -123,14 +124,19 @@
     def handle_lease(
         self, peer: str, lease: messages.EntryLease, now_s: float
     ) -> bool:
-        """Apply a renewed lease; False when another run has the name."""
+        """Apply a renewed lease; False when another run has the name.
+
+        A lease that answers a renewal of an earlier run is ignored.
+        """
+        if not self._is_requested(lease, now_s):
+            return True
         self.leader = peer
         self._leader_last_contact_s = now_s
         if self.incarnation and lease.incarnation != self.incarnation:
             return False
         self.incarnation = lease.incarnation
         sent_s = lease.sent_ms / 1000
-        if sent_s <= now_s and self.lease.extend(
+        if self.lease.extend(
             lease.revision, sent_s, lease.remaining_ms / 1000
         ):
             self.in_force_revision = max(
@@ -138,6 +144,16 @@
             )
         return True
 
+    def _is_requested(self, lease: messages.EntryLease, now_s: float) -> bool:
+        """Tell whether a lease answers a renewal of this run.
+
+        The boot clock rises over the runs of an entry on one machine.
+        """
+        first_ms = self._first_renewal_ms
+        return first_ms is not None and (
+            first_ms <= lease.sent_ms <= now_s * 1000
+        )
+
     def apply_configuration(
         self, peer: str, configuration: contracts.Configuration
     ) -> bool:
@@ -239,6 +255,8 @@
 
     def _renew(self, now_s: float) -> effects.Effects:
         self._last_renewal_s = now_s
+        if self._first_renewal_ms is None:
+            self._first_renewal_ms = int(now_s * 1000)
         renewal = messages.EntryRenewal(
             self.options.name,
             self.options.address,
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -10,7 +10,11 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import effects
+from eelgrassworks import entry
 from eelgrassworks.links import messages
+from eelgrassworks.links import session
+from eelgrassworks.machines import placement
 from eelgrassworks.trials import virtual
 from tests import test_transient
 from tests import worlds
@@ -33,6 +37,16 @@
 # restart, in seconds.
 LATE_RENEWALS_S: tuple[float, ...] = (1.0, 1.5, 3.0)
 
+# Leases that a new run of an entry receives in order, by the time of the
+# renewal that each of them answers and by the incarnation that it names, and
+# whether the entry must halt.  The run has sent its first renewal at 10 s.
+LEASES: tuple[tuple[str, tuple[tuple[float, int], ...], bool], ...] = (
+    ('late before its own', ((9.5, 3), (10.0, 4)), False),
+    ('late after its own', ((10.0, 4), (9.5, 3)), False),
+    ('of another boot', ((50.0, 3), (10.0, 4)), False),
+    ('replaced by another run', ((10.0, 4), (10.0, 5)), True),
+)
+
 
 def isolate_entry(
     world: virtual.World, held_type: type, late_s: float
@@ -61,9 +75,7 @@
     return held
 
 
-def hold_up_renewals(
-    world: virtual.World, agent: str, late_s: float
-) -> None:
+def hold_up_renewals(world: virtual.World, agent: str, late_s: float) -> None:
     """Delay the renewals of the agent's current incarnation."""
     route = world.router
     run = world.nodes[agent].run
@@ -123,6 +135,35 @@
             self.assertEqual(test_transient.find_overlaps(world), [])
             self.assertEqual(len(world.intervals), 8)
 
+    # Guards against a new run of an entry that halts, since it takes a lease
+    # for an earlier run as its own.
+    @ddt.data(*LEASES)
+    @ddt.unpack
+    def test_late_lease_of_an_earlier_run_halts_nothing(
+        self, _: str, leases: tuple[tuple[float, int], ...], halts: bool
+    ) -> None:
+        core = entry.Entry(
+            entry.EntryOptions(
+                session.SessionOptions(
+                    'entry-1', 'tcp://entry-1', 7, worlds.CONTROLS
+                ),
+                placement.LateBinding(),
+                1.0,
+            )
+        )
+        core.handle(entry.Ticked(), 10.0)
+        result: effects.Effects = []
+        for sent_s, incarnation in leases:
+            lease = messages.EntryLease(
+                int(sent_s * 1000), 5_000, 0, 0, incarnation
+            )
+            result += core.handle(
+                entry.Received(worlds.CONTROLS[0], 1, (lease,)), 10.1
+            )
+        halted = [each for each in result if isinstance(each, effects.Halt)]
+        self.assertEqual(bool(halted), halts)
+        self.assertTrue(core.session.lease.is_valid(10.1))
+
 
 if __name__ == '__main__':
     unittest.main()
