End the transient jobs of an entry that is cut off from all others

An entry that was cut off from every other process kept its jobs and started their tasks again when the cut ended.

An isolation is now handled like a suspension, by one class (links/continuity.py): after 0.5 s without any message the entry ends its transient jobs, is not ready, and refuses new ones at once as isolated until a message arrives. Nothing that could go on is lost: agents stop the tasks of an entry without contact after 0.6 s.

tests.test_isolation, before: rows of 1, 1.5 and 2.5 s have overlapping runs, all five keep the first caller waiting, and the cut-off entry says that it is ready. Now all pass, and so do the modules dispatch, fences, transient, subset, shedding, robustness, membership, objectives, layout, platform and processes (286 tests).

Open: an entry cut off from its callers but not from its agents.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -23,16 +23,13 @@
 from eelgrassworks import shedding
 from eelgrassworks.contracts import jobs
 from eelgrassworks.links import codec
+from eelgrassworks.links import continuity
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
 
 # Response times held between two reads by the process.
 MAX_LATENCY_SAMPLES: Final = 10_000
-# A longer gap between two events means that the process was suspended, and
-# that callers may have resubmitted at another entry.  Shorter than the lease
-# of an entry at an agent.
-MAX_EVENT_GAP_S: Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +138,7 @@
         self._changes = changes.Changes(self.session)
         self._deadlines: list[tuple[float, str]] = []
         self._transient_ids = jobs.TransientIds(options.session.nonce)
-        self._last_event_s = float('-inf')
+        self._continuity = continuity.Continuity()
         # Kinds and response times of complete jobs; the process drains it.
         self.latencies: collections.deque[tuple[str, float]] = (
             collections.deque(maxlen=MAX_LATENCY_SAMPLES)
@@ -154,7 +151,7 @@
     def handle(self, event: EntryEvent, now_s: float) -> effects.Effects:
         """Handle one event and return its effects."""
         # Checked first, since any event may be the first one after a pause.
-        result = self._abort_jobs_after_pause(now_s)
+        result = self._handle_interruption(now_s)
         return result + self._handle_event(event, now_s)
 
     def _handle_event(
@@ -162,6 +159,7 @@
     ) -> effects.Effects:
         match event:
             case Received(peer, incarnation, received):
+                self._continuity.record_message(now_s)
                 result = []
                 for message in received:
                     result += self._handle_message(
@@ -248,6 +246,11 @@
         """Return the reason for rejecting a job, or None to admit it."""
         if self.is_linger_over(now_s):
             return errors.refuse(errors.Code.STOPPING)
+        if submission.transient and self._continuity.is_isolated(now_s):
+            return errors.refuse(
+                errors.Code.ISOLATED,
+                silent_s=continuity.ISOLATION_TIMEOUT_S,
+            )
         return self._admission.find_refusal(submission, now_s)
 
     def _admit(
@@ -668,26 +671,46 @@
         fields = self._describe_inputs(now_s)
         return [effects.Log(event, {'leader': self.session.leader, **fields})]
 
-    def _abort_jobs_after_pause(self, now_s: float) -> effects.Effects:
-        """Abort transient jobs that were open while the process was suspended.
+    def _handle_interruption(self, now_s: float) -> effects.Effects:
+        """Abort transient jobs whose callers may be elsewhere.
 
-        Their callers may have resubmitted them at another entry, so their
-        tasks must not start again here.
+        They may have resubmitted them at another entry, so the tasks must
+        not start again here.
         """
-        gap_s = now_s - self._last_event_s
-        if gap_s == float('inf'):
-            # First event: there is no lease and no target has registered.
-            self._admission.start_settling(now_s)
-        self._last_event_s = now_s
-        if not MAX_EVENT_GAP_S < gap_s < float('inf'):
-            return []
+        match self._continuity.observe(now_s):
+            case continuity.Started():
+                # There is no lease and no target has registered.
+                self._admission.start_settling(now_s)
+                return []
+            case continuity.Suspended(gap_s):
+                return self._abort_transient_jobs(
+                    'jobs_paused',
+                    errors.Code.PAUSED,
+                    now_s,
+                    pause_s=round(gap_s, 1),
+                )
+            case continuity.Isolated(silent_s):
+                return self._abort_transient_jobs(
+                    'jobs_isolated',
+                    errors.Code.ISOLATED,
+                    now_s,
+                    silent_s=round(silent_s, 1),
+                )
+            case continuity.Rejoined():
+                # Targets that were given up meanwhile register again.
+                self._admission.start_settling(now_s)
+                return [effects.Log('rejoined', self._describe_inputs(now_s))]
+            case None:
+                return []
+
+    def _abort_transient_jobs(
+        self, counter: str, code: errors.Code, now_s: float, **values: object
+    ) -> effects.Effects:
         result: effects.Effects = []
         for job in self.table.list_open():
             if job.submission.transient:
-                self.counters['jobs_paused'] += 1
-                result += self._abort_job(
-                    job, errors.Code.PAUSED, now_s, pause_s=round(gap_s, 1)
-                )
+                self.counters[counter] += 1
+                result += self._abort_job(job, code, now_s, **values)
         return result + self.dispatcher.flush_cancels()
 
     def _expire_jobs(self, now_s: float) -> effects.Effects:
@@ -764,7 +787,11 @@
 
     def is_ready(self, now_s: float) -> bool:
         """Tell whether load balancers may send new jobs."""
-        return not self.stopping and self.session.has_confirmed_lease(now_s)
+        return (
+            not self.stopping
+            and self.session.has_confirmed_lease(now_s)
+            and not self._continuity.is_isolated(now_s)
+        )
 
     def describe(self, now_s: float) -> dict[str, object]:
         """Return the state for a dump."""
--- a/eelgrassworks/errors.py
+++ b/eelgrassworks/errors.py
@@ -27,6 +27,7 @@
     ID_EXPIRED = 'id-expired'
     ID_FUTURE = 'id-future'
     ID_REQUIRED = 'id-required'
+    ISOLATED = 'isolated'
     NOT_FOUND = 'not-found'
     NOT_PERMITTED = 'not-permitted'
     NO_TARGET = 'no-target'
@@ -166,6 +167,12 @@
         'kind {kind} must not be repeated, so a submission needs an id',
         'send an Idempotency-Key header that holds a UUID of version 7',
     ),
+    Code.ISOLATED: Wording(
+        503,
+        'Entry isolated',
+        'this entry has had no message of another process for {silent_s} s',
+        'submit the job again, to another entry',
+    ),
     Code.NOT_FOUND: Wording(
         404,
         'Not found',
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -12,6 +12,7 @@
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import entry
+from eelgrassworks import errors
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
@@ -47,6 +48,16 @@
     ('replaced by another run', ((10.0, 4), (10.0, 5)), True),
 )
 
+# How long an entry is cut off from all other processes while its callers are
+# elsewhere, in seconds, and the number of tasks of the job.
+SECOND_OWNERS: tuple[tuple[float, int], ...] = (
+    (1.0, 4),
+    (1.5, 4),
+    (2.5, 4),
+    (4.0, 4),
+    (4.0, 24),
+)
+
 
 def isolate_entry(
     world: virtual.World, held_type: type, late_s: float
@@ -75,6 +86,18 @@
     return held
 
 
+def cut_off(world: virtual.World, name: str, cut_s: float) -> None:
+    """Cut a node off from all other nodes for a while."""
+    links = {
+        pair
+        for other in world.nodes
+        if other != name
+        for pair in ((name, other), (other, name))
+    }
+    world.cut |= links
+    world.at(cut_s, lambda: world.cut.difference_update(links))
+
+
 def hold_up_renewals(world: virtual.World, agent: str, late_s: float) -> None:
     """Delay the renewals of the agent's current incarnation."""
     route = world.router
@@ -164,6 +187,47 @@
         self.assertEqual(bool(halted), halts)
         self.assertTrue(core.session.lease.is_valid(10.1))
 
+    # Guards against an entry that starts tasks again after it was cut off,
+    # while its caller has submitted the job elsewhere.
+    @ddt.data(*SECOND_OWNERS)
+    @ddt.unpack
+    def test_job_of_a_cut_off_entry_does_not_run_beside_a_resubmission(
+        self, cut_s: float, tasks: int
+    ) -> None:
+        for seed in SEEDS:
+            world = test_transient.make_world(seed)
+            first = test_transient.submit(
+                world, 'entry-1', tasks=tasks, limit_s=LIMIT_S
+            )
+            world.run(0.5)
+            cut_off(world, 'entry-1', cut_s)
+            world.run(test_transient.RESUBMIT_S)
+            # The first caller was answered, if it could be reached.
+            self.assertIn(first, world.replies)
+            second = test_transient.submit(
+                world, 'entry-2', tasks=tasks, limit_s=LIMIT_S
+            )
+            answer: Any = worlds.await_answer(world, second)
+            world.run(LIMIT_S)
+            self.assertIsInstance(answer, contracts.Complete)
+            self.assertEqual(test_transient.find_overlaps(world), [])
+
+    def test_cut_off_entry_refuses_jobs_at_once(self) -> None:
+        world = test_transient.make_world()
+        core = world.nodes['entry-1'].core
+        cut_off(world, 'entry-1', CUT_S)
+        world.run(1.0)
+        self.assertFalse(core.is_ready(world.now_s))
+        refused = test_transient.submit(world, 'entry-1')
+        answer: Any = world.replies[refused][1]
+        self.assertIsInstance(answer, contracts.NotRun)
+        self.assertEqual(answer.refusal.code, errors.Code.ISOLATED)
+        world.run(CUT_S)
+        self.assertTrue(core.is_ready(world.now_s))
+        request = test_transient.submit(world, 'entry-1')
+        answer = worlds.await_answer(world, request)
+        self.assertIsInstance(answer, contracts.Complete)
+
 
 if __name__ == '__main__':
     unittest.main()
