Specify late starts and lost cancellations of transient tasks

The specification `runs` could not show it: its run exists from the beginning, so that no start is in transit, and no message arrives after a cut.

Change: `attempts` has a start, a cancellation, a renewal and a confirmation that arrive late, in any order, or never, and a job that ends while its run goes on. Two fences: start_age (an agent refuses a start whose stamp is older than the entry's lease) and repeat_cancel (each confirmation is preceded by the cancellations whose end is not known).

--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -13,6 +13,7 @@
 from eelgrassworks import keyrecords
 from eelgrassworks import zones
 from eelgrassworks.links import messages
+from models import attempts
 from models import claims
 from models import leases
 from models import replication
@@ -20,7 +21,7 @@
 from models import starts
 from tests import worlds
 
-MODELS = (claims, leases, replication, runs, starts)
+MODELS = (attempts, claims, leases, replication, runs, starts)
 COMPLETE_MODELS = [(model.__name__, model) for model in MODELS]
 MODELS_WITHOUT_FENCE = [
     (f'{model.__name__}_{fence}', model, fence)
