Specify late renewals of an earlier incarnation of an agent

What callers could see: an entry that receives a renewal of an agent's earlier incarnation after one of the current incarnation drops the current view and starts its tasks elsewhere, while they run.

Change: `renewals`, with fences renewal_order (a renewal whose stamp is older than the latest one known is ignored) and announce (a new incarnation announces itself once no run is left at its target, as it does today).

--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -16,12 +16,21 @@
 from models import attempts
 from models import claims
 from models import leases
+from models import renewals
 from models import replication
 from models import runs
 from models import starts
 from tests import worlds
 
-MODELS = (attempts, claims, leases, replication, runs, starts)
+MODELS = (
+    attempts,
+    claims,
+    leases,
+    renewals,
+    replication,
+    runs,
+    starts,
+)
 COMPLETE_MODELS = [(model.__name__, model) for model in MODELS]
 MODELS_WITHOUT_FENCE = [
     (f'{model.__name__}_{fence}', model, fence)
