Ignore late messages of an earlier run of an entry at agents

An agent took a message of any other run of an entry as its restart and stopped the tasks of the current run, then those of the next one when a message of the current run followed. A connection of the earlier run that a cut held up does that to a healthy entry.

Another run counts only from a message that answers a renewal which the agent sent after the latest one that the current run confirmed.

Test: five of the six rows of test_late_message_of_an_earlier_run_... failed before (every late message stopped the running task); the row of a real restart stops it before and after. 262 tests of the modules isolation, dispatch, faults, fences, membership, robustness, shedding, subset and transient passed.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -207,10 +207,14 @@
     def _receive(
         self, peer: str, incarnation: int, message: object, now_s: float
     ) -> effects.Effects:
-        view = self.entries.setdefault(peer, EntryView())
+        view = self.entries.get(peer)
+        if view is None:
+            view = self.entries[peer] = EntryView(incarnation)
         if incarnation != view.incarnation:
-            running = view.running
-            view = EntryView(incarnation, running=running)
+            if not _is_later(message, view):
+                self.counters['messages_outdated'] += 1
+                return []
+            view = EntryView(incarnation, running=view.running)
             self.entries[peer] = view
             return self._stop_earlier_incarnation(peer) + self._handle_message(
                 peer, view, message, now_s
@@ -811,6 +815,23 @@
         }
 
 
+def _is_later(message: object, view: EntryView) -> bool:
+    """Tell whether a message of another run shows that the entry restarted.
+
+    A connection may deliver messages of an earlier run after those of the
+    current one.  They carry the stamps of earlier renewals, or none.
+    """
+    match message:
+        case (
+            messages.TaskStart(stamp_ms=stamp_ms)
+            | messages.AgentLease(stamp_ms=stamp_ms)
+            | messages.TaskFence(stamp_ms=stamp_ms)
+        ):
+            return stamp_ms / 1000 > view.confirmed_s
+        case _:
+            return False
+
+
 def _log_late_start(
     peer: str, start: messages.TaskStart, now_s: float
 ) -> effects.Log:
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -4,11 +4,13 @@
 also when its process has replaced the connection by a new one meanwhile.
 """
 
+import dataclasses
 from typing import Any
 import unittest
 
 import ddt
 
+from eelgrassworks import agent
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import entry
@@ -24,6 +26,33 @@
 LIMIT_S = 12.0
 SEEDS = range(1, 6)
 
+
+def make_agent_lease(sent_s: float) -> messages.AgentLease:
+    """Return the answer to a renewal that an agent sent at a time."""
+    return messages.AgentLease(
+        int(sent_s * 1000), 5_000, 1, True, False, (), True
+    )
+
+
+def make_start(submission: str, stamp_s: float) -> messages.TaskStart:
+    """Return a start under the renewal that an agent sent at a time."""
+    return messages.TaskStart(
+        submission,
+        0,
+        1,
+        1,
+        'lid-missing',
+        b'',
+        5_000,
+        int(stamp_s * 1000),
+        0,
+        True,
+        False,
+        test_transient.DEMAND,
+        400,
+    )
+
+
 # When the start of a task arrives that a cut has held up, in seconds after
 # the end of the cut, and the number of tasks of the job.
 LATE_STARTS: tuple[tuple[float, int], ...] = (
@@ -58,6 +87,18 @@
     (4.0, 24),
 )
 
+# Messages of an earlier run of an entry that arrive when a later run has a
+# task at the agent since 10 s, and whether they end that task: only a message
+# that was sent after the later run's shows a still later one.
+OTHER_RUNS: tuple[tuple[str, object, bool], ...] = (
+    ('late lease', make_agent_lease(9.8), False),
+    ('late start', make_start('job-2', 9.8), False),
+    ('late fence', messages.TaskFence('job-2', 0, 1, 1, 9_800), False),
+    ('late cancellation', messages.JobCancel(('job-2',)), False),
+    ('late request', messages.SlotsRequest(3), False),
+    ('lease of a later run', make_agent_lease(10.05), True),
+)
+
 
 def isolate_entry(
     world: virtual.World, held_type: type, late_s: float
@@ -98,16 +139,16 @@
     world.at(cut_s, lambda: world.cut.difference_update(links))
 
 
-def hold_up_renewals(world: virtual.World, agent: str, late_s: float) -> None:
+def hold_up_renewals(world: virtual.World, name: str, late_s: float) -> None:
     """Delay the renewals of the agent's current incarnation."""
     route = world.router
-    run = world.nodes[agent].run
+    run = world.nodes[name].run
 
     def delay(sender: str, receiver: str, message: object) -> list[float]:
         is_late = (
             isinstance(message, messages.AgentRenewal)
-            and sender == agent
-            and world.nodes[agent].run == run
+            and sender == name
+            and world.nodes[name].run == run
         )
         latency_s = route(sender, receiver, message)
         return [each + late_s for each in latency_s] if is_late else latency_s
@@ -228,6 +269,37 @@
         answer = worlds.await_answer(world, request)
         self.assertIsInstance(answer, contracts.Complete)
 
+    # Guards against running tasks that are stopped, since a late message of
+    # an earlier run of their entry looks like its restart.
+    @ddt.data(*OTHER_RUNS)
+    @ddt.unpack
+    def test_late_message_of_an_earlier_run_stops_nothing(
+        self, _: str, message: object, stops: bool
+    ) -> None:
+        target = dataclasses.replace(
+            worlds.make_target(0, 0),
+            service='cover-check',
+            room=test_transient.ROOM,
+        )
+        core = agent.Agent(
+            agent.AgentOptions(target, 1, ('entry-1',), 8, 0.6, 0.2)
+        )
+        for each in (make_agent_lease(10.0), make_start('job-1', 10.0)):
+            core.handle(agent.Received('entry-1', 2, each), 10.0)
+        result = core.handle(agent.Received('entry-1', 1, message), 10.1)
+        stopped = [
+            each for each in result if isinstance(each, effects.StopTask)
+        ]
+        self.assertEqual(bool(stopped), stops)
+        # The current run goes on, and a later one takes its place.
+        started = core.handle(
+            agent.Received('entry-1', 2, make_start('job-3', 10.0)), 10.1
+        )
+        is_started = any(
+            isinstance(each, effects.StartTask) for each in started
+        )
+        self.assertEqual(is_started, not stops)
+
 
 if __name__ == '__main__':
     unittest.main()
