Fence a start that is lost after an earlier attempt here

Callers got no answer until their time limit when a task's second start at the same target was lost. The entry fences an overdue start, and the agent answers a fence with its record of the key; for the second start that record is the fence or the end of the first attempt, so the answer named the first attempt, and the entry dropped it as outdated, at every further fence. A start of the second attempt that was only late would still have been taken.

An agent that has seen no start of the fenced attempt, but an earlier one, now fences the attempt as if it had no record, unless the fence is stale.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -334,12 +334,15 @@
     ) -> effects.Effects:
         key = contracts.TaskKey(fence.submission, fence.index)
         match self.records.find(key):
-            case None if self._is_stale(
-                fence.incarnation, fence.stamp_ms, now_s
-            ):
-                return [self._make_unknown(peer, key, fence.attempt)]
             case None:
-                return self._decline(peer, fence, 'fenced', now_s)
+                return self._fence_unseen_start(peer, fence, now_s)
+            case keyrecords.KeyFenced(attempt) if attempt < fence.attempt:
+                return self._fence_unseen_start(peer, fence, now_s)
+            case keyrecords.KeyEnded() as ended if (
+                0 < ended.attempt < fence.attempt
+            ):
+                # Only a transient task has a further attempt after an end.
+                return self._fence_unseen_start(peer, fence, now_s)
             case keyrecords.KeyQueued(_, start) if (
                 start.attempt <= fence.attempt
             ):
@@ -348,6 +351,15 @@
             case record:
                 return self._report_record(peer, key, fence.attempt, record)
 
+    def _fence_unseen_start(
+        self, peer: str, fence: messages.TaskFence, now_s: float
+    ) -> effects.Effects:
+        """Fence an attempt whose start has not arrived here."""
+        if self._is_stale(fence.incarnation, fence.stamp_ms, now_s):
+            key = contracts.TaskKey(fence.submission, fence.index)
+            return [self._make_unknown(peer, key, fence.attempt)]
+        return self._decline(peer, fence, 'fenced', now_s)
+
     def _cancel(
         self, submissions: tuple[str, ...], now_s: float
     ) -> effects.Effects:
--- a/models/starts.py
+++ b/models/starts.py
@@ -224,7 +224,9 @@
     s = SHAPE.read(before)
     for frame in s['fences']:
         attempt = frame[0]
-        if s['record'][0] != 'none':
+        status, recorded_attempt, _ = s['record']
+        is_later = status == 'fenced' and recorded_attempt < attempt
+        if status != 'none' and not is_later:
             answer = _make_answer(s, attempt)
             after = replace(before, answers=s['answers'] | {answer})
         elif is_stale(s, frame, without):
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -72,6 +72,7 @@
     job_id: str = 'aaaaaaaaaaaaaaaa',
     tasks: int = 4,
     limit_s: float = 9.0,
+    estimate_s: float = TASK_S,
 ) -> int:
     """Submit a transient job; return the request number."""
     submission = contracts.Submission(
@@ -84,7 +85,7 @@
         False,
         transient=True,
         demand=DEMAND,
-        estimate_s=TASK_S,
+        estimate_s=estimate_s,
     )
     return worlds.submit(world, entry_name, submission)
 
@@ -385,5 +386,42 @@
         self.assertEqual(find_overlaps(world), [])
 
 
+# The attempts of one task whose starts are lost, at its only target, and the
+# number of runs that fail before one succeeds.
+LOST_STARTS: tuple[tuple[frozenset[int], int], ...] = (
+    (frozenset({1}), 0),
+    (frozenset({1, 2}), 0),
+    (frozenset({1, 2, 3}), 0),
+    (frozenset({2}), 1),
+)
+
+
+@ddt.ddt
+class LostStartTest(unittest.TestCase):
+    """A start that is lost again is asked for until the time limit."""
+
+    @ddt.data(*LOST_STARTS)
+    @ddt.unpack
+    def test_job_completes_after_lost_starts(
+        self, lost: frozenset[int], failures: int
+    ) -> None:
+        world = make_world(agents=1)
+        world.run_model = lambda *_: (0.1, len(world.started_at) > failures)
+        route = world.router
+
+        def drop(sender: str, peer: str, message: object) -> list[float]:
+            match message:
+                case messages.TaskStart(attempt=attempt) if attempt in lost:
+                    return []
+                case _:
+                    return route(sender, peer, message)
+
+        world.router = drop
+        request = submit(world, 'entry-1', tasks=1, estimate_s=0.1)
+        answer = worlds.await_answer(world, request)
+        self.assertIsInstance(answer, contracts.Complete)
+        self.assertEqual(len(world.started_at), 1 + failures)
+
+
 if __name__ == '__main__':
     unittest.main()
