Repeat cancellations with every lease until the runs have ended

An entry that ends a job (its caller disconnected, its deadline passed, it was paused, a task failed) sent one cancellation to each target, once. Frames are delivered at most once; when that one was lost, the entry's later lease confirmations let the run go on to its end, while the caller submitted again 1.3 s later.

A view keeps the outstanding starts of aborted jobs, and each confirmation of a lease to that agent now carries their cancellations, first in the same frame. An agent gets both or neither, so a run ends at the latest with the lease that was confirmed before its job ended: 0.6 s, a tick, and its stop. After 0.2 s each such run is fenced as well; the agent answers a fence with the recorded end, which settles the start and ends the repetition, as does the loss of the target. A timer for repeats was ruled out: it costs frames and bounds nothing when several in a row are lost.

The simulated targets under leases ended runs at the limit of the job, which real ones are not told; they no longer do.

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -32,6 +32,9 @@
 # slowest healthy target needs, and some queueing and message delays.
 EXPECTED_RUN_FACTOR: Final = 2.0
 EXPECTED_DELAY_S: Final = 0.3
+# An agent reports the end of a cancelled run within this time: stopping the
+# task, a hold and two message delays.
+CANCEL_ANSWER_TIMEOUT_S: Final = 0.2
 MAX_REJECTIONS: Final = 16
 DEFAULT_RUN_S: Final = 0.3
 RUN_SMOOTHING: Final = 0.02
@@ -247,10 +250,14 @@
         """Queue a task of a job again, after its attempt has ended."""
         self.queue.requeue(job.submission.team, _make_queued(job, (index,)))
 
-    def remove(self, job: jobs.Job) -> None:
+    def remove(self, job: jobs.Job, now_s: float) -> None:
         """Drop the waiting tasks of a job and cancel the sent ones."""
         submission = job.submission
         self.queue.remove(submission.team, submission.id)
+        for index, target in job.targets_by_index.items():
+            if target in self.views:
+                key = contracts.TaskKey(submission.id, index)
+                self.views[target].cancel(key, now_s)
         for target in dict.fromkeys(job.targets_by_index.values()):
             self._pending_cancels.setdefault(target, []).append(submission.id)
 
@@ -265,6 +272,37 @@
         self._pending_cancels = {}
         return result
 
+    def _repeat_cancels(
+        self, peer: str, view: machines.TargetView, now_s: float
+    ) -> effects.Effects:
+        """Send the cancellations of runs that are not known to have ended.
+
+        Those without an answer for some time come with fences, to which the
+        agent responds again if its report of the end was lost.
+        """
+        if not view.cancelled:
+            return []
+        is_first = self._pending_cancels.pop(peer, None) is not None
+        self.counters['cancels_sent' if is_first else 'cancels_repeated'] += 1
+        submissions = dict.fromkeys(key.submission for key in view.cancelled)
+        result: effects.Effects = [
+            effects.Send(peer, messages.JobCancel(tuple(submissions)))
+        ]
+        unanswered = {
+            key: now_s - cancelled_s
+            for key, cancelled_s in view.cancelled.items()
+            if now_s - cancelled_s > CANCEL_ANSWER_TIMEOUT_S
+        }
+        if not unanswered:
+            return result
+        result.append(_log_unanswered_cancels(view, unanswered))
+        for key in unanswered:
+            start = view.outstanding[key]
+            start.fence_sent_s = now_s
+            result.append(effects.Send(peer, _make_fence(view, key, start)))
+        self.counters['fences_sent'] += len(unanswered)
+        return result
+
     # Placement.
 
     def place(self, now_s: float) -> effects.Effects:
@@ -435,10 +473,17 @@
         lease: zones.Lease,
         now_s: float,
     ) -> effects.Effects:
-        """Answer a renewal with the remaining time of the entry's lease."""
+        """Answer a renewal with the remaining time of the entry's lease.
+
+        The answer lets the tasks of the entry run on, so the cancellations
+        that may be lost go first in the same frame: either both arrive, or
+        the agent stops the tasks for want of an answer.
+        """
         configuration = self._configuration
         if configuration is None:
             return []
+        view = self.views.get(peer)
+        cancels = self._repeat_cancels(peer, view, now_s) if view else []
         policy = self._find_policy(
             configuration, renewal.failure_domain, renewal.target
         )
@@ -446,6 +491,7 @@
         # A target with room is matched by its service, so it needs no kinds.
         any_kind = policy.any_kind and renewal.room != contracts.NO_ROOM
         return [
+            *cancels,
             effects.Send(
                 peer,
                 messages.AgentLease(
@@ -459,7 +505,7 @@
                     else tuple(sorted(policy.kinds)),
                     any_kind,
                 ),
-            )
+            ),
         ]
 
     def _find_policy(
@@ -696,13 +742,7 @@
             if not fence_all and not (overdue and interval_elapsed):
                 continue
             start.fence_sent_s = now_s
-            fence = messages.TaskFence(
-                key.submission,
-                key.index,
-                start.attempt,
-                view.incarnation,
-                start.stamp_ms,
-            )
+            fence = _make_fence(view, key, start)
             result.append(effects.Send(view.target.name, fence))
         self.counters['fences_sent'] += len(result)
         return result
@@ -821,6 +861,37 @@
     return run_s + EXPECTED_DELAY_S
 
 
+def _make_fence(
+    view: machines.TargetView,
+    key: contracts.TaskKey,
+    start: machines.Outstanding,
+) -> messages.TaskFence:
+    """Return the fence for an outstanding start."""
+    return messages.TaskFence(
+        key.submission,
+        key.index,
+        start.attempt,
+        view.incarnation,
+        start.stamp_ms,
+    )
+
+
+def _log_unanswered_cancels(
+    view: machines.TargetView, ages_s: dict[contracts.TaskKey, float]
+) -> effects.Log:
+    """Return the log line for cancellations that are sent again."""
+    ids = dict.fromkeys(key.submission for key in ages_s)
+    return effects.Log(
+        'cancel_repeated',
+        {
+            'ids': ','.join(ids),
+            'target': view.target.name,
+            'tasks': len(ages_s),
+            'age_s': round(max(ages_s.values()), 3),
+        },
+    )
+
+
 def _make_queued(job: jobs.Job, indices: Iterable[int]) -> queues.QueuedJob:
     """Return the queue's record of the given tasks of a job."""
     submission = job.submission
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -634,7 +634,7 @@
         """
         values['submission'] = job.submission.id
         started = job.may_have_run()
-        self.dispatcher.remove(job)
+        self.dispatcher.remove(job, now_s)
         self.counters['jobs_failed' if started else 'jobs_not_run'] += 1
         if started:
             refusal = errors.refuse_started(code, **values)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -77,6 +77,7 @@
     so.  ``suspect`` is set while the agent is unresponsive; ``allowance``
     limits the outstanding tasks of a new or returned target;
     ``outstanding_cpu_millis`` is the processor demand of outstanding tasks.
+    ``cancelled`` has the outstanding tasks whose job was aborted, and when.
     """
 
     target: target.Target
@@ -94,6 +95,9 @@
     outstanding: dict[contracts.TaskKey, Outstanding] = dataclasses.field(
         default_factory=dict
     )
+    cancelled: dict[contracts.TaskKey, float] = dataclasses.field(
+        default_factory=dict
+    )
     suspect: bool = False
     allowance: int = INITIAL_ALLOWANCE
     last_ramp_s: float = float('-inf')
@@ -187,9 +191,15 @@
         self._demands.append(start.demand)
         self._estimate_free()
 
+    def cancel(self, key: contracts.TaskKey, now_s: float) -> None:
+        """Record that the job of an outstanding task was aborted."""
+        if key in self.outstanding:
+            self.cancelled.setdefault(key, now_s)
+
     def settle(self, key: contracts.TaskKey) -> Outstanding | None:
         """Remove a key; return its start, or None if not outstanding."""
         start = self.outstanding.pop(key, None)
+        self.cancelled.pop(key, None)
         if start is not None:
             self.outstanding_cpu_millis -= start.demand.cpu_millis
         self._estimate_free()
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -239,6 +239,7 @@
         entries: tuple[str, ...],
         queue_limit: int = 10,
         entry_ttl_s: float = float('inf'),
+        renewal_interval_s: float = agent.RENEWAL_INTERVAL_S,
     ) -> None:
         """Add an agent that manages one target."""
 
@@ -250,6 +251,7 @@
                     entries,
                     queue_limit,
                     entry_ttl_s,
+                    renewal_interval_s,
                 )
             )
 
@@ -459,7 +461,8 @@
         run_s, succeeded = self.run_model(
             node.name, key, start.kind, start.payload
         )
-        if run_s > start.limit_s:
+        # A target that runs tasks under leases does not know their limits.
+        if self.hold_lease_s == float('inf') and run_s > start.limit_s:
             run_s, succeeded = start.limit_s, False
         body = b'{}' if succeeded else b'failed'
         self.tally.runs.append((self.now_s, run_s, node.name))
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -42,7 +42,11 @@
 )
 
 
-def make_world(seed: int = 1, agents: int = 3) -> virtual.World:
+def make_world(
+    seed: int = 1,
+    agents: int = 3,
+    renewal_interval_s: float = agent.RENEWAL_INTERVAL_S,
+) -> virtual.World:
     """Return a world whose targets declare their resources."""
     world = virtual.World(seed)
     world.hold_lease_s = HOLD_LEASE_S
@@ -53,7 +57,9 @@
         target = dataclasses.replace(
             worlds.make_target(position, 0), service='cover-check', room=ROOM
         )
-        world.add_agent(target, worlds.ENTRIES, 8, ENTRY_TTL_S)
+        world.add_agent(
+            target, worlds.ENTRIES, 8, ENTRY_TTL_S, renewal_interval_s
+        )
     worlds.change(
         world,
         'entry-1',
