Count a start that is fenced unseen as received

Callers of a busy entry waited although a target had room. An entry takes the starts that it sent and that the agent has not counted for starts under way, and subtracts their demands from the reported room. A lost start was never counted, so one demand at that target stayed out of use until nothing of the entry was outstanding there.

An agent that fences an attempt whose start it has not seen counts it as received. If the start comes after all it is counted twice, and the entry believes in one demand more until it is idle there; the agent declines what does not fit.

Evidence: test_lost_starts_occupy_no_room failed in both rows before (4000 millis believed free where 6000 were) and passes now.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -358,6 +358,8 @@
         if self._is_stale(fence.incarnation, fence.stamp_ms, now_s):
             key = contracts.TaskKey(fence.submission, fence.index)
             return [self._make_unknown(peer, key, fence.attempt)]
+        # The entry subtracts the starts that are not counted here.
+        self.entries[peer].starts_seen += 1
         return self._decline(peer, fence, 'fenced', now_s)
 
     def _cancel(
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -428,6 +428,25 @@
         self.assertIsInstance(answer, contracts.Complete)
         self.assertEqual(len(world.started_at), 1 + failures)
 
+    @ddt.data(1, 3)
+    def test_lost_starts_occupy_no_room(self, count: int) -> None:
+        world = make_world(agents=1)
+        submit(world, 'entry-1', 'a' * 16, tasks=1)
+        world.run(0.1)
+        route = world.router
+        world.router = lambda sender, peer, message: (
+            []
+            if isinstance(message, messages.TaskStart) and message.attempt == 1
+            else route(sender, peer, message)
+        )
+        world.run_model = lambda *_: (0.1, True)
+        submit(world, 'entry-1', 'b' * 16, tasks=count, estimate_s=0.1)
+        world.run(2.0)
+        self.assertEqual(len(world.started_at), 1 + count)
+        view = world.nodes['entry-1'].core.dispatcher.views['runner-1']
+        self.assertEqual(len(view.outstanding), 1)
+        self.assertEqual(view.free_room, ROOM.subtract(DEMAND))
+
 
 if __name__ == '__main__':
     unittest.main()
