--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -42,7 +42,11 @@
 )
 
 
-def make_world(seed: int = 1, agents: int = 3) -> virtual.World:
+def make_world(
+    seed: int = 1,
+    agents: int = 3,
+    renewal_interval_s: float = agent.RENEWAL_INTERVAL_S,
+) -> virtual.World:
     """Return a world whose targets declare their resources."""
     world = virtual.World(seed)
     world.hold_lease_s = HOLD_LEASE_S
@@ -53,7 +57,9 @@
         target = dataclasses.replace(
             worlds.make_target(position, 0), service='cover-check', room=ROOM
         )
-        world.add_agent(target, worlds.ENTRIES, 8, ENTRY_TTL_S)
+        world.add_agent(
+            target, worlds.ENTRIES, 8, ENTRY_TTL_S, renewal_interval_s
+        )
     worlds.change(
         world,
         'entry-1',
@@ -72,6 +78,7 @@
     job_id: str = 'aaaaaaaaaaaaaaaa',
     tasks: int = 4,
     limit_s: float = 9.0,
+    estimate_s: float = TASK_S,
 ) -> int:
     """Submit a transient job; return the request number."""
     submission = contracts.Submission(
@@ -84,7 +91,7 @@
         False,
         transient=True,
         demand=DEMAND,
-        estimate_s=TASK_S,
+        estimate_s=estimate_s,
     )
     return worlds.submit(world, entry_name, submission)
 
@@ -385,5 +392,61 @@
         self.assertEqual(find_overlaps(world), [])
 
 
+# The attempts of one task whose starts are lost, at its only target, and the
+# number of runs that fail before one succeeds.
+LOST_STARTS: tuple[tuple[frozenset[int], int], ...] = (
+    (frozenset({1}), 0),
+    (frozenset({1, 2}), 0),
+    (frozenset({1, 2, 3}), 0),
+    (frozenset({2}), 1),
+)
+
+
+@ddt.ddt
+class LostStartTest(unittest.TestCase):
+    """A start that is lost again is asked for until the time limit."""
+
+    @ddt.data(*LOST_STARTS)
+    @ddt.unpack
+    def test_job_completes_after_lost_starts(
+        self, lost: frozenset[int], failures: int
+    ) -> None:
+        world = make_world(agents=1)
+        world.run_model = lambda *_: (0.1, len(world.started_at) > failures)
+        route = world.router
+
+        def drop(sender: str, peer: str, message: object) -> list[float]:
+            match message:
+                case messages.TaskStart(attempt=attempt) if attempt in lost:
+                    return []
+                case _:
+                    return route(sender, peer, message)
+
+        world.router = drop
+        request = submit(world, 'entry-1', tasks=1, estimate_s=0.1)
+        answer = worlds.await_answer(world, request)
+        self.assertIsInstance(answer, contracts.Complete)
+        self.assertEqual(len(world.started_at), 1 + failures)
+
+    @ddt.data(1, 3)
+    def test_lost_starts_occupy_no_room(self, count: int) -> None:
+        world = make_world(agents=1)
+        submit(world, 'entry-1', 'a' * 16, tasks=1)
+        world.run(0.1)
+        route = world.router
+        world.router = lambda sender, peer, message: (
+            []
+            if isinstance(message, messages.TaskStart) and message.attempt == 1
+            else route(sender, peer, message)
+        )
+        world.run_model = lambda *_: (0.1, True)
+        submit(world, 'entry-1', 'b' * 16, tasks=count, estimate_s=0.1)
+        world.run(2.0)
+        self.assertEqual(len(world.started_at), 1 + count)
+        view = world.nodes['entry-1'].core.dispatcher.views['runner-1']
+        self.assertEqual(len(view.outstanding), 1)
+        self.assertEqual(view.free_room, ROOM.subtract(DEMAND))
+
+
 if __name__ == '__main__':
     unittest.main()
