--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -16,6 +16,7 @@
 from eelgrassworks import entry
 from eelgrassworks import heldagentprocess
 from eelgrassworks import keyrecords
+from eelgrassworks.links import continuity
 from eelgrassworks.links import messages
 from eelgrassworks.trials import virtual
 from tests import test_transient
@@ -29,7 +30,7 @@
 RUN_S = 2.5
 # Jobs end this long after they were submitted.
 END_S = 1.0
-PAUSE_S = entry.MAX_EVENT_GAP_S + 0.01
+PAUSE_S = continuity.MAX_EVENT_GAP_S + 0.01
 
 # Tells whether a frame from one node to another is lost; given are its time
 # after the end of the job and its messages.
