Count only messages of other machines against an isolation

An entry on a VM that also has a control replica was never taken as isolated: the replica on its own machine still answers it when the machine is cut off. It kept its jobs and ran them beside their resubmission, as before. Found in review.

Where all processes share a machine, no entry is ever isolated.

Test: the three new rows with control-1 on the machine of the entry failed before; the 27 tests of test_isolation pass.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -91,11 +91,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Received:
-    """Messages of one frame arrived from another process."""
+    """Messages of one frame arrived from another process.
+
+    ``is_local`` is set if that process runs on the same machine, so that the
+    frame shows nothing about the network.
+    """
 
     peer: str
     incarnation: int
     messages: tuple[object, ...]
+    is_local: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,8 +163,9 @@
         self, event: EntryEvent, now_s: float
     ) -> effects.Effects:
         match event:
-            case Received(peer, incarnation, received):
-                self._continuity.record_message(now_s)
+            case Received(peer, incarnation, received, is_local):
+                if not is_local:
+                    self._continuity.record_message(now_s)
                 result = []
                 for message in received:
                     result += self._handle_message(
--- a/eelgrassworks/errors.py
+++ b/eelgrassworks/errors.py
@@ -170,7 +170,7 @@
     Code.ISOLATED: Wording(
         503,
         'Entry isolated',
-        'this entry has had no message of another process for {silent_s} s',
+        'this entry has had no message of another machine for {silent_s} s',
         'submit the job again, to another entry',
     ),
     Code.NOT_FOUND: Wording(
--- a/eelgrassworks/links/continuity.py
+++ b/eelgrassworks/links/continuity.py
@@ -1,6 +1,6 @@
 """Interruptions after which the callers of a process may be elsewhere.
 
-A process that was suspended, or that hears no other process, can't know
+A process that was suspended, or that hears no other machine, can't know
 whether its callers still wait for it: they may have submitted their jobs
 again at another process.
 """
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolated:
-    """No message of another process has arrived for a while."""
+    """No message of another machine has arrived for a while."""
 
     silent_s: float
 
@@ -45,7 +45,7 @@
 
 
 class Continuity:
-    """Tracks the times of events and of messages of other processes."""
+    """Tracks the times of events and of messages of other machines."""
 
     def __init__(self) -> None:
         self._last_event_s = float('-inf')
@@ -53,7 +53,7 @@
         self._isolated = False
 
     def record_message(self, now_s: float) -> None:
-        """Record that a message of another process has arrived."""
+        """Record that a message of another machine has arrived."""
         self._last_message_s = now_s
 
     def observe(self, now_s: float) -> Interruption | None:
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -133,6 +133,8 @@
         self.sync_s = SYNC_S
         self.router: Router = self._route
         self.cut: set[tuple[str, str]] = set()
+        # Names of the nodes that share a machine with another one.
+        self.machines: dict[str, str] = {}
         self.run_model: RunModel = _default_run_model
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence_numbers = itertools.count()
@@ -445,8 +447,13 @@
         receiver = self.nodes.get(peer)
         if receiver is None:
             return
+        machine = self.machines.get(sender.name, sender.name)
         event = make_received(
-            receiver.role, sender.name, self._make_run(sender), message
+            receiver.role,
+            sender.name,
+            self._make_run(sender),
+            message,
+            is_local=machine == self.machines.get(peer, peer),
         )
 
         def arrive() -> None:
@@ -555,13 +562,19 @@
     return 0.1, True
 
 
-def make_received(role: str, sender: str, run: int, message: object) -> object:
+def make_received(
+    role: str,
+    sender: str,
+    run: int,
+    message: object,
+    is_local: bool = False,
+) -> object:
     """Return the event by which a role receives one message."""
     match role:
         case 'control':
             return control.Received(sender, run, message)
         case 'entry':
-            return entry.Received(sender, run, (message,))
+            return entry.Received(sender, run, (message,), is_local)
         case _:
             return agent.Received(sender, run, message)
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -78,13 +78,17 @@
 )
 
 # How long an entry is cut off from all other processes while its callers are
-# elsewhere, in seconds, and the number of tasks of the job.
-SECOND_OWNERS: tuple[tuple[float, int], ...] = (
-    (1.0, 4),
-    (1.5, 4),
-    (2.5, 4),
-    (4.0, 4),
-    (4.0, 24),
+# elsewhere, in seconds, the number of tasks of the job, and other processes
+# on the machine of the entry.
+SECOND_OWNERS: tuple[tuple[float, int, tuple[str, ...]], ...] = (
+    (1.0, 4, ()),
+    (1.5, 4, ()),
+    (2.5, 4, ()),
+    (4.0, 4, ()),
+    (4.0, 24, ()),
+    (1.0, 4, ('control-1',)),
+    (1.5, 4, ('control-1',)),
+    (2.5, 4, ('control-1',)),
 )
 
 # Messages of an earlier run of an entry that arrive when a later run has a
@@ -127,13 +131,20 @@
     return held
 
 
-def cut_off(world: virtual.World, name: str, cut_s: float) -> None:
-    """Cut a node off from all other nodes for a while."""
+def cut_off(
+    world: virtual.World,
+    cut_s: float,
+    name: str,
+    companions: tuple[str, ...] = (),
+) -> None:
+    """Cut the machine of a node off from all other machines for a while."""
+    inside = {name, *companions}
+    world.machines |= dict.fromkeys(inside, 'machine-1')
     links = {
         pair
-        for other in world.nodes
-        if other != name
-        for pair in ((name, other), (other, name))
+        for each in inside
+        for other in world.nodes.keys() - inside
+        for pair in ((each, other), (other, each))
     }
     world.cut |= links
     world.at(cut_s, lambda: world.cut.difference_update(links))
@@ -233,7 +244,7 @@
     @ddt.data(*SECOND_OWNERS)
     @ddt.unpack
     def test_job_of_a_cut_off_entry_does_not_run_beside_a_resubmission(
-        self, cut_s: float, tasks: int
+        self, cut_s: float, tasks: int, companions: tuple[str, ...]
     ) -> None:
         for seed in SEEDS:
             world = test_transient.make_world(seed)
@@ -241,7 +252,7 @@
                 world, 'entry-1', tasks=tasks, limit_s=LIMIT_S
             )
             world.run(0.5)
-            cut_off(world, 'entry-1', cut_s)
+            cut_off(world, cut_s, 'entry-1', companions)
             world.run(test_transient.RESUBMIT_S)
             # The first caller was answered, if it could be reached.
             self.assertIn(first, world.replies)
@@ -256,7 +267,7 @@
     def test_cut_off_entry_refuses_jobs_at_once(self) -> None:
         world = test_transient.make_world()
         core = world.nodes['entry-1'].core
-        cut_off(world, 'entry-1', CUT_S)
+        cut_off(world, CUT_S, 'entry-1')
         world.run(1.0)
         self.assertFalse(core.is_ready(world.now_s))
         refused = test_transient.submit(world, 'entry-1')
