Ignore renewals of runs of an entry that ended before the current one

A run of an entry that ended before it was registered has left renewals in its connection. When they arrived after a later run had registered, the leader took them for a newer run and retired the living one, which halted: a process that ends by itself, with open jobs. The leader knew only runs that had been registered as earlier ones.

The leader now compares the sending times of renewals, by the boot clock of the entry's machine: a renewal of another run that precedes the latest one of the registered run is ignored while that run has renewed within 2 s. After that time, or where the machine restarted, it counts as new.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -25,6 +25,8 @@
 from eelgrassworks.zones import grants
 
 ENTRY_TTL_S: Final = 5.0
+# A run of an entry that renewed within this time still runs: five renewals.
+RUN_CONTACT_TIMEOUT_S: Final = 2.0
 SNAPSHOT_INTERVAL: Final = 4096
 # Bounds the size of one record of the log, and how long its sync takes.
 MAX_BATCH_CLAIMS: Final = 4096
@@ -199,6 +201,8 @@
             collections.deque()
         )
         self._entry_last_contact_s: dict[str, float] = {}
+        # By entry name, the latest renewal of the registered run.
+        self._latest_renewals: dict[str, messages.EntryRenewal] = {}
         # By entry name: the nonce of the run whose registration is proposed.
         self._registering: dict[str, int] = {}
         # By entry name: its latest renewal that could not be answered.
@@ -281,8 +285,12 @@
         if not self.replica.has_committed_in_term():
             self._defer_renewal(peer, renewal, inputs)
             return [self._send_not_leader(peer)]
-        self._entry_last_contact_s[renewal.name] = inputs.now_s
         record = self.ledger.entries.get(renewal.name)
+        if record is not None and self._is_outdated(record, renewal, inputs):
+            return []
+        self._entry_last_contact_s[renewal.name] = inputs.now_s
+        if record is not None and renewal.nonce == record.nonce:
+            self._latest_renewals[renewal.name] = renewal
         if record is not None and renewal.nonce in record.retired:
             # This run was replaced.  The lease names the newer incarnation,
             # which makes the replaced run end itself.
@@ -297,6 +305,27 @@
             return self._propose_registration(renewal, inputs)
         return self._send_lease(peer, renewal, record.incarnation, inputs)
 
+    def _is_outdated(
+        self,
+        record: ledger.EntryRecord,
+        renewal: messages.EntryRenewal,
+        inputs: decisioninputs.DecisionInputs,
+    ) -> bool:
+        """Tell whether a renewal precedes those of the registered run.
+
+        A connection may deliver it after its run has ended.  The boot clock
+        of the entry's machine orders the runs, until the machine restarts.
+        """
+        latest = self._latest_renewals.get(renewal.name)
+        if latest is None or latest.nonce != record.nonce:
+            return False
+        contact_s = self._entry_last_contact_s.get(renewal.name, float('-inf'))
+        return (
+            renewal.nonce != record.nonce
+            and renewal.sent_ms < latest.sent_ms
+            and inputs.now_s - contact_s < RUN_CONTACT_TIMEOUT_S
+        )
+
     def _defer_renewal(
         self,
         peer: str,
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -150,16 +150,17 @@
     world.at(cut_s, lambda: world.cut.difference_update(links))
 
 
-def hold_up_renewals(world: virtual.World, name: str, late_s: float) -> None:
-    """Delay the renewals of the agent's current incarnation."""
+def hold_up_renewals(
+    world: virtual.World, name: str, kind: type, late_s: float
+) -> None:
+    """Delay the renewals of a node's current run, or of its next one."""
     route = world.router
-    run = world.nodes[name].run
+    node = world.nodes[name]
+    run = node.run + (node.core is None)
 
     def delay(sender: str, receiver: str, message: object) -> list[float]:
         is_late = (
-            isinstance(message, messages.AgentRenewal)
-            and sender == name
-            and world.nodes[name].run == run
+            isinstance(message, kind) and sender == name and node.run == run
         )
         latency_s = route(sender, receiver, message)
         return [each + late_s for each in latency_s] if is_late else latency_s
@@ -197,7 +198,7 @@
     ) -> None:
         for seed in SEEDS:
             world = test_transient.make_world(seed)
-            hold_up_renewals(world, 'runner-1', late_s)
+            hold_up_renewals(world, 'runner-1', messages.AgentRenewal, late_s)
             world.run(1.0)
             world.kill('runner-1')
             world.start('runner-1')
@@ -311,6 +312,26 @@
         )
         self.assertEqual(is_started, not stops)
 
+    # Guards against a run of an entry that is replaced by a renewal of an
+    # earlier run, which was never registered and arrives late.
+    @ddt.data(0.5, 1.5, 3.0)
+    def test_late_renewal_of_an_earlier_run_replaces_nothing(
+        self, late_s: float
+    ) -> None:
+        for seed in SEEDS:
+            world = test_transient.make_world(seed)
+            world.kill('entry-1')
+            hold_up_renewals(world, 'entry-1', messages.EntryRenewal, late_s)
+            world.start('entry-1')
+            world.run(0.4)
+            world.kill('entry-1')
+            world.start('entry-1')
+            world.run(late_s + 2.0)
+            self.assertEqual(world.halted, {})
+            request = test_transient.submit(world, 'entry-1')
+            answer: Any = worlds.await_answer(world, request)
+            self.assertIsInstance(answer, contracts.Complete)
+
 
 if __name__ == '__main__':
     unittest.main()
