Announce an agent only after the runs of its earlier process

A task could run twice at the same time after the restart of an agent beside a target that drains, or of one that is told to stop at once.

Cause: the process held back ticks until the target had listed no unknown run, but a report of a draining target and a planned stop sent renewals at once. An entry takes the first renewal of an incarnation as the end of all tasks of the earlier one and starts them again elsewhere, while they still run until they are stopped as unknown or their lease ends.

Change: the agent itself sends no renewal before the first check of its target, whatever the event.

Evidence: three of the four rows of test_agent_is_silent_until_earlier_runs_have_ended failed before.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -169,6 +169,9 @@
         self.lease = zones.Lease()
         self.policy = zones.DomainPolicy(0, False, False, frozenset())
         self.healthy = True
+        # Entries take the first renewal of an incarnation as the end of all
+        # tasks of the earlier ones, so it must not precede that end.
+        self.announced = True
         self.stopping = False
         self.entries: dict[str, EntryView] = {}
         self.records = keyrecords.KeyRecords()
@@ -726,6 +729,8 @@
     def _send_renewals_to(
         self, names: Sequence[str], now_s: float
     ) -> effects.Effects:
+        if not self.announced:
+            return []
         self._renewed_s.update(dict.fromkeys(names, now_s))
         target = self.options.target
         accepting = not self.stopping and self.healthy and not self.draining
@@ -787,6 +792,7 @@
     def _handle_health(self, healthy: bool, now_s: float) -> effects.Effects:
         changed = healthy != self.healthy
         self.healthy = healthy
+        self.announced = True
         if not changed:
             return []
         return self._fill_slots(now_s) + self._send_renewals(now_s)
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -104,7 +104,6 @@
         self._report_sequence = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._health_reported = False
         self._stopping = False
 
     async def start(self) -> None:
@@ -165,7 +164,6 @@
         self.held = heldtarget.HeldTarget(
             report.incarnation, report.clock_ms, now_s
         )
-        self._health_reported = False
         incarnation = self.link.sender.incarnation + 1
         self.link.sender = dataclasses.replace(
             self.link.sender, incarnation=incarnation
@@ -189,6 +187,8 @@
             )
         )
         self.agent.healthy = False
+        # Unknown runs of an earlier process may still run at the target.
+        self.agent.announced = False
         self._wake.set()
 
     # Events and effects.
@@ -201,10 +201,6 @@
             if isinstance(event, agent.StopRequested):
                 return [effects.Exit()]
             return []
-        if isinstance(event, agent.Ticked) and not self._health_reported:
-            # Unknown runs of an earlier process may still run at the target;
-            # renewals to the entries begin once these runs have ended.
-            return []
         return self.agent.handle(event, now_s)
 
     def perform(self, effect: effects.Effect) -> None:
@@ -248,7 +244,6 @@
             case holds.RunRejected(key, reason):
                 self.dispatch(agent.TaskRejected(key, reason))
             case holds.HealthChanged(healthy):
-                self._health_reported = True
                 logs.log(
                     'target_sound' if healthy else 'target_silent',
                     target=held.incarnation.name,
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 import unittest
+from unittest import mock
 
 import ddt
 
@@ -11,6 +13,7 @@
 from eelgrassworks import links
 from eelgrassworks import settings
 from eelgrassworks.links import bus
+from eelgrassworks.links import messages
 from eelgrassworks.machines import heldtarget
 from eelgrassworks.machines import holds
 
@@ -488,21 +491,24 @@
         """Do nothing."""
 
 
+def make_process(link: ResettingLink) -> heldagentprocess.HeldAgentProcess:
+    """Return the process of an agent without peers."""
+    options = heldagentprocess.HeldAgentOptions(
+        'side-1',
+        settings.WorkerModel('worker-1', 'tema-port'),
+        {},
+        settings.HttpModel('127.0.0.1', 0),
+    )
+    sender = links.Sender('side-1', 1, '')
+    return heldagentprocess.HeldAgentProcess(
+        options, bus.BusTransport(bus.Bus(), links.Codec(b'k'), sender), link
+    )
+
+
 class PaceTest(unittest.IsolatedAsyncioTestCase):
     async def test_broken_hold_is_not_repeated_at_once(self) -> None:
         link = ResettingLink()
-        options = heldagentprocess.HeldAgentOptions(
-            'side-1',
-            settings.WorkerModel('worker-1', 'tema-port'),
-            {},
-            settings.HttpModel('127.0.0.1', 0),
-        )
-        sender = links.Sender('side-1', 1, '')
-        running = heldagentprocess.HeldAgentProcess(
-            options,
-            bus.BusTransport(bus.Bus(), links.Codec(b'k'), sender),
-            link,
-        )
+        running = make_process(link)
         running.handle_report(REPORT)
         holding = asyncio.create_task(running._hold_target())
         # Iterations of the event loop; they take far less time than the pause
@@ -513,5 +519,62 @@
         self.assertLessEqual(link.holds, 3)
 
 
+# Reports of a target, before its first listing, to an agent process that has
+# just started, and whether that process is told to stop.
+EARLY_EVENTS: tuple[tuple[str, tuple[holds.TargetReport, ...], bool], ...] = (
+    ('target serves', (REPORT,), False),
+    (
+        'target drains from the start',
+        (dataclasses.replace(REPORT, draining=True),),
+        False,
+    ),
+    (
+        'target begins to drain',
+        (REPORT, dataclasses.replace(REPORT, sequence=2, draining=True)),
+        False,
+    ),
+    ('agent stops', (REPORT,), True),
+)
+
+
+@ddt.ddt
+class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against entries that take the runs of an earlier agent process
+    # as ended and start the tasks again, while these still run.
+    @ddt.data(*EARLY_EVENTS)
+    @ddt.unpack
+    async def test_agent_is_silent_until_earlier_runs_have_ended(
+        self, _: str, reports: tuple[holds.TargetReport, ...], stops: bool
+    ) -> None:
+        running = make_process(ResettingLink())
+        sent: list[object] = []
+        entry_link = links.Sender('entry-1', 1, 'tcp://entry-1')
+        roster = messages.RosterUpdate({}, {'entry-1': entry_link.address})
+        with mock.patch.object(
+            running.link, 'post', lambda _, message: sent.append(message)
+        ):
+            running.receive(links.Frame(entry_link, (roster,)))
+            for report in reports:
+                running.handle_report(report)
+            if stops:
+                running.begin_stop()
+            running.dispatch(running.make_tick())
+            self.assertEqual(list_renewals(sent), [])
+            if stops:
+                return
+            held: Any = running.held
+            held.begin_hold(0.0)
+            running.dispatch_held(list_runs(1))
+            self.assertEqual(
+                [each.accepting for each in list_renewals(sent)],
+                [not reports[-1].draining],
+            )
+
+
+def list_renewals(sent: list[object]) -> list[messages.AgentRenewal]:
+    """Return the renewals among sent messages."""
+    return [each for each in sent if isinstance(each, messages.AgentRenewal)]
+
+
 if __name__ == '__main__':
     unittest.main()
