Carry out cancellations of any run of an entry

A frame that confirms a lease carries the cancellations before it. If it is the first one of a restarted entry to reach an agent, the cancellation was dropped as a message of an earlier run, since it has no stamp, and the lease after it was taken: a start that the frame overtook could run until the next confirmation.

Only one run of an entry ever owns a job, so a cancellation is carried out whichever run it comes from, and does not count as a sign of a restart.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -214,6 +214,9 @@
         if view is None:
             view = self.entries[peer] = EntryView(incarnation)
         if incarnation != view.incarnation:
+            if isinstance(message, messages.JobCancel):
+                # Only one run of an entry ever owns a job of these ids.
+                return self._cancel(message.submissions, now_s)
             if not _is_later(message, view):
                 self.counters['messages_outdated'] += 1
                 return []
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -6,19 +6,23 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import random
 from typing import NamedTuple
 import unittest
 
 import ddt
 
+from eelgrassworks import agent
 from eelgrassworks import contracts
+from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import heldagentprocess
 from eelgrassworks import keyrecords
 from eelgrassworks.links import continuity
 from eelgrassworks.links import messages
 from eelgrassworks.trials import virtual
+from tests import test_isolation
 from tests import test_transient
 from tests import worlds
 
@@ -222,6 +226,33 @@
             slots = world.nodes[f'runner-{position + 1}'].core.slots
             self.assertEqual(slots.occupants, {})
 
+    # Guards against a run of a cancelled job when the first frame of a
+    # restarted entry that arrives at the agent has the cancellation.
+    @ddt.data(1, 2)
+    def test_cancellation_counts_for_each_run_of_an_entry(
+        self, run: int
+    ) -> None:
+        target = dataclasses.replace(
+            worlds.make_target(0, 0),
+            service='cover-check',
+            room=test_transient.ROOM,
+        )
+        core = agent.Agent(
+            agent.AgentOptions(target, 1, ('entry-1',), 8, ENTRY_TTL_S)
+        )
+        for sender, message in (
+            (1, test_isolation.make_agent_lease(10.0)),
+            (run, messages.JobCancel(('job-1',))),
+            (run, test_isolation.make_agent_lease(10.1)),
+            (run, test_isolation.make_start('job-1', 10.1)),
+        ):
+            result = core.handle(
+                agent.Received('entry-1', sender, message), 10.2
+            )
+        self.assertFalse(
+            any(isinstance(each, effects.StartTask) for each in result)
+        )
+
 
 def make_world(seed: int) -> virtual.World:
     """Return a world with the timing of agents whose targets have leases."""
