Answer the open jobs of an entry that halts as may have run

An entry that halts (another process has its name) answered its open jobs with 503 as not run, although their tasks may run or have run. The cause is one answer for requests that were open at the end and for those that came later.

RequestDropped now tells the two apart: an open job gets 504 (may have run), a later one 503.

--- a/eelgrassworks/fronts/callers.py
+++ b/eelgrassworks/fronts/callers.py
@@ -160,11 +160,12 @@
             response: web.Response = await handler
         except RequestRefusedError as error:
             return problems.respond_problem(error.refusal)
-        except process.RequestDropped:
-            # An entry ends only when all of its jobs are answered.
-            return problems.respond_problem(
-                errors.refuse(errors.Code.STOPPING)
-            )
+        except process.RequestDropped as dropped:
+            # Only a process that halts leaves requests open.
+            refuse = errors.refuse
+            if dropped.was_open:
+                refuse = errors.refuse_started
+            return problems.respond_problem(refuse(errors.Code.STOPPING))
         return response
 
     async def _submit(
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -62,8 +62,8 @@
         else:
             try:
                 response = await self._route(request)
-            except process.RequestDropped:
-                response = respond_refusal(errors.refuse(errors.Code.STOPPING))
+            except process.RequestDropped as dropped:
+                response = respond_dropped(dropped.was_open)
         if self._process.entry.stopping:
             # A new connection of the caller leads to another node.
             response.force_close()
@@ -198,6 +198,17 @@
             return respond_refusal(refusal)
 
 
+def respond_dropped(was_open: bool) -> web.Response:
+    """Return the HTTP response for a job that the end of the process met.
+
+    Tasks of a job that was open may have run.
+    """
+    if was_open:
+        refusal = errors.refuse_started(errors.Code.STOPPING)
+        return respond_answer(contracts.Failed(refusal))
+    return respond_refusal(errors.refuse(errors.Code.STOPPING))
+
+
 def respond_unmatched_path(is_current: bool, path: str) -> web.Response:
     """Return the response for a path that no kind matches.
 
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -42,11 +42,16 @@
 
 
 class RequestDropped(Exception):
-    """The process ended before it handled a request.
+    """The process ended before it answered a request.
 
-    The request had no effect unless it was opened before the end.
+    A request that was open at the end may have had an effect; one that came
+    later had none.
     """
 
+    def __init__(self, was_open: bool) -> None:
+        super().__init__()
+        self.was_open = was_open
+
 
 class FrontEnd(Protocol):
     """A front end that a process serves in addition to its own routes."""
@@ -158,7 +163,7 @@
         Raises RequestDropped once the process has ended.
         """
         if self.ended.is_set():
-            raise RequestDropped
+            raise RequestDropped(was_open=False)
         self._next_request += 1
         future: asyncio.Future[Any] = (
             asyncio.get_running_loop().create_future()
@@ -315,7 +320,7 @@
         requests, self._requests = self._requests, {}
         for future in requests.values():
             if not future.done():
-                future.set_exception(RequestDropped())
+                future.set_exception(RequestDropped(was_open=True))
 
     # HTTP.
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,11 +14,13 @@
 
 from eelgrassworks import clock
 from eelgrassworks import entryprocess
+from eelgrassworks import errors
 from eelgrassworks import links
 from eelgrassworks import process
 from eelgrassworks import settings
 from eelgrassworks.fronts import entryapi
 from eelgrassworks.links import bus
+from eelgrassworks.platform import ingress
 from soak import proxy
 from tests import deployment
 
@@ -289,6 +291,38 @@
         with self.assertRaises(process.RequestDropped):
             await running.await_reply(number, future)
 
+    # Guards against a job that is answered as not run by an entry that halts
+    # while tasks of the job run.
+    async def test_open_job_of_a_halted_entry_may_have_run(self) -> None:
+        running = make_entry()
+        front = entryapi.EntryApi(running)
+        await front.open()
+        opened = asyncio.Event()
+        with mock.patch.object(running, 'dispatch', lambda _: opened.set()):
+            async with aiohttp.ClientSession() as session:
+                request = asyncio.create_task(
+                    session.post(
+                        f'http://127.0.0.1:{front.port}/v1/tasks',
+                        json={'kind': 'crack-flag', 'task': {}},
+                        headers={'Team': 'inspectors'},
+                    )
+                )
+                await opened.wait()
+                running.halt(errors.refuse(errors.Code.SUPERSEDED, name='a'))
+                running._drop_requests()
+                response = await request
+                problem = await response.json(content_type=None)
+        self.assertEqual(problem['ran'], 'may have run')
+        await running.finish()
+
+    @ddt.data((True, 504), (False, 503))
+    @ddt.unpack
+    def test_dropped_job_of_the_platform_has_a_true_status(
+        self, was_open: bool, status: int
+    ) -> None:
+        response = ingress.respond_dropped(was_open)
+        self.assertEqual(response.status, status)
+
 
 class IdleConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def test_stopping_entry_closes_connections_without_a_request(
