Let the target itself confirm the incarnation that is followed

Cause: any report whose start time was later than the current one replaced the target at once. Its runs were reported as ended while they went on, the next hold named another start time, and from then on each report of the real target counted as outdated. A report that came first had the same effect, and raised the fence at the real target beyond what the agent used later. A huge sequence number hid a later drain.

Change: times are bounded; a later incarnation replaces a confirmed one only when the target's response to a hold shows that the confirmed one is over; an unconfirmed one gives way to any report that is not outdated; the fence goes on rising over both. The sequence number orders nothing, since a drain is final.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -101,7 +101,12 @@
             tuple(options.replicas), options.name
         )
         self._target_link = target_link
-        self._report_sequence = 0
+        # Report of a later incarnation, which the target has not confirmed;
+        # only the response to a hold with a higher number can confirm it.
+        self._candidate: holds.TargetReport | None = None
+        self._candidate_hold = 0
+        # Start time of the latest incarnation that the target has confirmed.
+        self._confirmed_born_ms = -1
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._health_reported = False
@@ -127,22 +132,26 @@
     # Reports of the target.
 
     def handle_report(self, report: holds.TargetReport) -> None:
-        """Handle a report of the target; outdated reports are ignored."""
-        now_s = clock.read_now()
+        """Handle a report of the target; outdated reports are ignored.
+
+        A report may come from another writer.  One of a later incarnation
+        replaces a confirmed one only when the target's response to a hold
+        shows that the confirmed one has ended.  Reports of one incarnation
+        need no order: a drain is final.
+        """
         held = self.held
-        if (
-            held is None
-            or report.incarnation.born_ms > held.incarnation.born_ms
-        ):
-            self._start_incarnation(report, now_s)
-        elif report.incarnation != held.incarnation or (
-            report.sequence <= self._report_sequence
-        ):
+        if held is not None and report.incarnation == held.incarnation:
+            if report.draining:
+                self.dispatch(agent.TargetDraining())
+        elif report.incarnation.born_ms <= self._confirmed_born_ms:
             logs.log('report_outdated', target=report.incarnation.name)
-            return
-        self._report_sequence = report.sequence
-        if report.draining:
-            self.dispatch(agent.TargetDraining())
+        elif held is not None and held.confirmed and not held.ended:
+            logs.log('report_unconfirmed', target=report.incarnation.name)
+            self._candidate = report
+            self._candidate_hold = held.hold_number
+            self._wake.set()
+        else:
+            self._start_incarnation(report, clock.read_now())
 
     def handle_departure(self, name: str) -> None:
         """Handle the target's announcement that it is stopping."""
@@ -153,7 +162,9 @@
     def _start_incarnation(
         self, report: holds.TargetReport, now_s: float
     ) -> None:
-        if self.held is not None and not self.held.ended:
+        last_fence = 0
+        if self.held is not None:
+            last_fence = self.held.fence
             self.dispatch_held(holds.TargetDeparted())
         logs.log(
             'target_began',
@@ -163,7 +174,7 @@
             labels=','.join(report.labels),
         )
         self.held = heldtarget.HeldTarget(
-            report.incarnation, report.clock_ms, now_s
+            report.incarnation, report.clock_ms, now_s, last_fence
         )
         self._health_reported = False
         incarnation = self.link.sender.incarnation + 1
@@ -189,6 +200,8 @@
             )
         )
         self.agent.healthy = False
+        if report.draining:
+            self.dispatch(agent.TargetDraining())
         self._wake.set()
 
     # Events and effects.
@@ -272,7 +285,7 @@
     async def _hold_target(self) -> None:
         while not self.ended.is_set():
             held = self.held
-            if held is None or not held.needs_hold:
+            if held is None or not (held.needs_hold or self._candidate):
                 self._wake.clear()
                 await self._wake.wait()
                 continue
@@ -291,6 +304,8 @@
         if held is not self.held:
             return
         self.dispatch_held(response)
+        if isinstance(response, holds.HoldResponse):
+            self._choose_incarnation(held, response)
         match response:
             case holds.HoldUnanswered():
                 # A reset or a refusal comes at once; each hold after it would
@@ -303,6 +318,22 @@
             case _:
                 pass
 
+    def _choose_incarnation(
+        self, held: heldtarget.HeldTarget, response: holds.HoldResponse
+    ) -> None:
+        """Let the target's response decide which report is followed."""
+        if held.confirmed:
+            self._confirmed_born_ms = held.incarnation.born_ms
+        candidate = self._candidate
+        if candidate is None:
+            return
+        if held.ended:
+            self._candidate = None
+            self._start_incarnation(candidate, clock.read_now())
+        elif response.number > self._candidate_hold:
+            self._candidate = None
+            logs.log('report_refuted', target=candidate.incarnation.name)
+
     def make_tick(self) -> object:
         """Return the event for the passing of time."""
         now_s = clock.read_now()
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -80,15 +80,21 @@
 class HeldTarget:
     """State of one incarnation of an agent's target.
 
-    ``reconciled`` is set once a listing shows no unknown run, and ``ended``
-    when the incarnation is over.
+    ``confirmed`` is set once the target itself has named the incarnation,
+    ``reconciled`` once a listing shows no unknown run, and ``ended`` when the
+    incarnation is over.  Its fence is higher than ``last_fence``.
     """
 
     def __init__(
-        self, incarnation: holds.TargetIncarnation, clock_ms: int, now_s: float
+        self,
+        incarnation: holds.TargetIncarnation,
+        clock_ms: int,
+        now_s: float,
+        last_fence: int = 0,
     ) -> None:
         self.incarnation = incarnation
         self.counters: collections.Counter[str] = collections.Counter()
+        self.confirmed = False
         self.reconciled = False
         self.healthy = False
         self.meter = machines.SpeedMeter()
@@ -97,9 +103,9 @@
         self._unknown_runs: dict[tuple[holds.TaskName, int], float] = {}
         self._clock_ms = clock_ms
         self._clock_read_s = now_s
-        self._fence = incarnation.born_ms + clock_ms
+        self.fence = max(last_fence + 1, incarnation.born_ms + clock_ms)
         self._last_end_number = 0
-        self._hold_number = 0
+        self.hold_number = 0
         self._last_listing_number = 0
         self._last_contact_s = now_s
         self._hold_answered = True
@@ -147,7 +153,7 @@
             case holds.HoldFenced(clock_ms):
                 self._update_clock(clock_ms, now_s)
                 fence = self.incarnation.born_ms + clock_ms
-                self._fence = max(self._fence + 1, fence)
+                self.fence = max(self.fence + 1, fence)
                 self.counters['fenced'] += 1
                 return []
             case holds.HoldUnanswered(refused):
@@ -161,16 +167,16 @@
 
     def begin_hold(self, now_s: float) -> holds.HoldCall:
         """Return the next hold request."""
-        self._hold_number += 1
+        self.hold_number += 1
         deadline_ms: int | None = None
         # The lease of an unresponsive target must expire, so that its runs end
         # whether or not the holds reach it.
         if self._runs and now_s - self._last_contact_s < UNRESPONSIVE_S:
             deadline_ms = self._extend_lease(now_s)
         return holds.HoldCall(
-            self._hold_number,
+            self.hold_number,
             deadline_ms,
-            self._fence,
+            self.fence,
             self._last_end_number,
             # After a missing response the target is asked to respond at once.
             HOLD_WAIT_S if self._runs and self._hold_answered else 0.0,
@@ -183,9 +189,11 @@
         return int(self._clock_ms + passed_ms + HOLD_LEASE_S * 1000)
 
     def _update_clock(self, clock_ms: int, now_s: float) -> None:
-        # A delayed response must not set the clock back.
+        # A delayed response must not set the clock back.  The clock of an
+        # unconfirmed incarnation comes from a report, which may be another's.
         passed_ms = (now_s - self._clock_read_s) * 1000
-        if clock_ms >= self._clock_ms or passed_ms < 0:
+        is_later = clock_ms >= self._clock_ms or passed_ms < 0
+        if is_later or not self.confirmed:
             self._clock_ms = clock_ms
             self._clock_read_s = now_s
 
@@ -205,7 +213,7 @@
         self._runs[name] = Run(key, attempt, deadline_ms, request.estimate_s)
         return [
             holds.StartCall(
-                name, attempt, request.payload, deadline_ms, self._fence
+                name, attempt, request.payload, deadline_ms, self.fence
             )
         ]
 
@@ -222,7 +230,7 @@
         self, name: holds.TaskName, run: Run, now_s: float
     ) -> holds.StopCall:
         run.stopped_s = now_s
-        return holds.StopCall(name, run.attempt, self._fence)
+        return holds.StopCall(name, run.attempt, self.fence)
 
     def _handle_start_response(
         self, response: holds.StartResponse, now_s: float
@@ -232,7 +240,7 @@
             return []
         if response.accepted:
             run.confirmed = True
-            run.settled_after_hold = self._hold_number
+            run.settled_after_hold = self.hold_number
             return []
         if run.stopped_s is not None:
             # The listing after the stop settles the attempt; the target may
@@ -247,7 +255,7 @@
     ) -> list[holds.HeldEffect]:
         run = self._find(name, attempt)
         if run is not None:
-            run.settled_after_hold = self._hold_number
+            run.settled_after_hold = self.hold_number
         return []
 
     def _handle_unanswered(
@@ -272,12 +280,14 @@
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
         if response.incarnation.born_ms != self.incarnation.born_ms:
-            # A new incarnation responds, so this one has ended.
+            # Another incarnation responds, so this one has ended, or was
+            # reported by another writer.
             return self._end_incarnation('reborn')
         self._last_contact_s = now_s
         self._hold_answered = True
         self._refusals_since_response = 0
         self._update_clock(response.clock_ms, now_s)
+        self.confirmed = True
         result = self._apply_ends(response.ended)
         if response.number > self._last_listing_number:
             self._last_listing_number = response.number
@@ -341,7 +351,7 @@
             stopped_s = self._unknown_runs.get((name, attempt), float('-inf'))
             if now_s - stopped_s >= STOP_TIMEOUT_S:
                 self._unknown_runs[(name, attempt)] = now_s
-                result.append(holds.StopCall(name, attempt, self._fence))
+                result.append(holds.StopCall(name, attempt, self.fence))
         self.reconciled = not self._unknown_runs
         return result
 
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -30,12 +30,10 @@
 class TargetReport:
     """A target's report about itself.
 
-    ``sequence`` grows with each report of one incarnation; ``clock_ms`` is
-    the target's monotonic clock.
+    ``clock_ms`` is the target's monotonic clock.
     """
 
     incarnation: TargetIncarnation
-    sequence: int
     service: str
     failure_domain: str
     room: contracts.Room
--- a/eelgrassworks/platform/targetreports.py
+++ b/eelgrassworks/platform/targetreports.py
@@ -76,7 +76,6 @@
         raise wire.BodyInvalid(f'state {heartbeat.state!r} is unknown')
     return holds.TargetReport(
         holds.TargetIncarnation(name, heartbeat.born),
-        heartbeat.seq,
         heartbeat.service,
         heartbeat.zone,
         contracts.Room(heartbeat.capacity.cpu, heartbeat.capacity.mem_mb),
--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -17,7 +17,10 @@
 # A job has at most 1,200 tasks; each task costs memory.
 MAX_TASKS: Final = 10_000
 MAX_ESTIMATE_MS: Final = 86_400_000
+# Unix time in the year 2109.  A sum of two times stays a valid count.
+MAX_TIME_MS: Final = 2**42
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Tasks = Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
 EstimateMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_ESTIMATE_MS)]
@@ -130,12 +133,13 @@
     service: Text
     zone: Text
     state: str
+    # Number of the report; only its type matters, since a drain is final.
     seq: Count
     capacity: Capacity
     labels: list[str] = []
-    clock_ms: Count = 0
+    clock_ms: TimeMs = 0
     # Start time of the target process: Unix time in milliseconds.
-    born: Count = 0
+    born: TimeMs = 0
 
 
 class TargetResponse(msgspec.Struct, rename='camel'):
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -24,7 +24,6 @@
 HOLD = 'hold'
 REPORT = holds.TargetReport(
     INCARNATION,
-    1,
     'cover-check',
     'tema-port',
     contracts.Room(8000, 8192),
--- /dev/null
+++ b/tests/test_oddreports.py
@@ -0,0 +1,288 @@
+"""Odd reports of other writers: they name no target, and the others hold."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import tempfile
+from typing import Any
+import unittest
+
+import aiohttp
+from aiohttp import web
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks.machines import holds
+from eelgrassworks.platform import roles
+from eelgrassworks.platform import wire
+from tests import platformstandins as standins
+
+TARGET_ID = 'i-1'
+TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.01
+# Holds are made within this time, and their responses handled.
+SETTLE_S = 0.15
+TASK_DURATION_S = 0.6
+KEY = contracts.TaskKey('reads/5c0e7a21d94b36f8', 0)
+START = holds.StartRequested(KEY, 1, b'spec')
+DAY_MS = 86_400_000
+NESTED = b'[' * 900 + b']' * 900
+DEEP = b'[' * 100_000 + b']' * 100_000
+
+# Name of the case, id in the path, changes of a valid report (added numbers
+# are counted from the true value), and bytes put in place of {"odd":1}.
+Odd = tuple[str, str, dict[str, Any], bytes]
+ODD_REPORTS: tuple[Odd, ...] = (
+    ('deep field', TARGET_ID, {'odd': 1}, DEEP),
+    ('nested field of another writer', 'i-2', {'odd': 1, 'born': -1}, NESTED),
+    ('born too large', TARGET_ID, {'born': 2**53}, b''),
+    ('born too large to encode', TARGET_ID, {'born': 10**30}, b''),
+    ('born of 400 digits', TARGET_ID, {'born': 10**400}, b''),
+    ('born negative', TARGET_ID, {'born': -5}, b''),
+    ('born a boolean', TARGET_ID, {'born': True}, b''),
+    ('born a text', TARGET_ID, {'born': '12'}, b''),
+    ('born a fraction', TARGET_ID, {'born': 0.5}, b''),
+    ('born missing', 'i-2', {'born': None}, b''),
+    ('another id, born later', 'i-2', {'born_later': DAY_MS}, b''),
+    ('same id, born later', TARGET_ID, {'born_later': 1}, b''),
+    (
+        'another id, born later, draining',
+        'i-2',
+        {'born_later': 9, 'state': 'draining'},
+        b'',
+    ),
+    ('another id, born earlier', 'i-2', {'born_later': -DAY_MS}, b''),
+    ('clock too large', TARGET_ID, {'clockMs': 2**53, 'born_later': 1}, b''),
+    ('clock infinite', TARGET_ID, {'clockMs': float('inf')}, b''),
+    ('clock not a number', TARGET_ID, {'clockMs': float('nan')}, b''),
+    ('sequence too large to encode', TARGET_ID, {'seq': 10**30}, b''),
+    ('unknown state', 'i-2', {'state': 'asleep', 'born_later': 1}, b''),
+    ('state a list', 'i-2', {'state': ['ready'], 'born_later': 1}, b''),
+    ('unknown service', 'i-2', {'service': 'x', 'born_later': 1}, b''),
+    (
+        'service very long',
+        'i-2',
+        {'service': 'x' * 500_000, 'born_later': 1},
+        b'',
+    ),
+    ('service missing', 'i-2', {'service': None, 'born_later': 1}, b''),
+    ('surrogate', 'i-2', {'service': 'x\ud800y', 'born_later': 1}, b''),
+    ('unknown zone', 'i-2', {'zone': 'nowhere', 'born_later': 1}, b''),
+    (
+        'capacity too large',
+        'i-2',
+        {'capacity': {'cpu': 10**30, 'memMb': 1}, 'born_later': 1},
+        b'',
+    ),
+    ('capacity a number', 'i-2', {'capacity': 5, 'born_later': 1}, b''),
+    (
+        'port out of range',
+        'i-2',
+        {'address': '10.0.0.9:99999', 'born_later': 1},
+        b'',
+    ),
+    ('address a number', 'i-2', {'address': 10**30, 'born_later': 1}, b''),
+    ('a list', TARGET_ID, {}, b'[]'),
+    ('empty', TARGET_ID, {}, b' '),
+    ('bytes that cannot be read', TARGET_ID, {}, b'\xff\xfe\x00'),
+    ('more than a mebibyte', TARGET_ID, {}, b'[' + b'1,' * 600_000 + b'1]'),
+    ('odd id', 'i%0a%ff%00..%2f', {'born_later': 1}, b''),
+)
+
+
+class FencingTarget(standins.TargetStandIn):
+    """A target that refuses calls below the highest fence that it has seen.
+
+    ``hold_fields`` replace fields of the responses to holds.
+    """
+
+    def __init__(self, port: int) -> None:
+        super().__init__(port)
+        self.task_duration_s = TASK_DURATION_S
+        self.hold_fields: dict[str, Any] = {}
+        self.fence = 0
+
+    def restart(self) -> None:
+        """Begin a new incarnation, which runs nothing."""
+        self.born_ms += 1
+        self.fence = 0
+        self._running.clear()
+        self._ended.clear()
+        self._last_end_number = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether a task runs."""
+        return bool(self._running)
+
+    async def _is_fenced(self, request: web.Request) -> bool:
+        fence = (await request.json())['fence']
+        self.fence = max(self.fence, fence)
+        return bool(fence < self.fence)
+
+    async def _start(self, request: web.Request) -> web.Response:
+        if await self._is_fenced(request):
+            return self._respond_fenced()
+        return await super()._start(request)
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        if await self._is_fenced(request):
+            return self._respond_fenced()
+        response = await super()._hold(request)
+        body = {**json.loads(response.text or ''), **self.hold_fields}
+        return web.json_response(body)
+
+    def _respond_fenced(self) -> web.Response:
+        body = {'clockMs': self.read_clock_ms(), 'reason': 'fence'}
+        return web.json_response(body, status=409)
+
+
+async def await_true(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; return False after TIMEOUT_S."""
+    for _ in range(int(TIMEOUT_S / POLL_INTERVAL_S)):
+        if condition():
+            return True
+        await asyncio.sleep(POLL_INTERVAL_S)
+    return False
+
+
+class AgentCase(unittest.IsolatedAsyncioTestCase):
+    """The agent of a machine beside a stand-in target, over real sockets."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.node = standins.make_node(folder.name, 'agent')
+        self.target = FencingTarget(int((self.node.app or '')[10:]))
+        await self.target.open()
+        self.addAsyncCleanup(self.target.close)
+        self.agent: Any = roles.ROLES['agent'](self.node)
+        await self.agent.start()
+        self.addAsyncCleanup(self.agent.finish)
+        self._sequence = 0
+
+    async def post(self, body: bytes, name: str = TARGET_ID) -> int:
+        """Send a report; return the status of the response."""
+        url = f'http://{self.node.listen.control}/api/instances/{name}'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f'{url}/heartbeat', data=body) as response,
+        ):
+            return response.status
+
+    async def post_odd(self, odd: Odd) -> int:
+        """Send an odd report; return the status of the response."""
+        _, name, changes, content = odd
+        report = self.target.make_report(self._sequence + 1)
+        for field, value in changes.items():
+            if field == 'born_later':
+                report['born'] += value
+            elif value is None:
+                report.pop(field)
+            else:
+                report[field] = value
+        body = json.dumps(report).encode()
+        if 'odd' in changes:
+            body = body.replace(b'"odd": 1', b'"odd": ' + content)
+        elif content:
+            body = content
+        return await self.post(body, name)
+
+    async def post_valid(self, **changes: Any) -> None:
+        """Send a valid report of the target."""
+        self._sequence += 1
+        report = {**self.target.make_report(self._sequence), **changes}
+        status = await self.post(json.dumps(report).encode())
+        self.assertEqual(status, 200)
+
+    def is_followed(self) -> bool:
+        """Tell whether the agent uses the target's own incarnation."""
+        held = self.agent.held
+        return bool(
+            held is not None
+            and held.healthy
+            and held.incarnation
+            == holds.TargetIncarnation(TARGET_ID, self.target.born_ms)
+        )
+
+    async def assert_followed(self) -> None:
+        """Check that the agent uses the target, and that its tasks end."""
+        self.assertTrue(await await_true(self.is_followed))
+        counts = self.agent.held.counts
+        self.assertEqual(counts, {'runs': 0, 'strange': 0})
+
+    async def start_task(self) -> None:
+        """Start a task at the target."""
+        self.target.starts.clear()
+        self.agent.dispatch_held(START)
+        self.assertTrue(await await_true(lambda: self.target.is_running))
+
+
+@ddt.ddt
+class OddReportTest(AgentCase):
+    # A target that a later birth or an odd field displaced was not followed.
+    @ddt.data(*ODD_REPORTS)
+    async def test_odd_report_before_the_first_valid_one(
+        self, odd: Odd
+    ) -> None:
+        status = await self.post_odd(odd)
+        self.assertLess(status, 500)
+        await asyncio.sleep(SETTLE_S)
+        held = self.agent.held
+        self.assertFalse(held is not None and held.healthy)
+        await self.post_valid()
+        await self.assert_followed()
+
+    @ddt.data(*ODD_REPORTS)
+    async def test_odd_report_beside_a_running_task(self, odd: Odd) -> None:
+        await self.post_valid()
+        await self.assert_followed()
+        held = self.agent.held
+        await self.start_task()
+        status = await self.post_odd(odd)
+        self.assertLess(status, 500)
+        await asyncio.sleep(SETTLE_S)
+        self.assertIs(self.agent.held, held)
+        self.assertEqual(held.counts['runs'], 1)
+        self.assertTrue(self.target.is_running)
+        await self.post_valid()
+        self.assertTrue(await await_true(lambda: held.counts['runs'] == 0))
+        self.assertEqual(len(self.target.starts), 1)
+        self.assertFalse(self.target.is_running)
+        self.assertTrue(self.is_followed())
+        self.assertFalse(self.agent.agent.draining)
+
+    async def test_idle_target_is_kept_beside_every_odd_report(self) -> None:
+        await self.post_valid()
+        await self.assert_followed()
+        held = self.agent.held
+        for odd in ODD_REPORTS:
+            with self.subTest(odd[0]):
+                self.assertLess(await self.post_odd(odd), 500)
+                await asyncio.sleep(SETTLE_S)
+                self.assertIs(self.agent.held, held)
+                self.assertTrue(held.healthy)
+
+    # After one report with a huge sequence number a drain was not noticed.
+    async def test_drain_is_noticed_after_a_huge_sequence_number(
+        self,
+    ) -> None:
+        await self.post_valid()
+        await self.assert_followed()
+        await self.post_valid(seq=wire.MAX_COUNT)
+        await self.post_valid(state='draining')
+        self.assertTrue(self.agent.agent.draining)
+
+    # A restart that the target itself confirms is followed after odd reports.
+    async def test_restarted_target_is_followed(self) -> None:
+        await self.post_valid()
+        await self.assert_followed()
+        for odd in ODD_REPORTS:
+            await self.post_odd(odd)
+        self.target.restart()
+        await self.post_valid()
+        await self.assert_followed()
+
+
+if __name__ == '__main__':
+    unittest.main()
