Pass a high fence at the target within seconds

What callers saw: nothing here yet.

Cause: an agent process that started after another had used a far higher fence, as an odd report could make it do, raised its own by one with each refusal, so that the target stayed unused.

Change: the step doubles with each refusal, up to 2**42.

Evidence: test_target_with_a_high_fence_is_followed (a fence 1,000 days ahead) failed before, after 5 s; now it passes.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -50,6 +50,8 @@
 SLOW_RUN_FACTOR: Final = 3.0
 # Progress is measured for this long before a run counts as slow.
 SLOW_RUN_SAMPLE_S: Final = 0.2
+# A fence is a time in milliseconds; this exceeds any other time.
+MAX_FENCE_STEP: Final = 2**42
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +106,9 @@
         self._clock_ms = clock_ms
         self._clock_read_s = now_s
         self.fence = max(last_fence + 1, incarnation.born_ms + clock_ms)
+        # Added to a refused fence.  It doubles each time, since the target
+        # does not name the fence that it has seen.
+        self._fence_step = 1
         self._last_end_number = 0
         self.hold_number = 0
         self._last_listing_number = 0
@@ -153,7 +158,8 @@
             case holds.HoldFenced(clock_ms):
                 self._update_clock(clock_ms, now_s)
                 fence = self.incarnation.born_ms + clock_ms
-                self.fence = max(self.fence + 1, fence)
+                self.fence = max(self.fence + self._fence_step, fence)
+                self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
                 self.counters['fenced'] += 1
                 return []
             case holds.HoldUnanswered(refused):
--- a/tests/test_oddreports.py
+++ b/tests/test_oddreports.py
@@ -273,6 +273,13 @@
         await self.post_valid(state='draining')
         self.assertTrue(self.agent.agent.draining)
 
+    # An odd report had raised the fence at the target; an agent that started
+    # later raised its own by one with each refusal.
+    async def test_target_with_a_high_fence_is_followed(self) -> None:
+        self.target.fence = self.target.born_ms + 1000 * DAY_MS
+        await self.post_valid()
+        await self.assert_followed()
+
     # A restart that the target itself confirms is followed after odd reports.
     async def test_restarted_target_is_followed(self) -> None:
         await self.post_valid()
