Pass over peers whose address cannot be dialled

Cause: an address that pynng refuses raised out of whatever opened the connection. An agent that got one odd entry in its roster never learned the others, since the same roster was then taken as known; an odd seed or replica ended the start of a process; a frame of such a sender left the reader of the listener by an exception.

Change: the transport logs the address and opens no connection; messages to such a peer count as dropped, and its frames as rejected.

--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -306,14 +306,20 @@
             'counters': dict(self.counters),
         }
 
-    def _open(self, peer: str, address: str, persistent: bool) -> None:
-        existing = self._outgoing.pop(peer, None)
-        if existing is not None:
-            existing.socket.close()
+    def _open(self, peer: str, address: str, persistent: bool) -> bool:
+        """Open a connection; False if the address is not valid."""
         socket = pynng.Push0(send_buffer_size=BUFFERED_FRAMES)
         socket.reconnect_time_min = RECONNECT_MIN_MS
         socket.reconnect_time_max = RECONNECT_MAX_MS
-        socket.dial(address, block=False)
+        try:
+            socket.dial(address, block=False)
+        except (pynng.NNGException, ValueError) as error:
+            socket.close()
+            logs.log('address_invalid', peer=peer, reason=str(error))
+            return False
+        existing = self._outgoing.pop(peer, None)
+        if existing is not None:
+            existing.socket.close()
         state = connection.Connection(
             peer,
             clock.read_now(),
@@ -323,6 +329,7 @@
         self._outgoing[peer] = OutgoingConnection(
             address, socket, state, persistent, clock.read_now()
         )
+        return True
 
     def _replace(self, peer: str, outgoing: OutgoingConnection) -> None:
         self.counters['connections_replaced'] += 1
@@ -340,7 +347,7 @@
         outgoing = self._outgoing.get(peer)
         if outgoing is None and peer in self._addresses:
             self._open(peer, self._addresses[peer], persistent=False)
-            outgoing = self._outgoing[peer]
+            outgoing = self._outgoing.get(peer)
         if outgoing is None:
             return False
         try:
@@ -365,16 +372,18 @@
             self.counters['frames_rejected'] += 1
             logs.log('frame_rejected', reason=str(error))
             return
-        self.counters['frames_received'] += 1
-        self.counters['bytes_received'] += len(data)
         sender = received.sender
         existing = self._outgoing.get(sender.name)
-        if (
-            existing is None
-            or not existing.persistent
-            and existing.address != sender.address
+        is_open = existing is not None and (
+            existing.persistent or existing.address == sender.address
+        )
+        if not is_open and not self._open(
+            sender.name, sender.address, persistent=False
         ):
-            self._open(sender.name, sender.address, persistent=False)
+            self.counters['frames_rejected'] += 1
+            return
+        self.counters['frames_received'] += 1
+        self.counters['bytes_received'] += len(data)
         remaining = tuple(
             message
             for message in received.messages
