Use the valid seeds beside an odd one, and survive an odd settings file

Cause: one seed of another type made the whole settings file unreadable, so that no seed was followed; one without host or port became the address of a replica. A deeply nested file raised out of the watcher and, like a port out of range, out of the early listener, before the role could say what is wrong.

Change: seeds that are no address with a port are logged and passed over; the file is decoded like every other body; the early listener takes both errors as "no address".

--- a/eelgrassworks/platform/earlylistener.py
+++ b/eelgrassworks/platform/earlylistener.py
@@ -27,7 +27,14 @@
         return None
     try:
         return _listen(_read_address())
-    except (OSError, ValueError, KeyError, TypeError):
+    except (
+        OSError,
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ):
         return None
 
 
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -2,11 +2,13 @@
 
 import os
 import pathlib
+import re
 from typing import Final
 
 import msgspec
 
 from eelgrassworks import errors
+from eelgrassworks import logs
 from eelgrassworks import settings
 from eelgrassworks.platform import earlylistener
 from eelgrassworks.platform import wire
@@ -14,6 +16,8 @@
 # The platform provides no secret.  A fixed key rejects connections from
 # clusters of other software.
 LINK_KEY: Final = 'eelgrassworks-on-the-platform'
+ADDRESS: Final = re.compile(r'(?P<host>[\w.:\[\]-]+):(?P<port>[0-9]{1,5})')
+MAX_PORT: Final = 65535
 # Offsets from the start of the port range that is reserved for this system.
 ENTRY_PORT: Final = 0
 CONTROL_PORT: Final = 1
@@ -27,6 +31,8 @@
 # checks, one second apart.
 STOP_LINGER_S: Final = 2.2
 
+_DECODER: Final = msgspec.json.Decoder(wire.NodeFile)
+
 
 def read_node_file() -> wire.NodeFile:
     """Return the decoded settings file.
@@ -36,8 +42,8 @@
     path = os.environ.get(earlylistener.PATH_VARIABLE, '')
     try:
         data = pathlib.Path(path).read_bytes()
-        return msgspec.json.decode(data, type=wire.NodeFile)
-    except (OSError, msgspec.MsgspecError) as error:
+        return wire.decode(_DECODER, data)
+    except (OSError, wire.BodyInvalid) as error:
         raise errors.Fault(
             errors.refuse(errors.Code.BAD_SETTING, key=path, reason=error)
         ) from error
@@ -47,10 +53,18 @@
     """Return the control replicas listed in the seeds: name to address.
 
     The name of a replica is its IP address, the only identity in a seed.
+    A seed that is not an address names none; the others hold.
     """
     port = node.port_range[0] + CONTROL_PORT
-    hosts = [seed.rpartition(':')[0] for seed in node.seeds]
-    return {host: f'tcp://{host}:{port}' for host in hosts}
+    replicas = {}
+    for seed in node.seeds:
+        try:
+            host, _ = split_address(seed)
+        except errors.Fault as fault:
+            logs.log('seed_invalid', reason=str(fault))
+            continue
+        replicas[host] = f'tcp://{host}:{port}'
+    return replicas
 
 
 def make_control(node: wire.NodeFile) -> settings.ControlSettings:
@@ -102,21 +116,21 @@
     return _make_address(node, AGENT_PORT)
 
 
-def split_address(address: str | None) -> tuple[str, int]:
-    """Return the host and port of a listen address.
+def split_address(address: object) -> tuple[str, int]:
+    """Return the host and port of an address in the settings.
 
-    Raises Fault if the settings lack the address.
+    Raises Fault if the address is missing or not valid.
     """
-    if not address:
+    found = ADDRESS.fullmatch(address) if isinstance(address, str) else None
+    if found is None or int(found['port']) > MAX_PORT:
         raise errors.Fault(
             errors.refuse(
                 errors.Code.BAD_SETTING,
-                key='listen',
-                reason='a listen address that the role requires is missing',
+                key='address',
+                reason=f'no address with a port: {str(address)[:80]!r}',
             )
         )
-    host, _, port = address.rpartition(':')
-    return host, int(port)
+    return found['host'], int(found['port'])
 
 
 def _make_address(node: wire.NodeFile, offset: int) -> str:
--- a/eelgrassworks/platform/seeds.py
+++ b/eelgrassworks/platform/seeds.py
@@ -1,6 +1,7 @@
 """Polls the platform's settings file for changes of the seeds."""
 
 import asyncio
+from typing import Any
 from typing import Final
 
 from eelgrassworks import errors
@@ -17,7 +18,7 @@
     """Reports control replicas in changed settings to the process."""
 
     def __init__(
-        self, role_process: process.Process, seeds: list[str]
+        self, role_process: process.Process, seeds: list[Any]
     ) -> None:
         self._process = role_process
         self._seeds = seeds
@@ -44,8 +45,9 @@
         if node.seeds == self._seeds:
             return
         self._seeds = node.seeds
-        logs.log('seeds_changed', seeds=','.join(node.seeds))
-        self._process.add_replicas(nodefile.list_replicas(node))
+        replicas = nodefile.list_replicas(node)
+        logs.log('seeds_changed', replicas=','.join(replicas))
+        self._process.add_replicas(replicas)
 
     def _poll(self) -> None:
         loop = asyncio.get_running_loop()
--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -45,7 +45,7 @@
     zones: dict[str, str]
     listen: Listen
     port_range: tuple[int, int]
-    seeds: list[str]
+    seeds: list[Any]
     first_start: bool = False
     data_dir: str | None = None
     # Address of the agent's target.
--- a/tests/test_oddaddresses.py
+++ b/tests/test_oddaddresses.py
@@ -1,8 +1,13 @@
 """Odd addresses of peers: the process runs on, and the others hold."""
 
 import asyncio
+import json
+import os
+import pathlib
+import tempfile
 from typing import Any
 import unittest
+from unittest import mock
 
 import ddt
 
@@ -11,7 +16,11 @@
 from eelgrassworks import settings
 from eelgrassworks.links import messages
 from eelgrassworks.links import transport
+from eelgrassworks.platform import earlylistener
+from eelgrassworks.platform import nodefile
+from eelgrassworks.platform import seeds
 from tests import deployment
+from tests import platformstandins as standins
 from tests import test_heldtarget
 
 KEY = b'a key for tests'
@@ -141,5 +150,94 @@
         self.assertIn('entry-2', agent.link.describe()['peers'])
 
 
+# Seeds that name no replica.
+SEEDS: tuple[Any, ...] = (
+    '',
+    ':1',
+    '10.0.0.1',
+    '10.0.0.1:99999',
+    '10.0.0.1:x',
+    f'10.0.0.1:{10**30}',
+    f'10.0.0.1:{"1" * 5000}',
+    ' :80',
+    'a b:80',
+    '\x00:80',
+    5,
+    None,
+    10**30,
+    ['10.0.0.1:80'],
+    1e308,
+)
+# Contents of a settings file that cannot be read.
+UNREADABLE: tuple[bytes, ...] = (
+    b'',
+    b'[]',
+    b'\xff\xfe',
+    b'[' * 200_000,
+    b'{"bounds": ' + b'{"a":' * 100_000,
+    b'{"node": "\xff"}',
+)
+
+
+class RecordingProcess:
+    """Records the replicas that changed settings name."""
+
+    def __init__(self) -> None:
+        self.replicas: dict[str, str] = {}
+
+    def add_replicas(self, replicas: dict[str, str]) -> None:
+        """Record the replicas."""
+        self.replicas = replicas
+
+
+@ddt.ddt
+class SettingsFileTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / 'local.json'
+        variables = {earlylistener.PATH_VARIABLE: str(self.path)}
+        self.enterContext(mock.patch.dict(os.environ, variables))
+        self.fields: dict[str, Any] = {
+            'node': 'side-1',
+            'ip': '10.0.0.5',
+            'zone': standins.ZONE,
+            'region': 'gh-south',
+            'zones': {standins.ZONE: 'gh-south'},
+            'listen': {'control': '127.0.0.1:99999'},
+            'portRange': [7000, 7015],
+        }
+
+    def watch(self, content: bytes) -> RecordingProcess:
+        """Let a watcher read a file; return what the process was told."""
+        self.path.write_bytes(content)
+        process: Any = RecordingProcess()
+        seeds.SeedWatcher(process, []).reload()
+        recorded: RecordingProcess = process
+        return recorded
+
+    # One odd seed kept the others from being used.
+    @ddt.data(*SEEDS)
+    def test_odd_seed_beside_a_valid_one(self, seed: Any) -> None:
+        listed = [seed, '10.0.0.2:80']
+        content = json.dumps({**self.fields, 'seeds': listed}).encode()
+        expected = {'10.0.0.2': f'tcp://10.0.0.2:{7000 + 1}'}
+        self.assertEqual(self.watch(content).replicas, expected)
+        self.assertEqual(
+            nodefile.list_replicas(nodefile.read_node_file()), expected
+        )
+
+    # A deeply nested file raised out of the watcher.
+    @ddt.data(*UNREADABLE)
+    def test_unreadable_file(self, content: bytes) -> None:
+        self.assertEqual(self.watch(content).replicas, {})
+
+    # A port out of range ended the process before it could say why.
+    @ddt.data(*UNREADABLE, b'{"listen": {"control": "127.0.0.1:99999"}}')
+    def test_no_early_listener(self, content: bytes) -> None:
+        self.path.write_bytes(content)
+        self.assertIsNone(earlylistener.open_listener('agent'))
+
+
 if __name__ == '__main__':
     unittest.main()
