Refuse a manifest whose priority cannot be encoded

What callers saw: nothing here yet; an operator would have got 500, which is sent again, instead of 400.

Cause: the priority of a route had no bounds, and MessagePack has 64 bits.

Change: the model bounds it.

Evidence: four of 23 odd manifests got 500 before (OverflowError); each gets 400 now, and the next valid one is stored and read back.

--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -20,6 +20,7 @@
 # Unix time in the year 2109.  A sum of two times stays a valid count.
 MAX_TIME_MS: Final = 2**42
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Number = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Tasks = Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
@@ -64,7 +65,7 @@
     timeout_ms: Positive
     # The part of the response objective that does not grow with the work.
     slo_ms: float = 0
-    priority: int = 0
+    priority: Number = 0
     # Maximum number of failed runs of a task.
     attempts: Positive = 1
     stretch: float = 1.0
