Validate the rows of a target's listing

What callers saw: nothing here yet; a task would have run twice or its end would have been lost.

Cause: rows were taken as they came. A progress beyond 100 percent or a run of another type had a running task stopped or called vanished; a huge number of an end hid all later ends, or could not be acknowledged; a negative or huge start time ended the incarnation.

Change: rows and times are models with bounds. A listing that breaks one counts as no response, and the next one is asked for.

--- a/eelgrassworks/platform/targetlink.py
+++ b/eelgrassworks/platform/targetlink.py
@@ -83,13 +83,7 @@
             return holds.HoldUnanswered(False)
         try:
             return _make_hold_response(call.number, response)
-        except (
-            TypeError,
-            ValueError,
-            IndexError,
-            OverflowError,
-            AttributeError,
-        ) as error:
+        except ValueError as error:
             logs.log('hold_invalid', reason=str(error))
             return holds.HoldUnanswered(False)
 
@@ -155,17 +149,19 @@
         holds.TargetIncarnation('', response.born),
         response.clock_ms,
         tuple(
-            holds.Running(parse_task(row[0]), int(row[1]), int(row[3]))
+            holds.Running(
+                parse_task(row.task), row.run, min(100, int(row.percent))
+            )
             for row in response.running
         ),
         tuple(
             holds.Ended(
-                int(row[0]),
-                parse_task(row[1]),
-                int(row[2]),
-                row[3] == OUTCOME_DONE,
-                row[3] == OUTCOME_FAILED,
-                str(row[3]),
+                row.number,
+                parse_task(row.task),
+                row.run,
+                row.outcome == OUTCOME_DONE,
+                row.outcome == OUTCOME_FAILED,
+                row.outcome,
             )
             for row in response.finished_runs
         ),
--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -24,6 +24,7 @@
 TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Tasks = Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+Progress = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 EstimateMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_ESTIMATE_MS)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -143,16 +144,32 @@
     born: TimeMs = 0
 
 
+class RunningRow(msgspec.Struct, array_like=True):
+    """A running task; further entries of the row are left out."""
+
+    task: str
+    run: Count
+    checkpoint: Any
+    percent: Progress
+
+
+class FinishedRow(msgspec.Struct, array_like=True):
+    """An ended run; further entries of the row are left out."""
+
+    number: Count
+    task: str
+    run: Count
+    outcome: str
+
+
 class TargetResponse(msgspec.Struct, rename='camel'):
     """Response of a target to a hold, a start or a stop."""
 
-    clock_ms: int = 0
-    born: int = 0
+    clock_ms: TimeMs = 0
+    born: TimeMs = 0
     reason: str = ''
-    # Rows: task, run, checkpoint, progress in percent, approximate load.
-    running: list[list[Any]] = []
-    # Rows: number, task, run, outcome, checkpoint.
-    finished_runs: list[list[Any]] = []
+    running: list[RunningRow] = []
+    finished_runs: list[FinishedRow] = []
 
 
 class BodyInvalid(Exception):
--- a/tests/test_oddreports.py
+++ b/tests/test_oddreports.py
@@ -6,11 +6,13 @@
 import tempfile
 from typing import Any
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 import ddt
 
+from eelgrassworks import agent
 from eelgrassworks import contracts
 from eelgrassworks.machines import holds
 from eelgrassworks.platform import roles
@@ -89,6 +91,41 @@
     ('odd id', 'i%0a%ff%00..%2f', {'born_later': 1}, b''),
 )
 
+TASK = '5c0e7a21d94b36f8.0.0.0'
+# Fields of the responses to holds that are odd for a while; None is omitted.
+ODD_LISTINGS: tuple[dict[str, Any], ...] = (
+    {'born': -1},
+    {'born': 2**53},
+    {'born': 10**30},
+    {'born': True},
+    {'clockMs': 2**53},
+    {'clockMs': 10**30},
+    {'clockMs': -1},
+    {'clockMs': float('inf')},
+    {'running': None, 'finishedRuns': 5},
+    {'running': [[]]},
+    {'running': [5]},
+    {'running': [[TASK, 1, '']]},
+    {'running': [[TASK, 1, '', 10**30]]},
+    {'running': [[TASK, 1, '', 10**400]]},
+    {'running': [[TASK, 1, '', -5]]},
+    {'running': [[TASK, 1, '', 1e300]]},
+    {'running': [[TASK, 1, '', float('nan')]]},
+    {'running': [[TASK, 1, '', True]]},
+    {'running': [[TASK, 10**400, '', 5]]},
+    {'running': [[TASK, '1', '', 5]]},
+    {'running': [['x', 1, '', 5]]},
+    {'running': [['x' * 100_000, 1, '', 5]]},
+    {'running': [[f'x.0.0.{"1" * 5000}', 1, '', 5]]},
+    {'finishedRuns': [[10**30, 'x.0.0.1', 1, 'done', '']]},
+    {'finishedRuns': [[2**64, 'x.0.0.1', 1, 'done', '']]},
+    {'finishedRuns': [[-(10**30), TASK, 1, 'done', '']]},
+    {'finishedRuns': [[float('inf'), TASK, 1, 'done', '']]},
+    {'finishedRuns': [[1, TASK, 1, 10**30, '']]},
+    {'finishedRuns': [[1, TASK, 1]]},
+    {'finishedRuns': [{'task': TASK}]},
+)
+
 
 class FencingTarget(standins.TargetStandIn):
     """A target that refuses calls below the highest fence that it has seen.
@@ -100,6 +137,7 @@
         super().__init__(port)
         self.task_duration_s = TASK_DURATION_S
         self.hold_fields: dict[str, Any] = {}
+        self.odd_holds = 0
         self.fence = 0
 
     def restart(self) -> None:
@@ -130,7 +168,10 @@
             return self._respond_fenced()
         response = await super()._hold(request)
         body = {**json.loads(response.text or ''), **self.hold_fields}
-        return web.json_response(body)
+        self.odd_holds += bool(self.hold_fields)
+        return web.json_response(
+            {key: body[key] for key in body if body[key] is not None}
+        )
 
     def _respond_fenced(self) -> web.Response:
         body = {'clockMs': self.read_clock_ms(), 'reason': 'fence'}
@@ -291,5 +332,33 @@
         await self.assert_followed()
 
 
+@ddt.ddt
+class OddListingTest(AgentCase):
+    # An odd number in a listing stopped a task or lost its end.
+    @ddt.data(*ODD_LISTINGS)
+    async def test_task_goes_on_through_odd_listings(
+        self, fields: dict[str, Any]
+    ) -> None:
+        await self.post_valid()
+        await self.assert_followed()
+        held = self.agent.held
+        events: list[object] = []
+        self.enterContext(
+            mock.patch.object(self.agent, 'dispatch', events.append)
+        )
+        await self.start_task()
+        self.target.hold_fields = fields
+        self.assertTrue(await await_true(lambda: self.target.odd_holds > 1))
+        self.target.hold_fields = {}
+        self.assertEqual(held.counts, {'runs': 1, 'strange': 0})
+        self.assertTrue(await await_true(lambda: held.counts['runs'] == 0))
+        ends = [each for each in events if isinstance(each, agent.TaskEnded)]
+        self.assertEqual(ends, [agent.TaskEnded(KEY, True, b'')])
+        self.assertIs(self.agent.held, held)
+        self.assertFalse(held.ended)
+        self.assertEqual(self.agent.events_failed, 0)
+        self.assertEqual(len(self.target.starts), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
