Take a listing without a start time as no response

Cause: a listing whose start time was missing or earlier than that of the confirmed incarnation counted as a restart of the target. Its runs were reported as ended while they went on, and the later reports of the same incarnation did not bring it back.

Change: such a listing counts as no response; a later start time still ends the incarnation.

Evidence: the three new rows of ODD_LISTINGS failed before; all 33 pass.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -330,7 +330,10 @@
         if held.ended:
             self._candidate = None
             self._start_incarnation(candidate, clock.read_now())
-        elif response.number > self._candidate_hold:
+        elif (
+            response.incarnation.born_ms == held.incarnation.born_ms
+            and response.number > self._candidate_hold
+        ):
             self._candidate = None
             logs.log('report_refuted', target=candidate.incarnation.name)
 
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -285,7 +285,13 @@
     def _handle_hold_response(
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
-        if response.incarnation.born_ms != self.incarnation.born_ms:
+        born_ms = response.incarnation.born_ms
+        is_earlier = born_ms < self.incarnation.born_ms
+        if is_earlier and (self.confirmed or not born_ms):
+            # A late response of an earlier incarnation, or one without a
+            # start time; either says nothing about the runs.
+            return self._handle_unanswered_hold(False, now_s)
+        if born_ms != self.incarnation.born_ms:
             # Another incarnation responds, so this one has ended, or was
             # reported by another writer.
             return self._end_incarnation('reborn')
--- a/tests/test_oddreports.py
+++ b/tests/test_oddreports.py
@@ -94,6 +94,9 @@
 TASK = '5c0e7a21d94b36f8.0.0.0'
 # Fields of the responses to holds that are odd for a while; None is omitted.
 ODD_LISTINGS: tuple[dict[str, Any], ...] = (
+    {'born': None},
+    {'born': 0},
+    {'born': 5},
     {'born': -1},
     {'born': 2**53},
     {'born': 10**30},
@@ -334,7 +337,8 @@
 
 @ddt.ddt
 class OddListingTest(AgentCase):
-    # An odd number in a listing stopped a task or lost its end.
+    # An odd number in a listing stopped a task or lost its end; a listing
+    # without a start time ended its target for good.
     @ddt.data(*ODD_LISTINGS)
     async def test_task_goes_on_through_odd_listings(
         self, fields: dict[str, Any]
