Send what an agent queued under its own incarnation

What callers saw: nothing here yet; a target that began anew in another pool or with other room would have stayed what it had been, at every entry.

Cause: the end of an incarnation queues a renewal, and the frame that takes it along carried the number of the next incarnation. The entry made its view of the new target from the old one's service, domain and room, and later renewals don't change these.

Change: the link is flushed before the incarnation changes.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -177,6 +177,8 @@
             report.incarnation, report.clock_ms, now_s, last_fence
         )
         self._health_reported = False
+        # What the previous agent has queued belongs to its own incarnation.
+        self.link.flush()
         incarnation = self.link.sender.incarnation + 1
         self.link.sender = dataclasses.replace(
             self.link.sender, incarnation=incarnation
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -130,6 +130,21 @@
     ({'service': ''}, False),
 )
 
+# Fields of a target that can be read, but that no manifest or zone explains.
+ODD_TARGETS: tuple[dict[str, Any], ...] = (
+    {'service': 'nobody'},
+    {'service': '\x00\n event=forged'},
+    {'service': 'x' * 500_000},
+    {'labels': ['x' * 100_000] * 5},
+    {'labels': [''] * 10_000},
+    {'capacity': {'cpu': 2**53, 'memMb': 2**53, 'gpu': 2**53}},
+    {'capacity': {'cpu': 0, 'memMb': 2**53}},
+    {'clockMs': 0},
+    {'clockMs': 2**42},
+    {'clockMs': 1},
+    {'address': '10.0.0.9:99999', 'slots': 10**30, 'coldRemainingMs': -1},
+)
+
 # Host, path, and the kind that matches them.
 LOCATIONS: tuple[tuple[str, str, str | None], ...] = (
     ('a.example', '/one/x', 'one'),
@@ -438,6 +453,54 @@
             )
             self.assertTrue(applied)
 
+    async def _report_new_target(self, changes: dict[str, Any]) -> None:
+        """Let the target begin anew, with a changed report about itself."""
+        self.target.born_ms += 1
+        report = {**self.target.make_report(1), **changes}
+        agent: Any = self.processes['agent']
+        status, _ = await standins.call(
+            'POST',
+            self.nodes['agent'].listen.control,
+            '/api/instances/i-1/heartbeat',
+            json=report,
+        )
+        self.assertEqual(status, 200)
+        born_ms = self.target.born_ms
+        followed = await await_true(
+            lambda: (
+                agent.held.incarnation.born_ms == born_ms
+                and agent.held.healthy
+            )
+        )
+        self.assertTrue(followed)
+
+    # Guards against an odd target that ends an entry or confuses its view.
+    async def test_odd_target_harms_neither_entry_nor_agent(self) -> None:
+        entry: Any = self.processes['entry']
+        for number, changes in enumerate(ODD_TARGETS, 100):
+            with self.subTest(changes):
+                await self._report_new_target(changes)
+                await asyncio.sleep(0.3)
+                self.assertEqual(
+                    [
+                        each.events_failed
+                        for each in self.processes.values()
+                        if not each.ended.is_set()
+                    ],
+                    [0, 0, 0],
+                )
+                await self._report_new_target({})
+                incarnation = self.processes['agent'].link.sender.incarnation
+                serving = await await_true(
+                    lambda incarnation=incarnation: any(
+                        view.incarnation == incarnation
+                        for view in entry.entry.dispatcher.list_serving('r-1')
+                    )
+                )
+                self.assertTrue(serving)
+                response = await self._submit(number)
+                self.assertEqual(response, (200, {'state': 'complete'}))
+
     async def test_unknown_location_and_job(self) -> None:
         front = self.nodes['entry'].listen.front
         for method, host, path, expected in (
