Refuse leases that answer the previous agent

What callers saw: nothing here yet.

Cause: the answer to the last renewal of one incarnation arrived when the next had begun. It carried the policy of the former domain and target; a newer one of the same revision did not replace it, so the agent declined every start until the configuration changed.

Change: a lease whose stamp is not later than the beginning of the incarnation is counted (leases_outdated) and dropped.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -107,6 +107,9 @@
         self._candidate_hold = 0
         # Start time of the latest incarnation that the target has confirmed.
         self._confirmed_born_ms = -1
+        # Monotonic time at which the current incarnation was created.
+        self._began_ms = -1
+        self.leases_outdated = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._health_reported = False
@@ -202,6 +205,7 @@
             )
         )
         self.agent.healthy = False
+        self._began_ms = int(now_s * 1000)
         if report.draining:
             self.dispatch(agent.TargetDraining())
         self._wake.set()
@@ -364,6 +368,12 @@
             match message:
                 case messages.RosterUpdate():
                     events += self._handle_roster(message)
+                case messages.AgentLease(stamp_ms=stamp_ms) if (
+                    stamp_ms <= self._began_ms
+                ):
+                    # Answers a renewal of the previous agent, whose target
+                    # may have been in another domain.
+                    self.leases_outdated += 1
                 case _:
                     events.append(
                         agent.Received(
@@ -406,7 +416,11 @@
         """Return the counters."""
         if self.agent is None or self.held is None:
             return {}
-        return {**self.agent.counters, **self.held.counters}
+        return {
+            **self.agent.counters,
+            **self.held.counters,
+            'leases_outdated': self.leases_outdated,
+        }
 
     def gauge(self) -> dict[str, float]:
         """Return the gauges."""
