--- a/eelgrassworks/platform/wire.py
+++ b/eelgrassworks/platform/wire.py
@@ -17,9 +17,14 @@
 # A job has at most 1,200 tasks; each task costs memory.
 MAX_TASKS: Final = 10_000
 MAX_ESTIMATE_MS: Final = 86_400_000
+# Unix time in the year 2109.  A sum of two times stays a valid count.
+MAX_TIME_MS: Final = 2**42
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Number = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Tasks = Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+Progress = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 EstimateMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_ESTIMATE_MS)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -42,7 +47,7 @@
     zones: dict[str, str]
     listen: Listen
     port_range: tuple[int, int]
-    seeds: list[str]
+    seeds: list[Any]
     first_start: bool = False
     data_dir: str | None = None
     # Address of the agent's target.
@@ -61,7 +66,7 @@
     timeout_ms: Positive
     # The part of the response objective that does not grow with the work.
     slo_ms: float = 0
-    priority: int = 0
+    priority: Number = 0
     # Maximum number of failed runs of a task.
     attempts: Positive = 1
     stretch: float = 1.0
@@ -130,24 +135,41 @@
     service: Text
     zone: Text
     state: str
+    # Number of the report; only its type matters, since a drain is final.
     seq: Count
     capacity: Capacity
     labels: list[str] = []
-    clock_ms: Count = 0
+    clock_ms: TimeMs = 0
     # Start time of the target process: Unix time in milliseconds.
-    born: Count = 0
+    born: TimeMs = 0
+
+
+class RunningRow(msgspec.Struct, array_like=True):
+    """A running task; further entries of the row are left out."""
+
+    task: str
+    run: Count
+    checkpoint: Any
+    percent: Progress
+
+
+class FinishedRow(msgspec.Struct, array_like=True):
+    """An ended run; further entries of the row are left out."""
+
+    number: Count
+    task: str
+    run: Count
+    outcome: str
 
 
 class TargetResponse(msgspec.Struct, rename='camel'):
     """Response of a target to a hold, a start or a stop."""
 
-    clock_ms: int = 0
-    born: int = 0
+    clock_ms: TimeMs = 0
+    born: TimeMs = 0
     reason: str = ''
-    # Rows: task, run, checkpoint, progress in percent, approximate load.
-    running: list[list[Any]] = []
-    # Rows: number, task, run, outcome, checkpoint.
-    finished_runs: list[list[Any]] = []
+    running: list[RunningRow] = []
+    finished_runs: list[FinishedRow] = []
 
 
 class BodyInvalid(Exception):
