Soak: hold what a network fault holds up, on every link

Cause: a cut of the soak lost what was sent meanwhile, while TCP keeps it and delivers it afterwards, also from a connection that its process has closed. On the old proxy bytes written before a cut arrived, bytes written during it never did (ProxyTest repeats this). And only the links that settings name had a proxy: an entry opens its connection to an agent by the address in the agent's frames, so no start ever passed one.

Change: each pair of processes has a proxy in each direction. The processes translate an address when they connect (soak/reroute.py), since they learn addresses from each other. Cut holds, and connects afterwards; what is held arrives when the sender's retransmission timer expires, which doubles.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,4 +1,4 @@
-"""The deployment of a run, with proxies on its links."""
+"""The deployments of a run, with proxies on their links."""
 
 import pathlib
 import shutil
@@ -8,6 +8,7 @@
 from eelgrassworks import standin
 from soak import plan
 from soak import proxy
+from soak import reroute
 from soak import witness
 from tests import deployment
 
@@ -19,10 +20,12 @@
         super().__init__(controls=3, entries=max(2, size), agents=3 * size)
         self._seed = seed
         self._watcher = watcher
-        self._targets: dict[str, standin.StandIn] = {}
+        self._targets: dict[str, Any] = {}
         self.proxies: dict[tuple[str, str], proxy.LinkProxy] = {}
         # Processes that a fault has ended; all others must run.
         self.ended: set[str] = set()
+        for number, name in enumerate(self.names, 1):
+            self.environment[name] = {reroute.NUMBER_VARIABLE: str(number)}
 
     @property
     def machines(self) -> plan.Machines:
@@ -31,7 +34,7 @@
             tuple(self.controls),
             tuple(self.entries),
             tuple(self.agents),
-            tuple(self.proxies),
+            tuple(self._list_links()),
             deployment.DOMAINS,
         )
 
@@ -40,23 +43,41 @@
         position = self.agents.index(agent)
         return deployment.DOMAINS[position % len(deployment.DOMAINS)]
 
+    def find_listener(self, name: str) -> proxy.Address:
+        """Return where a process accepts the connections of its peers."""
+        return proxy.Address('127.0.0.1', self.link[name])
+
     async def open_proxies(self) -> None:
-        """Put a proxy on each link that settings name."""
-        pairs = [
+        """Put a proxy on each link."""
+        for number, sender in enumerate(self.names, 1):
+            for receiver in self.names:
+                if receiver == sender:
+                    continue
+                target = self.find_listener(receiver)
+                host = reroute.find_proxy_host(number, target.host)
+                link = proxy.LinkProxy(
+                    proxy.Address(host, target.port), target
+                )
+                self.proxies[sender, receiver] = link
+                await link.open()
+
+    def isolate(self, names: tuple[str, ...], duration_s: float) -> None:
+        """Cut the links between each of some processes and all others."""
+        for pair, link in self.proxies.items():
+            if not set(names).isdisjoint(pair):
+                link.cut(duration_s)
+
+    def _list_links(self) -> list[tuple[str, str]]:
+        """Return the links that settings name."""
+        return [
             (reader, name)
             for reader in self.names
-            for name in self._list_peers(reader)
+            for name in (
+                self.entries
+                if reader in self.agents
+                else [each for each in self.controls if each != reader]
+            )
         ]
-        ports = deployment.find_ports(len(pairs))
-        for pair, port in zip(pairs, ports, strict=True):
-            self.port_overrides[pair] = port
-            self.proxies[pair] = proxy.LinkProxy(port, self.link[pair[1]])
-            await self.proxies[pair].open()
-
-    def _list_peers(self, reader: str) -> list[str]:
-        if reader in self.agents:
-            return self.entries
-        return [name for name in self.controls if name != reader]
 
     async def close_all(self) -> None:
         """End the processes and close targets and proxies."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,8 @@
 MEAN_INTERVAL_S: Final = 1.5
 MIN_DURATION_S: Final = 0.3
 MAX_DURATION_S: Final = 4.0
+# Longer than an entry waits for an agent before it starts a task elsewhere.
+MIN_PARTITION_S: Final = 1.5
 MAX_DELAY_S: Final = 0.4
 # A replica counts again once it has restarted and caught up.
 CONTROL_RECOVERY_S: Final = 6.0
@@ -49,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cut:
-    """What a process sends to another is lost; nothing connects."""
+    """What a process sends to another waits; nothing connects."""
 
     sender: str
     receiver: str
@@ -90,7 +92,44 @@
     duration_s: float
 
 
-Fault = Kill | Wipe | Stop | Freeze | Cut | Silence | Reset | Delay | Close
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Data on open connections arrives late; new connections work.
+
+    With ``both`` the connections in the other direction are held too.
+    """
+
+    sender: str
+    receiver: str
+    both: bool
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolate:
+    """Each machine of these processes loses all other machines.
+
+    Its callers and its own target are in touch.  What is sent meanwhile
+    arrives afterwards.
+    """
+
+    names: tuple[str, ...]
+    duration_s: float
+
+
+Fault = (
+    Kill
+    | Wipe
+    | Stop
+    | Freeze
+    | Cut
+    | Silence
+    | Reset
+    | Delay
+    | Close
+    | Hold
+    | Isolate
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,9 +157,20 @@
     """Return the faults of a run in order.
 
     Faults overlap, but at most one replica is affected at a time, so that a
-    majority of the replicas is always in contact.
+    majority of the replicas is always in contact.  Partitions leave the
+    replicas in contact with each other.
     """
-    generator = random.Random(seed)
+    faults = _draw_single_faults(random.Random(seed), seconds, machines)
+    faults += _draw_partitions(
+        random.Random(f'partitions {seed}'), seconds, machines
+    )
+    return sorted(faults, key=lambda each: each.at_s)
+
+
+def _draw_single_faults(
+    generator: random.Random, seconds: float, machines: Machines
+) -> list[TimedFault]:
+    """Return faults of one process, link or failure domain each."""
     faults: list[TimedFault] = []
     control_free_s = 0.0
     now_s = WARM_UP_S + generator.expovariate(1 / MEAN_INTERVAL_S)
@@ -134,6 +184,38 @@
     return faults
 
 
+def _draw_partitions(
+    generator: random.Random, seconds: float, machines: Machines
+) -> list[TimedFault]:
+    """Return faults of the network between entries, agents and replicas."""
+    faults: list[TimedFault] = []
+    now_s = WARM_UP_S + generator.expovariate(1 / MEAN_INTERVAL_S)
+    while now_s < seconds - COOL_DOWN_S:
+        fault = _draw_partition(generator, machines)
+        faults.append(TimedFault(round(now_s, 2), fault))
+        now_s += generator.expovariate(1 / MEAN_INTERVAL_S)
+    return faults
+
+
+def _draw_partition(
+    generator: random.Random, machines: Machines
+) -> Hold | Isolate:
+    duration_s = round(generator.uniform(MIN_PARTITION_S, MAX_DURATION_S), 2)
+    entry = generator.choice(machines.entries)
+    agent = generator.choice(machines.agents)
+    control = generator.choice(machines.controls)
+    both = generator.random() < 0.5
+    choices: list[Hold | Isolate] = [
+        Hold(entry, agent, both, duration_s),
+        Hold(agent, entry, both, duration_s),
+        Hold(entry, control, False, duration_s),
+        Isolate((agent,), duration_s),
+        Isolate((entry,), duration_s),
+        Isolate(machines.entries, duration_s),
+    ]
+    return generator.choice(choices)
+
+
 def _draw_fault(
     generator: random.Random, machines: Machines, with_controls: bool
 ) -> Fault:
@@ -170,5 +252,5 @@
             return name in machines.controls
         case Cut(sender) | Silence(sender) | Reset(sender) | Delay(sender):
             return sender in machines.controls
-        case Close():
+        case Close() | Hold() | Isolate():
             return False
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,30 +1,30 @@
-"""Proxy of one link: forwards, delays, drops or resets what is sent."""
+"""Proxy of one link: forwards, delays, holds, drops or resets what is sent.
+
+A held connection behaves like TCP across a network that passes nothing: what
+the sender has written, and the end of its connection, arrive afterwards and in
+order, when the sender's retransmission timer next expires.
+"""
 
 import asyncio
-import contextlib
 import dataclasses
 import socket
 import struct
+import time
 from typing import Final
 
 CHUNK_BYTES: Final = 65536
 # Closing a socket with this option resets the connection.
 LINGER_RESET: Final = struct.pack('ii', 1, 0)
+# The timer of TCP starts at this value and doubles with each expiry.
+RETRANSMISSION_S: Final = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Forwarding:
-    """Data is passed on after a delay."""
-
-    delay_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Blocked:
-    """Data is lost, and new connections are refused."""
+class Address:
+    """Where a process or a proxy listens."""
 
-
-State = Forwarding | Blocked
+    host: str
+    port: int
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -33,16 +33,18 @@
 
     writer: asyncio.StreamWriter
     silent: bool = False
+    held_until_s: float = float('-inf')
 
 
 class LinkProxy:
     """Listens in place of a process for one of its peers."""
 
-    def __init__(self, listen_port: int, target_port: int) -> None:
-        self.state: State = Forwarding()
+    def __init__(self, listen: Address, target: Address) -> None:
+        self.delay_s = 0.0
         self.accepted = 0
-        self._listen_port = listen_port
-        self._target_port = target_port
+        self._listen = listen
+        self._target = target
+        self._cut_until_s = float('-inf')
         self._server: asyncio.Server | None = None
         self._connections: set[ProxiedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -50,7 +52,7 @@
     async def open(self) -> None:
         """Start to listen."""
         self._server = await asyncio.start_server(
-            self._accept, '127.0.0.1', self._listen_port
+            self._accept, self._listen.host, self._listen.port
         )
 
     async def close(self) -> None:
@@ -60,12 +62,26 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # The transports close in the next iteration of the loop.
+        await asyncio.sleep(0)
 
     def silence(self) -> None:
         """Let the open connections carry no data from now on."""
         for connection in self._connections:
             connection.silent = True
 
+    def hold(self, duration_s: float) -> None:
+        """Hold what the open connections carry; new ones work."""
+        until_s = time.monotonic() + duration_s
+        for connection in self._connections:
+            connection.held_until_s = max(connection.held_until_s, until_s)
+
+    def cut(self, duration_s: float) -> None:
+        """Hold what all connections carry; new ones open afterwards."""
+        self._cut_until_s = max(
+            self._cut_until_s, time.monotonic() + duration_s
+        )
+
     def reset(self) -> None:
         """Reset the open connections."""
         for connection in self._connections:
@@ -76,21 +92,25 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if isinstance(self.state, Blocked):
-            writer.transport.abort()
-            return
+        self._track(asyncio.current_task())
         self.accepted += 1
+        connection = ProxiedConnection(writer)
         try:
+            await self._await_passage(connection)
             peer_reader, peer_writer = await asyncio.open_connection(
-                '127.0.0.1', self._target_port
+                self._target.host, self._target.port
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
-        connection = ProxiedConnection(writer)
         self._connections.add(connection)
         for source, sink in ((reader, peer_writer), (peer_reader, writer)):
-            task = asyncio.create_task(self._forward(source, sink, connection))
+            self._track(
+                asyncio.create_task(self._forward(source, sink, connection))
+            )
+
+    def _track(self, task: asyncio.Task[None] | None) -> None:
+        if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -100,14 +120,36 @@
         sink: asyncio.StreamWriter,
         connection: ProxiedConnection,
     ) -> None:
-        with contextlib.suppress(ConnectionError):
+        try:
             while data := await source.read(CHUNK_BYTES):
-                match self.state:
-                    case Forwarding(delay_s) if not connection.silent:
-                        await asyncio.sleep(delay_s)
-                        sink.write(data)
-                        await sink.drain()
-                    case _:
-                        pass
-        self._connections.discard(connection)
-        sink.close()
+                await self._await_passage(connection)
+                await asyncio.sleep(self.delay_s)
+                if connection.silent:
+                    continue
+                sink.write(data)
+                await sink.drain()
+            await self._await_passage(connection)
+        except ConnectionError:
+            pass
+        finally:
+            self._connections.discard(connection)
+            sink.close()
+
+    async def _await_passage(self, connection: ProxiedConnection) -> None:
+        """Wait until the network carries what a connection has to send."""
+        while True:
+            now_s = time.monotonic()
+            until_s = max(connection.held_until_s, self._cut_until_s)
+            if now_s >= until_s:
+                return
+            await asyncio.sleep(find_retransmission(until_s - now_s))
+
+
+def find_retransmission(held_s: float) -> float:
+    """Return the first expiry of the timer after a hold, since its start."""
+    interval_s = RETRANSMISSION_S
+    expiry_s = interval_s
+    while expiry_s < held_s:
+        interval_s *= 2
+        expiry_s += interval_s
+    return expiry_s
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -14,7 +14,7 @@
 
 from soak import cluster
 from soak import plan
-from soak import proxy
+from soak import reroute
 from soak import witness
 from tests import deployment
 
@@ -85,7 +85,7 @@
         self._cluster = cluster.SoakedDeployment(
             options.size, options.seed, self
         )
-        self._cluster.prelude = prelude
+        self._cluster.prelude = reroute.PRELUDE + prelude
         self._start_s = time.monotonic()
         self._requests: dict[int, OpenRequest] = {}
         self._next_request = 0
@@ -216,13 +216,21 @@
             case plan.Freeze(name, duration_s):
                 await self._freeze(name, duration_s)
             case plan.Cut(sender, receiver, duration_s):
-                await self._change_link(
-                    sender, receiver, proxy.Blocked(), duration_s
-                )
+                self._cluster.proxies[sender, receiver].cut(duration_s)
+                await asyncio.sleep(duration_s)
+            case plan.Hold(sender, receiver, both, duration_s):
+                self._cluster.proxies[sender, receiver].hold(duration_s)
+                if both:
+                    self._cluster.proxies[receiver, sender].hold(duration_s)
+                await asyncio.sleep(duration_s)
+            case plan.Isolate(names, duration_s):
+                self._cluster.isolate(names, duration_s)
+                await asyncio.sleep(duration_s)
             case plan.Delay(sender, receiver, delay_s, duration_s):
-                await self._change_link(
-                    sender, receiver, proxy.Forwarding(delay_s), duration_s
-                )
+                link = self._cluster.proxies[sender, receiver]
+                link.delay_s = delay_s
+                await asyncio.sleep(duration_s)
+                link.delay_s = 0.0
             case plan.Silence(sender, receiver):
                 self._cluster.proxies[sender, receiver].silence()
             case plan.Reset(sender, receiver):
@@ -266,18 +274,6 @@
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
-    async def _change_link(
-        self,
-        sender: str,
-        receiver: str,
-        state: proxy.State,
-        duration_s: float,
-    ) -> None:
-        link = self._cluster.proxies[sender, receiver]
-        link.state = state
-        await asyncio.sleep(duration_s)
-        link.state = proxy.Forwarding()
-
     async def _close_domain(self, domain: str, duration_s: float) -> None:
         """Close a domain and open it again, one operator at a time."""
         async with self._change_lock:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -80,6 +80,7 @@
         self.settings_extra: dict[str, dict[str, Any]] = {}
         # Code that the daemons run first, to remove a mechanism.
         self.prelude = ''
+        self.environment: dict[str, dict[str, str]] = {}
         self.names = [*self.controls, *self.entries, *self.agents]
         ports = find_ports(len(self.names) * 3)
         for position, name in enumerate(self.names):
@@ -203,7 +204,10 @@
     async def _spawn(
         self, log: str, module: str, *arguments: str
     ) -> asyncio.subprocess.Process:
-        code = f'{self.prelude}\nimport {module} as m; m.main()'
+        code = (
+            f'{self.prelude}\n'
+            f'import sys; import {module} as m; sys.exit(m.main())'
+        )
         with (self.root / f'{log}.log').open('ab') as stream:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -212,7 +216,9 @@
                 *arguments,
                 stdout=stream,
                 stderr=stream,
-                env=os.environ | {'PYTHONUNBUFFERED': '1'},
+                env=os.environ
+                | {'PYTHONUNBUFFERED': '1'}
+                | self.environment.get(log, {}),
             )
 
     def send_signal(self, name: str, number: int) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -121,7 +121,10 @@
         async with contextlib.AsyncExitStack() as stack:
             port = deployment.find_ports(1)[0]
             cluster.port_overrides['runner-1', 'entry-1'] = port
-            link = proxy.LinkProxy(port, cluster.link['entry-1'])
+            link = proxy.LinkProxy(
+                proxy.Address('127.0.0.1', port),
+                proxy.Address('127.0.0.1', cluster.link['entry-1']),
+            )
             await link.open()
             stack.push_async_callback(link.close)
             await stack.enter_async_context(cluster)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,10 @@
 import ddt
 
 from soak import plan
+from soak import proxy
 from soak import runner
 from soak import witness
+from tests import deployment
 
 MACHINES = plan.Machines(
     ('control-1', 'control-2', 'control-3'),
@@ -169,6 +171,67 @@
                 free_s = each.at_s + duration_s + plan.CONTROL_RECOVERY_S
 
 
+# What happens to a connection, whether its bytes arrive meanwhile, whether a
+# newer connection works meanwhile, and whether its bytes arrive afterwards.
+PASSAGES: tuple[tuple[Callable[[proxy.LinkProxy], None], list[bool]], ...] = (
+    (lambda link: None, [True, True, True]),
+    (lambda link: link.hold(0.5), [False, True, True]),
+    (lambda link: link.cut(0.5), [False, False, True]),
+    (lambda link: link.silence(), [False, True, False]),
+    (lambda link: link.reset(), [False, True, False]),
+)
+# Time for bytes to pass a proxy, and for a retransmission after a hold.
+PASSAGE_S = 0.2
+RETRANSMISSION_S = 1.0
+
+
+@ddt.ddt
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.received = b''
+        ports = deployment.find_ports(2)
+        addresses = [proxy.Address('127.0.0.1', port) for port in ports]
+        self.port = ports[0]
+        server = await asyncio.start_server(self._serve, '127.0.0.1', ports[1])
+        self.addCleanup(server.close)
+        self.link = proxy.LinkProxy(*addresses)
+        await self.link.open()
+        self.addAsyncCleanup(self.link.close)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(100):
+            self.received += data
+        writer.close()
+
+    async def _connect(self, sent: bytes) -> asyncio.StreamWriter:
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(sent)
+        await asyncio.sleep(PASSAGE_S)
+        return writer
+
+    # Guards against a cut of the soak that loses what TCP would deliver
+    # afterwards, also from a connection that its process has closed.
+    @ddt.data(*PASSAGES)
+    @ddt.unpack
+    async def test_passage(
+        self,
+        change: Callable[[proxy.LinkProxy], None],
+        expected: list[bool],
+    ) -> None:
+        writer = await self._connect(b'0')
+        change(self.link)
+        writer.write(b'12')
+        writer.close()
+        newer = await self._connect(b'n')
+        found = [b'2' in self.received, b'n' in self.received]
+        await asyncio.sleep(RETRANSMISSION_S)
+        newer.close()
+        in_order = b'012' in self.received.replace(b'n', b'')
+        self.assertEqual([*found, in_order], expected)
+
+
 @ddt.ddt
 class RunTest(unittest.TestCase):
     def run_soak(
