Lock the ports of a test run, and fail a start whose process ends

Cause: a port was only checked to be free at the moment of the choice, so that two runs could choose the same one; a deployment did not look whether its processes still run, and waited for the readiness of one that had ended.

Change: a test run locks one of 20 blocks of 500 ports until it ends, and takes all its ports from there; wait_ready and apply_sheet raise ProcessEnded with the end of the log.

--- a/soak/transientcluster.py
+++ b/soak/transientcluster.py
@@ -79,7 +79,7 @@
         for name in self.names:
             await self.start(name)
         await deployment.wait_until(self._replace_manifest)
-        await self.wait_ready(self.entries)
+        await self.wait_ready(self.names)
 
     async def start(self, name: str) -> None:
         """Start one process."""
@@ -156,13 +156,6 @@
         await asyncio.gather(*self._reports, return_exceptions=True)
         await super().close_all()
 
-    async def _is_ready(self, name: str) -> bool:
-        status, _ = await self.call('GET', f'{self.url(name)}/ready')
-        state = (await self.state(name))['state']
-        targets = state['dispatcher']['targets'].values()
-        accepting = [each for each in targets if each['accepting']]
-        return status == 200 and len(accepting) == len(self.agents)
-
     # HTTP.
 
     async def _replace_manifest(self) -> bool:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import contextlib
+import fcntl
+import functools
 import itertools
 import json
 import os
@@ -15,6 +17,7 @@
 import tempfile
 import time
 from typing import Any
+from typing import TextIO
 
 import aiohttp
 
@@ -31,32 +34,79 @@
     'team,desks,,,,1,20000,0\n'
 )
 READY_TIMEOUT_S = 30.0
+# Characters of a log in an error.
+LOG_TAIL_LENGTH = 500
 
 
 # Below the ephemeral port range: an outgoing connection could otherwise use a
 # port between the check that it is free and its use.
 FIRST_PORT = 10_000
 LAST_PORT = 20_000
-_PORTS = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+# More than a run of all tests uses at a time.
+BLOCK_PORTS = 500
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports, different ones in each call."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = next(_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
+class ProcessEnded(Exception):
+    """A process has ended while its deployment starts."""
+
+
+class PortBlock:
+    """Ports that no other test run uses until this one ends.
+
+    A file is locked for each block.  The lock goes with this process.
+    """
+
+    def __init__(self) -> None:
+        self.first = FIRST_PORT
+        self._lock = self._open_lock()
+        while not self._try_lock():
+            self._lock.close()
+            self.first += BLOCK_PORTS
+            if self.first >= LAST_PORT:
+                raise RuntimeError('other test runs use all blocks of ports')
+            self._lock = self._open_lock()
+        self._ports = itertools.cycle(
+            range(self.first, self.first + BLOCK_PORTS)
+        )
+
+    def _open_lock(self) -> TextIO:
+        name = f'eelgrassworks-test-ports-{self.first}.lock'
+        return (pathlib.Path(tempfile.gettempdir()) / name).open('w')
+
+    def _try_lock(self) -> bool:
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Let another test run use the ports."""
+        self._lock.close()
 
+    def find(self, count: int) -> list[int]:
+        """Return free ports, different ones in each call."""
+        ports: list[int] = []
+        while len(ports) < count:
+            port = next(self._ports)
+            with socket.socket() as probe:
+                try:
+                    probe.bind(('127.0.0.1', port))
+                except OSError:
+                    continue
+            ports.append(port)
+        return ports
 
-# Concurrent test runs start at different ports.
-for _ in range(os.getpid() * 61 % (LAST_PORT - FIRST_PORT)):
-    next(_PORTS)
+
+@functools.cache
+def lock_ports() -> PortBlock:
+    """Return the block of ports of this test run."""
+    return PortBlock()
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports, different ones in each call."""
+    return lock_ports().find(count)
 
 
 class Deployment:
@@ -295,6 +345,8 @@
         """Apply the sheet of the tests as the first revision."""
 
         async def attempt() -> bool:
+            for name in self.controls:
+                self.check_running(name)
             status, _ = await self.call(
                 'PUT',
                 f'{self.url(self.entries[0])}/v1/sheet',
@@ -311,7 +363,16 @@
         for name in names:
             await wait_until(lambda name=name: self._is_ready(name))
 
+    def check_running(self, name: str) -> None:
+        """Raise ProcessEnded if a process has ended."""
+        status = self.processes[name].returncode
+        if status is None:
+            return
+        log = self.read_log(name)[-LOG_TAIL_LENGTH:]
+        raise ProcessEnded(f'{name} ended with status {status}: {log}')
+
     async def _is_ready(self, name: str) -> bool:
+        self.check_running(name)
         status, _ = await self.call('GET', f'{self.url(name)}/ready')
         if status != 200:
             return False
