--- a/tests/test_oddreports.py
+++ b/tests/test_oddreports.py
@@ -24,8 +24,8 @@
 POLL_INTERVAL_S = 0.01
 # Holds are made within this time, and their responses handled.
 SETTLE_S = 0.15
-# Reports progress ten times a second, and for longer than any check takes.
-PROGRESS_PER_S = 10.0
+# Longer than any check takes; progress is reported in hundredths of it.
+LONGEST_TASK_S = 20.0
 KEY = contracts.TaskKey('reads/5c0e7a21d94b36f8', 0)
 START = holds.StartRequested(KEY, 1, b'spec')
 DAY_MS = 86_400_000
@@ -131,57 +131,54 @@
 )
 
 
-class FencingTarget(standins.TargetStandIn):
-    """A target that refuses calls below the highest fence that it has seen.
+class LastingTarget(standins.TargetStandIn):
+    """A target whose tasks run until the test lets them end.
 
+    Their leases do not expire, so that a slow test ends none.
     ``hold_fields`` replace fields of the responses to holds.
     """
 
     def __init__(self, port: int) -> None:
         super().__init__(port)
-        self.task_duration_s = float('inf')
-        self.progress_per_s = PROGRESS_PER_S
+        self.task_duration_s = LONGEST_TASK_S
         self.hold_fields: dict[str, Any] = {}
         self.odd_holds = 0
-        self.fence = 0
 
     def restart(self) -> None:
         """Begin a new incarnation, which runs nothing."""
         self.born_ms += 1
-        self.fence = 0
+        self.raise_fence(0)
         self._running.clear()
+        self._highest_ended.clear()
         self._ended.clear()
         self._last_end_number = 0
 
+    def raise_fence(self, fence: int) -> None:
+        """Act as if a call with this fence had come."""
+        self._fence = fence
+
+    def finish_tasks(self) -> None:
+        """Let all tasks end as done."""
+        for run in self._running.values():
+            run.finish_s = self._read_clock_s()
+
     @property
     def is_running(self) -> bool:
         """Tell whether a task runs."""
         return bool(self._running)
 
-    async def _is_fenced(self, request: web.Request) -> bool:
-        fence = (await request.json())['fence']
-        self.fence = max(self.fence, fence)
-        return bool(fence < self.fence)
-
-    async def _start(self, request: web.Request) -> web.Response:
-        if await self._is_fenced(request):
-            return self._respond_fenced()
-        return await super()._start(request)
+    def _extend_lease(self, deadline_s: float) -> None:
+        self._lease_end_s = float('inf')
 
     async def _hold(self, request: web.Request) -> web.Response:
-        if await self._is_fenced(request):
-            return self._respond_fenced()
         response = await super()._hold(request)
         body = {**json.loads(response.text or ''), **self.hold_fields}
         self.odd_holds += bool(self.hold_fields)
         return web.json_response(
-            {key: body[key] for key in body if body[key] is not None}
+            {key: body[key] for key in body if body[key] is not None},
+            status=response.status,
         )
 
-    def _respond_fenced(self) -> web.Response:
-        body = {'clockMs': self.read_clock_ms(), 'reason': 'fence'}
-        return web.json_response(body, status=409)
-
 
 async def await_true(condition: Callable[[], bool]) -> bool:
     """Wait until a condition holds; return False after TIMEOUT_S."""
@@ -199,7 +196,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.node = standins.make_node(folder.name, 'agent')
-        self.target = FencingTarget(int((self.node.app or '')[10:]))
+        self.target = LastingTarget(int((self.node.app or '')[10:]))
         await self.target.open()
         self.addAsyncCleanup(self.target.close)
         self.agent: Any = roles.ROLES['agent'](self.node)
@@ -292,7 +289,7 @@
         self.assertEqual(held.counts['runs'], 1)
         self.assertTrue(self.target.is_running)
         await self.post_valid()
-        self.target.task_duration_s = 0.0
+        self.target.finish_tasks()
         self.assertTrue(await await_true(lambda: held.counts['runs'] == 0))
         self.assertEqual(len(self.target.starts), 1)
         self.assertFalse(self.target.is_running)
@@ -323,7 +320,7 @@
     # An odd report had raised the fence at the target; an agent that started
     # later raised its own by one with each refusal.
     async def test_target_with_a_high_fence_is_followed(self) -> None:
-        self.target.fence = self.target.born_ms + 1000 * DAY_MS
+        self.target.raise_fence(self.target.born_ms + 1000 * DAY_MS)
         await self.post_valid()
         await self.assert_followed()
 
@@ -358,7 +355,7 @@
         self.assertTrue(await await_true(lambda: self.target.odd_holds > 1))
         self.target.hold_fields = {}
         self.assertEqual(held.counts, {'runs': 1, 'strange': 0})
-        self.target.task_duration_s = 0.0
+        self.target.finish_tasks()
         self.assertTrue(await await_true(lambda: held.counts['runs'] == 0))
         ends = [each for each in events if isinstance(each, agent.TaskEnded)]
         self.assertEqual(ends, [agent.TaskEnded(KEY, True, b'')])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,10 @@
 import ddt
 
 from soak import plan
+from soak import proxy
 from soak import runner
 from soak import witness
+from tests import deployment
 
 MACHINES = plan.Machines(
     ('control-1', 'control-2', 'control-3'),
@@ -36,6 +38,16 @@
     return lambda seen: seen.record_answer('a', tasks, status, body, 1.0)
 
 
+def run(key: str, *others: str) -> Observation:
+    """Return the observation of a run that begins beside others."""
+    return lambda seen: seen.record_run(key, 'runner-1', list(others), 0.5)
+
+
+def refuse(seen: witness.Witness) -> None:
+    """Record that job a was refused."""
+    seen.record_refusal('a', 503, 1.0)
+
+
 def usage(descriptors: int, resident_kb: int, at_s: float) -> Observation:
     """Return the observation of the resources of a process."""
     return lambda seen: seen.record_usage(
@@ -88,6 +100,15 @@
         (lambda seen: seen.record_exit('entry-1', 1, 1.0),),
         'no process ends by itself',
     ),
+    ((run('a/0'), run('a/1'), run('a/0')), ''),
+    ((run('a/0'), run('a/0', 'runner-2')), 'one run of a task at a time'),
+    ((refuse, run('b/0')), ''),
+    ((refuse, run('a/0')), 'true refusals'),
+    ((run('a/0'), refuse), 'true refusals'),
+    (
+        (lambda seen: seen.record_unanswered('entry-1', 'a', 1.0),),
+        'every request is answered',
+    ),
     # The first resources are those of a program that is still loading.
     ((usage(5, 9_000, 0), usage(20, 40_000, 6), usage(20, 40_000, 8)), ''),
     (
@@ -114,11 +135,22 @@
         (11.0, 'entry-2'),
     )
 ]
-# Seeds that failed, with their duration in seconds.
-FAILED_SEEDS: tuple[tuple[int, float], ...] = (
+CLAIMED = plan.Claimed()
+TRANSIENT = plan.Transient()
+# Each partition begins while jobs wait for the targets that return from the
+# one before.
+PARTITIONS = [
+    plan.TimedFault(2.0, plan.Isolate(('entry-1', 'entry-2'), 3.0)),
+    plan.TimedFault(3.0, plan.Hold('entry-3', 'runner-1', False, 3.0)),
+    plan.TimedFault(6.5, plan.Isolate(('runner-2', 'runner-3'), 3.5)),
+    plan.TimedFault(8.0, plan.Isolate(('entry-3',), 2.5)),
+    plan.TimedFault(11.0, plan.Isolate(('runner-4', 'runner-5'), 3.0)),
+]
+# Kinds of jobs, seeds that failed, and their duration in seconds.
+FAILED_SEEDS: tuple[tuple[plan.Jobs, int, float], ...] = (
     # Jobs that came between the end of an entry and of its process were never
     # answered, and kept the process for 30 s.
-    (7, 45.0),
+    (CLAIMED, 7, 45.0),
 )
 # What the daemons run first, and the promise that the run must find broken.
 FENCES: tuple[tuple[str, str], ...] = (
@@ -169,6 +201,67 @@
                 free_s = each.at_s + duration_s + plan.CONTROL_RECOVERY_S
 
 
+# What happens to a connection, whether its bytes arrive meanwhile, whether a
+# newer connection works meanwhile, and whether its bytes arrive afterwards.
+PASSAGES: tuple[tuple[Callable[[proxy.LinkProxy], None], list[bool]], ...] = (
+    (lambda link: None, [True, True, True]),
+    (lambda link: link.hold(0.5), [False, True, True]),
+    (lambda link: link.cut(0.5), [False, False, True]),
+    (lambda link: link.silence(), [False, True, False]),
+    (lambda link: link.reset(), [False, True, False]),
+)
+# Time for bytes to pass a proxy, and for a retransmission after a hold.
+PASSAGE_S = 0.2
+RETRANSMISSION_S = 1.0
+
+
+@ddt.ddt
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.received = b''
+        ports = deployment.find_ports(2)
+        addresses = [proxy.Address('127.0.0.1', port) for port in ports]
+        self.port = ports[0]
+        server = await asyncio.start_server(self._serve, '127.0.0.1', ports[1])
+        self.addCleanup(server.close)
+        self.link = proxy.LinkProxy(*addresses)
+        await self.link.open()
+        self.addAsyncCleanup(self.link.close)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(100):
+            self.received += data
+        writer.close()
+
+    async def _connect(self, sent: bytes) -> asyncio.StreamWriter:
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(sent)
+        await asyncio.sleep(PASSAGE_S)
+        return writer
+
+    # Guards against a cut of the soak that loses what TCP would deliver
+    # afterwards, also from a connection that its process has closed.
+    @ddt.data(*PASSAGES)
+    @ddt.unpack
+    async def test_passage(
+        self,
+        change: Callable[[proxy.LinkProxy], None],
+        expected: list[bool],
+    ) -> None:
+        writer = await self._connect(b'0')
+        change(self.link)
+        writer.write(b'12')
+        writer.close()
+        newer = await self._connect(b'n')
+        found = [b'2' in self.received, b'n' in self.received]
+        await asyncio.sleep(RETRANSMISSION_S)
+        newer.close()
+        in_order = b'012' in self.received.replace(b'n', b'')
+        self.assertEqual([*found, in_order], expected)
+
+
 @ddt.ddt
 class RunTest(unittest.TestCase):
     def run_soak(
@@ -177,20 +270,29 @@
         prelude: str = '',
         seed: int = 1,
         seconds: float = 16.0,
+        jobs: plan.Jobs = CLAIMED,
     ) -> set[str]:
         """Run for a short time; return the broken promises."""
-        options = runner.Options(seed=seed, seconds=seconds)
+        options = runner.Options(seed=seed, seconds=seconds, jobs=jobs)
         report = asyncio.run(runner.Run(options, faults, prelude).run())
         self.assertGreater(report.outcomes['complete'], 20)
         return {each.promise for each in report.violations}
 
-    def test_short_run_breaks_no_promise(self) -> None:
-        self.assertEqual(self.run_soak(None), set())
+    # The second row guards against starts that a partition holds up and that
+    # run beside their restarts elsewhere.
+    @ddt.data((CLAIMED, None), (TRANSIENT, PARTITIONS))
+    @ddt.unpack
+    def test_short_run_breaks_no_promise(
+        self, jobs: plan.Jobs, faults: list[plan.TimedFault] | None
+    ) -> None:
+        self.assertEqual(self.run_soak(faults, jobs=jobs), set())
 
     @ddt.data(*FAILED_SEEDS)
     @ddt.unpack
-    def test_seed_that_failed(self, seed: int, seconds: float) -> None:
-        found = self.run_soak(None, seed=seed, seconds=seconds)
+    def test_seed_that_failed(
+        self, jobs: plan.Jobs, seed: int, seconds: float
+    ) -> None:
+        found = self.run_soak(None, seed=seed, seconds=seconds, jobs=jobs)
         self.assertEqual(found, set())
 
     @ddt.data(*FENCES)
