Match the answers of owners by job as well as by number

A caller whose job runs at another entry could get the complete answer of a different job.

Cause: each run of an entry numbers its requests from 1, and the owner of a job keeps the requests of other entries until the job ends, beyond a restart of these. Its answer for the earlier run was taken for the request that has the same number in the current one.

Change: the answer names the job, and one for another job is unexpected. An answer of a process without this change names none and is asked for again.

Evidence: test_answer_for_an_earlier_run_reaches_no_other_caller got the 3 results of the other job before, instead of 5.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -386,7 +386,11 @@
             if remote_waiter not in job.remote_waiters:
                 job.remote_waiters.append(remote_waiter)
             return []
-        return [_send_attach_response(peer, message.request, answer)]
+        return [
+            _send_attach_response(
+                peer, message.request, message.submission, answer
+            )
+        ]
 
     # Messages.
 
@@ -454,7 +458,9 @@
         self, peer: str, response: messages.AttachResponse
     ) -> effects.Effects:
         answer = codec.unpack(response.answer)
-        result = self._inquiries.handle_answer(peer, response.request, answer)
+        result = self._inquiries.handle_answer(
+            peer, response.request, response.submission, answer
+        )
         if result is None:
             self.counters['answers_unexpected'] += 1
             return []
@@ -828,7 +834,7 @@
         effects.Reply(request, answer) for request in job.waiters
     ]
     remote_replies = [
-        _send_attach_response(peer, request, answer)
+        _send_attach_response(peer, request, job.submission.id, answer)
         for peer, request in job.remote_waiters
     ]
     job.waiters = []
@@ -837,8 +843,9 @@
 
 
 def _send_attach_response(
-    peer: str, request: int, answer: contracts.Answer
+    peer: str, request: int, submission: str, answer: contracts.Answer
 ) -> effects.Send:
     return effects.Send(
-        peer, messages.AttachResponse(request, codec.pack(answer))
+        peer,
+        messages.AttachResponse(request, codec.pack(answer), submission),
     )
--- a/eelgrassworks/inquiries.py
+++ b/eelgrassworks/inquiries.py
@@ -89,12 +89,21 @@
         return result
 
     def handle_answer(
-        self, peer: str, request: int, answer: contracts.Answer
+        self,
+        peer: str,
+        request: int,
+        submission: str,
+        answer: contracts.Answer,
     ) -> effects.Effects | None:
-        """Pass on the answer of an owner; return None if it is unexpected."""
+        """Pass on the answer of an owner; return None if it is unexpected.
+
+        It may answer a request of an earlier run of this entry.
+        """
         inquiry = self._open.get(request)
         if inquiry is None or inquiry.owner != peer:
             return None
+        if inquiry.submission != submission:
+            return None
         return self._finish(inquiry, answer)
 
     def tick(self, now_s: float) -> effects.Effects:
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -294,12 +294,17 @@
 
 
 class AttachResponse(msgspec.Struct, frozen=True):
-    """The result of a job, from its owner."""
+    """The result of a job, from its owner.
+
+    Each run of an entry numbers its requests from 1, so the number alone
+    does not tell which job was requested.
+    """
 
     TAG: ClassVar[str] = 'AttachTold'
 
     request: int
     answer: codec.Variant
+    submission: str = ''
 
 
 class CancelRequest(msgspec.Struct, frozen=True):
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 from typing import Any
 import unittest
 
@@ -265,6 +266,29 @@
             self.assertIsInstance(answer, contracts.Complete)
             self.assertEqual(test_transient.find_overlaps(world), [])
 
+    # Guards against a caller that gets the answer of another job, which its
+    # entry had requested under the same number in an earlier run.
+    def test_answer_for_an_earlier_run_reaches_no_other_caller(self) -> None:
+        world = worlds.make_world()
+        world.run_model = lambda *_: (test_transient.TASK_S, True)
+        requests: list[int] = []
+        for tasks in (3, 5):
+            job = worlds.make_submission(worlds.make_id(world), tasks)
+            worlds.submit(world, 'entry-2', job)
+            world.run(0.3)
+            if requests:
+                # The new run numbers its requests like the earlier one.
+                world._request_numbers = itertools.count(requests[0])
+            requests.append(worlds.submit(world, 'entry-1', job))
+            world.run(0.3)
+            if len(requests) == 1:
+                world.kill('entry-1')
+                world.start('entry-1')
+                world.run(1.0)
+        self.assertEqual(requests[0], requests[1])
+        answer: Any = worlds.await_answer(world, requests[1])
+        self.assertEqual(len(answer.results), 5)
+
     def test_cut_off_entry_refuses_jobs_at_once(self) -> None:
         world = test_transient.make_world()
         core = world.nodes['entry-1'].core
