Number the requests of each run of an entry apart

A claimed job could start in two runs of an entry.

Cause: each run numbered its requests to the leader from 1, and the leader answers a repeated request twice. The second answer to a claim of an earlier run was taken for the answer to the claim of the current one, which the leader had not decided.

Change: the numbers of a run start at a multiple of its nonce.

Evidence: test_claim_is_granted_by_a_response_to_the_same_run activated the job before.

--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -24,6 +24,8 @@
 SEARCH_INTERVAL_S: Final = 0.15
 RESEND_INTERVAL_S: Final = 0.3
 REQUEST_TIMEOUT_S: Final = 3.0
+# Requests that one run may number; the range of each run follows its nonce.
+REQUEST_RANGE: Final = 1 << 31
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +69,8 @@
         self._leader_last_contact_s = float('-inf')
         self._last_renewal_s = float('-inf')
         self._first_renewal_ms: int | None = None
-        self._next_request = 0
+        # Responses to an earlier run may still arrive.
+        self._next_request = options.nonce % REQUEST_RANGE * REQUEST_RANGE
         self._pending: dict[int | str, PendingRequest] = {}
 
     def has_confirmed_lease(self, now_s: float) -> bool:
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -169,6 +169,53 @@
     world.router = delay
 
 
+def make_leased_entry(nonce: int) -> entry.Entry:
+    """Return an entry with a lease, a sheet and a target, at 10 s."""
+    core = entry.Entry(
+        entry.EntryOptions(
+            session.SessionOptions(
+                'entry-1', 'tcp://entry-1', nonce, worlds.CONTROLS
+            ),
+            placement.LateBinding(),
+            1.0,
+        )
+    )
+    core.handle(entry.Ticked(), 10.0)
+    configuration = contracts.Configuration(
+        1, worlds.SHEET, frozenset(), frozenset()
+    )
+    received = (
+        messages.ConfigurationUpdate(configuration),
+        messages.EntryLease(10_000, 5_000, 1, 1, nonce),
+    )
+    core.handle(entry.Received('control-1', 1, received), 10.0)
+    target = worlds.make_target(0)
+    renewal = messages.AgentRenewal(
+        target.name,
+        target.worker,
+        target.failure_domain,
+        tuple(worlds.KINDS),
+        target.slots,
+        target.slots,
+        0,
+        10_000,
+        1,
+        True,
+    )
+    core.handle(entry.Received(target.name, 1, (renewal,)), 10.0)
+    return core
+
+
+def list_claims(result: effects.Effects) -> list[messages.ClaimsRequest]:
+    """Return the requests for claims among effects."""
+    return [
+        each.message
+        for each in result
+        if isinstance(each, effects.Send)
+        and isinstance(each.message, messages.ClaimsRequest)
+    ]
+
+
 @ddt.ddt
 class IsolationTest(unittest.TestCase):
     # Guards against a start that is carried out after its entry has given it
@@ -289,6 +336,56 @@
         answer: Any = worlds.await_answer(world, requests[1])
         self.assertEqual(len(answer.results), 5)
 
+    # Guards against an entry whose roster lacks other entries for good, so
+    # that the agents that ask it no longer serve these.
+    @ddt.data('late', 'lost', 'restarted')
+    def test_roster_of_an_entry_is_repaired(self, fault: str) -> None:
+        world = virtual.World(1)
+        world.add_control(worlds.CONTROLS, voters=3)
+        for name in worlds.ENTRIES:
+            world.add_entry(name, worlds.CONTROLS)
+        worlds.apply_sheet(world, 'entry-1')
+        world.run(2.0)
+        node = world.nodes['entry-1']
+        current = node.core.session.roster
+        self.assertEqual(set(current.entries), set(worlds.ENTRIES))
+        match fault:
+            case 'late':
+                earlier = messages.RosterUpdate(
+                    current.replicas, {'entry-1': 'tcp://entry-1'}
+                )
+                leader = worlds.find_leader(world)
+                world.give('entry-1', entry.Received(leader, 1, (earlier,)))
+            case 'lost':
+                node.core.session.roster = messages.RosterUpdate({}, {})
+            case _:
+                world.kill('entry-1')
+                world.start('entry-1')
+        world.run(3.0)
+        self.assertEqual(node.core.session.roster, current)
+
+    # Guards against a job that starts a second time, since a late response to
+    # an earlier run of its entry grants the claim of the current one.
+    @ddt.data(7, 8)
+    def test_claim_is_granted_by_a_response_to_the_same_run(
+        self, nonce: int
+    ) -> None:
+        requests: list[messages.ClaimsRequest] = []
+        cores: list[entry.Entry] = []
+        for run in (7, nonce):
+            core = make_leased_entry(run)
+            job = worlds.make_submission('0' * 32)
+            result = core.handle(entry.SubmitRequested(1, job), 10.1)
+            requests += list_claims(result)
+            cores.append(core)
+        granted = messages.ClaimsResponse(
+            requests[0].request,
+            (codec.pack(contracts.ClaimGranted('0' * 32)),),
+        )
+        cores[1].handle(entry.Received('control-1', 1, (granted,)), 10.2)
+        job_state = cores[1].table.jobs['0' * 32].state
+        self.assertEqual(job_state == jobs.JobState.ACTIVE, nonce == 7)
+
     def test_cut_off_entry_refuses_jobs_at_once(self) -> None:
         world = test_transient.make_world()
         core = world.nodes['entry-1'].core
