Send the roster again once a second

After a cut an entry could have a roster without another entry for good, and the agents that ask it served that other entry no longer.

Cause: the leader sent an entry a roster only if it differed from the one that it had sent to that name last. One that is lost, that an older one follows from a replaced connection, or that went to an earlier run of the entry was never repaired.

Change: the leader sends it again with a lease, at most once a second.

Evidence: the three rows of test_roster_of_an_entry_is_repaired failed before; the roster was still wrong 20 s after a late one.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -32,6 +32,8 @@
 MAX_BATCH_CLAIMS: Final = 4096
 # An entry that got no answer for this long has asked another replica.
 DEFERRED_RENEWAL_TTL_S: Final = 0.6
+# An entry may have lost its roster, or have got an older one after it.
+ROSTER_RESEND_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +136,14 @@
     request: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentRoster:
+    """The roster that was sent to an entry last."""
+
+    roster: messages.RosterUpdate
+    sent_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingRead:
     """A configuration read that waits until a quorum confirms the leader."""
@@ -195,7 +205,7 @@
         self._pending_reads: collections.deque[PendingRead] = (
             collections.deque()
         )
-        self._sent_rosters: dict[str, messages.RosterUpdate] = {}
+        self._sent_rosters: dict[str, SentRoster] = {}
         self._connected_addresses: dict[str, str] = {}
         self._pending_lookups: collections.deque[PendingLookups] = (
             collections.deque()
@@ -401,7 +411,7 @@
             incarnation,
         )
         result.append(effects.Send(peer, lease))
-        return result + self._send_roster(peer)
+        return result + self._send_roster(peer, inputs.now_s)
 
     def _make_roster(self) -> messages.RosterUpdate:
         """Return the addresses of the members and of the live entries.
@@ -423,14 +433,19 @@
             },
         )
 
-    def _send_roster(self, peer: str) -> effects.Effects:
-        """Send an entry the roster if it changed since the last one sent."""
+    def _send_roster(self, peer: str, now_s: float) -> effects.Effects:
+        """Send an entry the roster when it changed, and once an interval."""
         if not self.options.replica.is_open:
             return []
         roster = self._make_roster()
-        if self._sent_rosters.get(peer) == roster:
+        sent = self._sent_rosters.get(peer)
+        if (
+            sent is not None
+            and sent.roster == roster
+            and now_s - sent.sent_s < ROSTER_RESEND_S
+        ):
             return []
-        self._sent_rosters[peer] = roster
+        self._sent_rosters[peer] = SentRoster(roster, now_s)
         return [effects.Send(peer, roster)]
 
     def _connect_members(self) -> effects.Effects:
