--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -97,7 +97,7 @@
     def make_received(self, frame: links.Frame) -> list[object]:
         """Return one event for a frame, so that tasks are placed only once."""
         sender = frame.sender
-        is_local = _find_host(sender) == _find_host(self.link.sender)
+        is_local = sender.shares_host(self.link.sender)
         return [
             entry.Received(
                 sender.name, sender.incarnation, frame.messages, is_local
@@ -125,8 +125,3 @@
             'jobs_open': len(self.entry.table.list_open()),
             'targets': len(self.entry.dispatcher.views),
         }
-
-
-def _find_host(sender: links.Sender) -> str:
-    """Return the address of a sender without its port."""
-    return sender.address.rpartition(':')[0]
--- a/eelgrassworks/links/frame.py
+++ b/eelgrassworks/links/frame.py
@@ -15,6 +15,11 @@
     incarnation: int
     address: str
 
+    def shares_host(self, other: 'Sender') -> bool:
+        """Tell whether another process runs at the same host."""
+        host = self.address.rpartition(':')[0]
+        return host == other.address.rpartition(':')[0]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Frame:
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -16,6 +16,9 @@
 from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import errors
+from eelgrassworks import links
+from eelgrassworks.contracts import jobs
+from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
@@ -104,6 +107,14 @@
     ('lease of a later run', make_agent_lease(10.05), True),
 )
 
+# Addresses of two processes, and whether they run on the same machine.
+HOSTS: tuple[tuple[str, str, bool], ...] = (
+    ('tcp://10.0.0.1:7001', 'tcp://10.0.0.1:7002', True),
+    ('tcp://10.0.0.1:7001', 'tcp://10.0.0.11:7001', False),
+    ('tcp://[fd00::1]:7001', 'tcp://[fd00::1]:7002', True),
+    ('tcp://[fd00::1]:7001', 'tcp://[fd00::2]:7001', False),
+)
+
 
 def isolate_entry(
     world: virtual.World, held_type: type, late_s: float
@@ -386,6 +397,14 @@
         job_state = cores[1].table.jobs['0' * 32].state
         self.assertEqual(job_state == jobs.JobState.ACTIVE, nonce == 7)
 
+    @ddt.data(*HOSTS)
+    @ddt.unpack
+    def test_processes_that_share_a_host(
+        self, one: str, other: str, shared: bool
+    ) -> None:
+        left, right = links.Sender('a', 1, one), links.Sender('b', 1, other)
+        self.assertEqual(left.shares_host(right), shared)
+
     def test_cut_off_entry_refuses_jobs_at_once(self) -> None:
         world = test_transient.make_world()
         core = world.nodes['entry-1'].core
