Send an entry the roster only when its own one differs

A renewal now carries the checksum of the entry's roster, and the leader sends its own only where the two differ, at most once a second while it is the same. A renewal grows by five bytes.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -411,7 +411,7 @@
             incarnation,
         )
         result.append(effects.Send(peer, lease))
-        return result + self._send_roster(peer, inputs.now_s)
+        return result + self._send_roster(peer, renewal, inputs.now_s)
 
     def _make_roster(self) -> messages.RosterUpdate:
         """Return the addresses of the members and of the live entries.
@@ -433,11 +433,19 @@
             },
         )
 
-    def _send_roster(self, peer: str, now_s: float) -> effects.Effects:
-        """Send an entry the roster when it changed, and once an interval."""
+    def _send_roster(
+        self, peer: str, renewal: messages.EntryRenewal, now_s: float
+    ) -> effects.Effects:
+        """Send an entry the roster if its renewal shows another one.
+
+        The same roster is sent again only after an interval, in which the
+        next renewal may show that it has arrived.
+        """
         if not self.options.replica.is_open:
             return []
         roster = self._make_roster()
+        if renewal.roster_digest == roster.digest():
+            return []
         sent = self._sent_rosters.get(peer)
         if (
             sent is not None
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -9,6 +9,7 @@
 
 from typing import ClassVar
 from typing import Final
+import zlib
 
 import msgspec
 
@@ -177,13 +178,17 @@
 
 
 class EntryRenewal(msgspec.Struct, frozen=True):
-    """Registers an incarnation of an entry and requests a lease."""
+    """Registers an incarnation of an entry and requests a lease.
+
+    ``roster_digest`` is that of the roster which the entry has.
+    """
 
     name: str
     address: str
     nonce: int
     sent_ms: int
     revision: int
+    roster_digest: int = 0
 
 
 class ClaimsRequest(msgspec.Struct, frozen=True):
@@ -278,6 +283,11 @@
     replicas: dict[str, str]
     entries: dict[str, str]
 
+    def digest(self) -> int:
+        """Return a checksum that differs when a name or address differs."""
+        rows = (sorted(self.replicas.items()), sorted(self.entries.items()))
+        return zlib.crc32(msgspec.msgpack.encode(rows))
+
 
 # Entry to entry.
 
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -266,6 +266,7 @@
             self.options.nonce,
             int(now_s * 1000),
             self.configuration.revision,
+            self.roster.digest(),
         )
         return [effects.Send(self.leader, renewal)]
 
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -121,7 +121,14 @@
     (
         messages.EntryRenewal,
         'EntryRenewal',
-        ('name', 'address', 'nonce', 'sent_ms', 'revision'),
+        (
+            'name',
+            'address',
+            'nonce',
+            'sent_ms',
+            'revision',
+            'roster_digest',
+        ),
     ),
     (messages.ClaimsRequest, 'ClaimsAsked', ('request', 'claims')),
     (messages.LookupsRequest, 'LookupsAsked', ('request', 'submissions')),
@@ -152,7 +159,11 @@
         'AttachAsked',
         ('request', 'submission', 'digest', 'team'),
     ),
-    (messages.AttachResponse, 'AttachTold', ('request', 'answer')),
+    (
+        messages.AttachResponse,
+        'AttachTold',
+        ('request', 'answer', 'submission'),
+    ),
     (messages.CancelRequest, 'CancelAsked', ('submission', 'team')),
     (messages.Heartbeat, 'Heartbeat', ('sent_s', 'kept')),
     (messages.HeartbeatEcho, 'HeartbeatEcho', ('sent_s',)),
