Take only a refused connection as the end of a target

A task could start again while it ran, when an agent lacked files or local ports.

Cause: any failed connection attempt counted as refused, and after two of them the agent reports all runs as ended, since nothing listens at the address. An attempt also fails for causes of its own end.

Change: only ECONNREFUSED counts.

Evidence: three of four rows of test_only_a_refusal_ends_the_runs failed before.

--- a/eelgrassworks/platform/targetlink.py
+++ b/eelgrassworks/platform/targetlink.py
@@ -1,5 +1,6 @@
 """HTTP calls of an agent to its target."""
 
+import errno
 from typing import Any
 from typing import Final
 
@@ -121,8 +122,9 @@
                 return response.status, wire.decode(
                     _RESPONSE_DECODER, data or b'{}'
                 )
-        except aiohttp.ClientConnectorError:
-            return True
+        except aiohttp.ClientConnectorError as error:
+            # Other errors, such as a lack of files, concern only this end.
+            return error.os_error.errno == errno.ECONNREFUSED
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
         except wire.BodyInvalid as error:
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -1,6 +1,7 @@
 """Unexpected messages and errors that must not end a process or a loop."""
 
 import asyncio
+import errno
 import json
 import pathlib
 import tempfile
@@ -104,6 +105,37 @@
         )
 
 
+# Errors of a connection attempt, and whether nothing listens at the address:
+# only then have all runs of the target ended.
+CONNECT_ERRORS: tuple[tuple[int, bool], ...] = (
+    (errno.ECONNREFUSED, True),
+    (errno.EMFILE, False),
+    (errno.ENETUNREACH, False),
+    (errno.EADDRNOTAVAIL, False),
+)
+
+
+@ddt.ddt
+class ConnectTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against runs that count as ended, and are started again, since
+    # the agent itself could not open a connection.
+    @ddt.data(*CONNECT_ERRORS)
+    @ddt.unpack
+    async def test_only_a_refusal_ends_the_runs(
+        self, code: int, refused: bool
+    ) -> None:
+        link = targetlink.HttpTargetLink('127.0.0.1:1')
+        self.addAsyncCleanup(link.close)
+        failure = mock.AsyncMock(side_effect=OSError(code, 'failed'))
+        loop = asyncio.get_running_loop()
+        with (
+            mock.patch.object(loop, 'sock_connect', failure),
+            mock.patch.object(loop, 'create_connection', failure),
+        ):
+            result = await link.hold(holds.HoldCall(1, None, 1, 0, 0))
+        self.assertEqual(result, holds.HoldUnanswered(refused))
+
+
 class FailingLink(test_heldtarget.ResettingLink):
     """A link whose first holds raise an unexpected error."""
 
