Wait for the end of a target that announces it

The tasks of a target could start elsewhere while they still ran at it.

Cause: an announcement ended all runs at once, by the name alone, which a target keeps over its incarnations. One of an earlier incarnation that came late ended those of the current one, which then ran on without holds until their lease expired; and a target announces its end before it ends.

Change: an announcement only marks the target unhealthy. Its runs end when a hold lists their end, is refused twice or is answered by another incarnation, or when their lease has expired.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -156,10 +156,14 @@
             self._start_incarnation(report, clock.read_now())
 
     def handle_departure(self, name: str) -> None:
-        """Handle the target's announcement that it is stopping."""
+        """Handle the target's announcement that it is stopping.
+
+        It may come late, from an earlier incarnation of that name, and tasks
+        still run until the target has ended, which the holds show.
+        """
         if self.held is not None and self.held.incarnation.name == name:
             logs.log('target_left', target=name)
-            self.dispatch_held(holds.TargetDeparted())
+            self.dispatch_held(holds.DepartureAnnounced())
 
     def _start_incarnation(
         self, report: holds.TargetReport, now_s: float
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -164,6 +164,8 @@
                 return []
             case holds.HoldUnanswered(refused):
                 return self._handle_unanswered_hold(refused, now_s)
+            case holds.DepartureAnnounced():
+                return self._mark_unhealthy()
             case holds.TargetDeparted():
                 return self._end_incarnation('left')
             case holds.Ticked():
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -160,6 +160,11 @@
     refused: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DepartureAnnounced:
+    """The target, or an earlier incarnation of it, said that it will end."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetDeparted:
     """The target announced that it is stopping."""
@@ -196,6 +201,7 @@
     | HoldResponse
     | HoldFenced
     | HoldUnanswered
+    | DepartureAnnounced
     | TargetDeparted
     | Ticked
 )
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -538,6 +538,33 @@
 
 @ddt.ddt
 class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a second run of a task that still runs at a target which
+    # announced its end, or whose earlier incarnation did.
+    @ddt.data(False, True)
+    async def test_announced_end_of_a_target_ends_no_run(
+        self, goes: bool
+    ) -> None:
+        running = make_process(ResettingLink())
+        running.handle_report(REPORT)
+        held: Any = running.held
+        held.begin_hold(0.0)
+        running.dispatch_held(list_runs(1))
+        running.dispatch_held(START)
+        self.assertTrue(held.healthy)
+        running.handle_departure(INCARNATION.name)
+        self.assertFalse(held.healthy)
+        self.assertEqual(held.counts['runs'], 1)
+        self.assertTrue(held.needs_hold)
+        if goes:
+            for _ in range(2):
+                running.dispatch_held(HOLD_REFUSED)
+            self.assertEqual(held.counts['runs'], 0)
+            return
+        held.begin_hold(0.1)
+        running.dispatch_held(list_runs(2, run(5)))
+        self.assertTrue(held.healthy)
+        self.assertEqual(held.counts['runs'], 1)
+
     # Guards against entries that take the runs of an earlier agent process
     # as ended and start the tasks again, while these still run.
     @ddt.data(*EARLY_EVENTS)
