Stop asking a target that has announced its end and is gone

With the change before, an agent went on to hold a target that had left, twenty times a second, until another incarnation reported. After an announcement the incarnation now ends with its last runs: when two holds are refused or the lease has expired.

The assertion on needs_hold is new and failed before; 233 tests of heldtarget, platform, robustness and oddreports pass.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -117,6 +117,9 @@
         self._lease_end_s = now_s
         self._refusals_since_response = 0
         self.ended = False
+        # Set once the target has announced its end; it is not asked any more
+        # when its runs have ended.
+        self._departing = False
         self._pause_s = 0.0
         self._paused_until_s = float('-inf')
 
@@ -165,6 +168,7 @@
             case holds.HoldUnanswered(refused):
                 return self._handle_unanswered_hold(refused, now_s)
             case holds.DepartureAnnounced():
+                self._departing = True
                 return self._mark_unhealthy()
             case holds.TargetDeparted():
                 return self._end_incarnation('left')
@@ -446,7 +450,7 @@
             self._refusals_since_response += 1
             if self._refusals_since_response >= 2:
                 # Nothing listens at the address: the process has ended.
-                return self._end_runs('gone') + self._mark_unhealthy()
+                return self._end_target('gone')
         if now_s - self._last_contact_s > UNRESPONSIVE_S:
             return self._mark_unhealthy()
         return []
@@ -462,7 +466,7 @@
         expired_s = now_s - max(self._lease_end_s, self._last_contact_s)
         if self._runs and expired_s > LAPSE_MARGIN_S:
             self.counters['lapses'] += 1
-            return self._end_runs('lapsed') + self._mark_unhealthy()
+            return self._end_target('lapsed')
         for name, run in self._runs.items():
             stopped_s = run.stopped_s
             if stopped_s is None or now_s - stopped_s < STOP_TIMEOUT_S:
@@ -478,6 +482,12 @@
             for run in runs.values()
         ]
 
+    def _end_target(self, reason: str) -> list[holds.HeldEffect]:
+        """Report that no run is left at a target that is gone."""
+        if self._departing:
+            return self._end_incarnation(reason)
+        return self._end_runs(reason) + self._mark_unhealthy()
+
     def _end_incarnation(self, reason: str) -> list[holds.HeldEffect]:
         self.ended = True
         self._unknown_runs = {}
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -559,6 +559,8 @@
             for _ in range(2):
                 running.dispatch_held(HOLD_REFUSED)
             self.assertEqual(held.counts['runs'], 0)
+            # The target is gone for good.
+            self.assertFalse(held.needs_hold)
             return
         held.begin_hold(0.1)
         running.dispatch_held(list_runs(2, run(5)))
