--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,9 +13,9 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 # One of seven is less than the share of 0.15 of `srv_crash`.
 RUNNERS = 7
-CRASHES = 10
-PAUSE_S = 4.0
-# The users' bench brings a crashed runner back within 60 ms at times.
+CRASHES = 20
+PAUSE_S = 3.0
+# The bench brings a crashed runner back within 60 ms at times.
 RESTART_MS = 30
 # About half of the room of all runners.
 JOBS_PER_S = 25
