Bound appends to replicas in bytes

Cause: an append to a member held up to 256 entries of any size. With manifests of some 80 KB the entries after the first missing one exceeded 16 MiB, every receiver rejected the frame, and the leader sent the same frame again with each answer and each heartbeat. The member stayed a learner for ever, and the encoding took the leader's processor and memory.

Change: ReplicatedLog.list_after bounds an append by bytes; Progress counts what is in flight and sends the next batch when the last is acknowledged; a rejection that answers a request from before the latest resend is ignored, so that each answer no longer starts another resend.

--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -251,7 +251,7 @@
     def poll_committed(self) -> list[messages.LogEntry]:
         """Return the entries committed since the last call, in order."""
         first = max(self._applied_index, self.log.base_index)
-        entries = self.log.list_after(first, self.commit_index - first)
+        entries = self.log.list_range(first, self.commit_index)
         self._applied_index = self.commit_index
         return list(entries)
 
@@ -561,7 +561,8 @@
         previous_term = self.log.find_term(previous)
         if previous_term is None:
             return self._send_snapshot_chunk(progress, name, inputs)
-        entries = self.log.list_after(previous)
+        entries = self.log.list_after(previous, progress.in_flight.size_bytes)
+        progress.in_flight.record(entries)
         progress.next_index = previous + len(entries) + 1
         request = messages.AppendRequest(
             self.term,
@@ -602,8 +603,13 @@
             return []
         progress.last_contact_s = max(progress.last_contact_s, response.sent_s)
         if not response.accepted:
+            if response.sent_s < progress.resent_s:
+                # The entries that it lacks were sent after this request.
+                return []
             if response.match < progress.match_index:
                 self.counters['regressions'] += 1
+            progress.resent_s = inputs.now_s
+            progress.in_flight.clear()
             progress.next_index = min(
                 max(response.match, 0) + 1, self.log.last_index + 1
             )
@@ -613,13 +619,15 @@
             response.disk, response.match, response.term
         )
         progress.match_index = max(progress.match_index, response.match)
+        progress.in_flight.acknowledge(response.match)
         progress.next_index = max(
             progress.next_index, progress.match_index + 1
         )
         progress.snapshot_offset = 0
         self._advance_commit(role)
         result: effects.Effects = []
-        if progress.next_index <= self.log.last_index:
+        has_more = progress.next_index <= self.log.last_index
+        if has_more and not progress.in_flight.size_bytes:
             result += self._send_append(role, peer, inputs)
         if role.transfer_started_s is not None:
             result += self._finish_transfer(role, peer, progress)
--- a/eelgrassworks/replication/replicatedlog.py
+++ b/eelgrassworks/replication/replicatedlog.py
@@ -8,6 +8,14 @@
 from eelgrassworks.links import messages
 
 MAX_APPEND_ENTRIES: Final = 256
+# Far below the size of a frame, so that a member answers soon and other
+# messages fit into the same frame.
+MAX_APPEND_BYTES: Final = 1024 * 1024
+
+
+def measure_entry(entry: messages.LogEntry) -> int:
+    """Return the size of an entry's command in bytes."""
+    return len(entry.command[1])
 
 
 class ReplicatedLog:
@@ -40,12 +48,32 @@
         """Return the entry at an index above the base."""
         return self.entries[index - self.base_index - 1]
 
-    def list_after(
-        self, index: int, limit: int = MAX_APPEND_ENTRIES
+    def list_range(
+        self, index: int, last_index: int
     ) -> tuple[messages.LogEntry, ...]:
-        """Return up to ``limit`` entries that follow an index."""
+        """Return the entries after ``index`` up to ``last_index``."""
         start = index - self.base_index
-        return tuple(self.entries[start : start + limit])
+        return tuple(self.entries[start : last_index - self.base_index])
+
+    def list_after(
+        self, index: int, pending_bytes: int = 0
+    ) -> tuple[messages.LogEntry, ...]:
+        """Return the entries after an index that one append may contain.
+
+        Their size and ``pending_bytes`` together stay below
+        ``MAX_APPEND_BYTES``.  An entry that exceeds it is sent by itself when
+        nothing else is pending.
+        """
+        first = index - self.base_index
+        total_bytes = pending_bytes
+        end = first
+        for entry in self.entries[first : first + MAX_APPEND_ENTRIES]:
+            total_bytes += measure_entry(entry)
+            is_only = not pending_bytes and end == first
+            if total_bytes > MAX_APPEND_BYTES and not is_only:
+                break
+            end += 1
+        return tuple(self.entries[first:end])
 
     def append(self, entries: tuple[messages.LogEntry, ...]) -> None:
         """Add entries that follow the last one."""
--- a/eelgrassworks/replication/roles.py
+++ b/eelgrassworks/replication/roles.py
@@ -4,10 +4,13 @@
 tracking of the other members.
 """
 
+import collections
+from collections.abc import Iterable
 import dataclasses
 
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
+from eelgrassworks.replication import replicatedlog
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,20 +62,52 @@
     transfer: bool
 
 
+class InFlight:
+    """Entries that were sent to a member and not acknowledged yet."""
+
+    def __init__(self) -> None:
+        self.size_bytes = 0
+        # Last index and size in bytes of each append.
+        self._appends: collections.deque[tuple[int, int]] = collections.deque()
+
+    def record(self, entries: Iterable[messages.LogEntry]) -> None:
+        """Record the entries of one append."""
+        last_index = 0
+        total_bytes = 0
+        for entry in entries:
+            last_index = entry.index
+            total_bytes += replicatedlog.measure_entry(entry)
+        if last_index:
+            self._appends.append((last_index, total_bytes))
+            self.size_bytes += total_bytes
+
+    def acknowledge(self, index: int) -> None:
+        """Remove the appends whose entries are all acknowledged."""
+        while self._appends and self._appends[0][0] <= index:
+            self.size_bytes -= self._appends.popleft()[1]
+
+    def clear(self) -> None:
+        """Remove all: what was sent did not follow the member's log."""
+        self._appends.clear()
+        self.size_bytes = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """Replication progress of another member, as tracked by the leader.
 
     ``last_contact_s`` is the sending time of the latest append that the
-    member answered.
+    member answered.  Since ``resent_s`` the member is sent the entries after
+    the index that its latest rejection named.
     """
 
     next_index: int
     match_index: int = 0
     last_contact_s: float = float('-inf')
-    sent_s: float = float('-inf')
+    resent_s: float = float('-inf')
     snapshot_offset: int = 0
     chunk_sent_s: float = float('-inf')
+    in_flight: InFlight = dataclasses.field(default_factory=InFlight)
 
 
 @dataclasses.dataclass(slots=True)
