Settle starts that a later incarnation of a target carried out

Cause: an agent learns of the restart from the next hold. Until then it sent starts that were meant for the crashed incarnation, and the next one carried them out, since no call named an incarnation. When the hold named another start time, the agent reported all runs of the old incarnation as ended, also those, and entries started them elsewhere.

Change: each call names its target, and a target with another name refuses it (421); such a refusal of a hold ends the incarnation. A target may keep its name when it restarts, so a hold that is answered by a later incarnation no longer ends everything: only runs that the old incarnation had listed end at once. The fence is raised; a start that arrives after the next hold is refused; what the later incarnation lists is stopped, and a run is reported when it is listed no more. That hold extends no lease and acknowledges no end: both were meant for the old incarnation as well.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -59,9 +59,7 @@
     ) -> holds.StopResponse | holds.CallUnanswered:
         """Ask the target to stop a task."""
 
-    async def hold(
-        self, call: holds.HoldCall
-    ) -> holds.HoldResponse | holds.HoldFenced | holds.HoldUnanswered:
+    async def hold(self, call: holds.HoldCall) -> holds.HoldResult:
         """Renew the lease and request the running and ended attempts."""
 
     async def close(self) -> None:
@@ -309,8 +307,11 @@
         if held is not self.held:
             return
         self.dispatch_held(response)
-        if isinstance(response, holds.HoldResponse):
-            self._choose_incarnation(held, response)
+        match response:
+            case holds.HoldResponse() | holds.HoldMisdirected():
+                self._choose_incarnation(held, response)
+            case _:
+                pass
         match response:
             case holds.HoldUnanswered():
                 # A reset or a refusal comes at once; each hold after it would
@@ -324,7 +325,9 @@
                 pass
 
     def _choose_incarnation(
-        self, held: heldtarget.HeldTarget, response: holds.HoldResponse
+        self,
+        held: heldtarget.HeldTarget,
+        response: holds.HoldResponse | holds.HoldMisdirected,
     ) -> None:
         """Let the target's response decide which report is followed."""
         if held.confirmed:
@@ -336,7 +339,8 @@
             self._candidate = None
             self._start_incarnation(candidate, clock.read_now())
         elif (
-            response.incarnation.born_ms == held.incarnation.born_ms
+            isinstance(response, holds.HoldResponse)
+            and response.incarnation.born_ms == held.incarnation.born_ms
             and response.number > self._candidate_hold
         ):
             self._candidate = None
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -40,6 +40,7 @@
 # advance by one percent in a fifth of this time on a slow target.
 STALL_S: Final = 0.3
 REASON_STALLED: Final = messages.REASON_STALLED.decode()
+REASON_REBORN: Final = 'reborn'
 # After a stall the target gets no new tasks for this long; each further stall
 # before a task succeeds doubles the pause.
 FIRST_PAUSE_S: Final = 0.5
@@ -59,7 +60,8 @@
     """An attempt that was requested and has not been seen to end.
 
     If a hold numbered above ``settled_after_hold`` does not list the attempt,
-    the attempt has ended, or never started if it is not ``confirmed``.  Its
+    the attempt has ended, or never started if it is not ``confirmed``.  It
+    was ``listed`` once this incarnation of the target has listed it.  Its
     progress was ``percent`` at ``last_sample_s`` and last changed at
     ``last_progress_s``, both on the target's clock: the agent may read a
     listing late.
@@ -70,6 +72,7 @@
     deadline_ms: int
     estimate_s: float = 0.0
     confirmed: bool = False
+    listed: bool = False
     settled_after_hold: int | None = None
     stopped_s: float | None = None
     percent: int = 0
@@ -85,6 +88,10 @@
     ``confirmed`` is set once the target itself has named the incarnation,
     ``reconciled`` once a listing shows no unknown run, and ``ended`` when the
     incarnation is over.  Its fence is higher than ``last_fence``.
+
+    When a later incarnation of the same name answers, it may have carried out
+    starts that were meant for this one.  They are settled with the later
+    incarnation before this one is ended.
     """
 
     def __init__(
@@ -117,6 +124,10 @@
         self._lease_end_s = now_s
         self._refusals_since_response = 0
         self.ended = False
+        # Start time of the later incarnation that answers, and the number of
+        # the last hold before it was fenced.
+        self._successor_born_ms: int | None = None
+        self._fenced_after_hold = 0
         # Set once the target has announced its end; it is not asked any more
         # when its runs have ended.
         self._departing = False
@@ -131,6 +142,7 @@
             and (
                 self._runs
                 or self._unknown_runs
+                or self._successor_born_ms is not None
                 or not self.reconciled
                 or not self.healthy
             )
@@ -165,6 +177,9 @@
                 self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
                 self.counters['fenced'] += 1
                 return []
+            case holds.HoldMisdirected():
+                # It has refused every start that was meant for this one.
+                return self._end_incarnation(REASON_REBORN)
             case holds.HoldUnanswered(refused):
                 return self._handle_unanswered_hold(refused, now_s)
             case holds.DepartureAnnounced():
@@ -183,15 +198,19 @@
         deadline_ms: int | None = None
         # The lease of an unresponsive target must expire, so that its runs end
         # whether or not the holds reach it.
-        if self._runs and now_s - self._last_contact_s < UNRESPONSIVE_S:
+        is_superseded = self._successor_born_ms is not None
+        is_responsive = now_s - self._last_contact_s < UNRESPONSIVE_S
+        if self._runs and is_responsive and not is_superseded:
             deadline_ms = self._extend_lease(now_s)
+        may_wait = self._runs and self._hold_answered and not is_superseded
         return holds.HoldCall(
+            self.incarnation.name,
             self.hold_number,
             deadline_ms,
             self.fence,
             self._last_end_number,
             # After a missing response the target is asked to respond at once.
-            HOLD_WAIT_S if self._runs and self._hold_answered else 0.0,
+            HOLD_WAIT_S if may_wait else 0.0,
         )
 
     def _extend_lease(self, now_s: float) -> int:
@@ -216,7 +235,8 @@
     ) -> list[holds.HeldEffect]:
         key, attempt = request.key, request.attempt
         name = make_task_name(key)
-        if self.ended or not self.reconciled:
+        is_superseded = self._successor_born_ms is not None
+        if self.ended or is_superseded or not self.reconciled:
             return [holds.RunRejected(key, 'unhealthy')]
         if name in self._runs:
             # A run of the same task for an earlier owner has not ended yet.
@@ -225,7 +245,12 @@
         self._runs[name] = Run(key, attempt, deadline_ms, request.estimate_s)
         return [
             holds.StartCall(
-                name, attempt, request.payload, deadline_ms, self.fence
+                self.incarnation.name,
+                name,
+                attempt,
+                request.payload,
+                deadline_ms,
+                self.fence,
             )
         ]
 
@@ -242,7 +267,9 @@
         self, name: holds.TaskName, run: Run, now_s: float
     ) -> holds.StopCall:
         run.stopped_s = now_s
-        return holds.StopCall(name, run.attempt, self.fence)
+        return holds.StopCall(
+            self.incarnation.name, name, run.attempt, self.fence
+        )
 
     def _handle_start_response(
         self, response: holds.StartResponse, now_s: float
@@ -300,7 +327,7 @@
         if born_ms != self.incarnation.born_ms:
             # Another incarnation responds, so this one has ended, or was
             # reported by another writer.
-            return self._end_incarnation('reborn')
+            return self._settle_with_successor(response, now_s)
         self._last_contact_s = now_s
         self._hold_answered = True
         self._refusals_since_response = 0
@@ -316,6 +343,56 @@
             result.append(holds.HealthChanged(True))
         return result
 
+    def _settle_with_successor(
+        self, response: holds.HoldResponse, now_s: float
+    ) -> list[holds.HeldEffect]:
+        """Settle the starts that a later incarnation may have carried out.
+
+        The first hold with a higher fence keeps it from carrying out further
+        ones.  Those that it lists after that hold are stopped; the others
+        have ended or never start.
+        """
+        self._last_contact_s = now_s
+        self._hold_answered = True
+        self._refusals_since_response = 0
+        result: list[holds.HeldEffect] = []
+        if self._successor_born_ms != response.incarnation.born_ms:
+            result += self._begin_settlement(response.incarnation.born_ms)
+        result += self._apply_ends(response.ended)
+        listed = {(each.name, each.attempt) for each in response.running}
+        is_fenced = response.number > self._fenced_after_hold
+        for name, run in list(self._runs.items()):
+            if (name, run.attempt) in listed:
+                if run.stopped_s is None:
+                    result.append(self._stop(name, run, now_s))
+            elif is_fenced:
+                del self._runs[name]
+                result.append(
+                    holds.RunEnded(run.key, False, True, REASON_REBORN)
+                )
+        if not self._runs:
+            return result + self._end_incarnation(REASON_REBORN)
+        return result + self._mark_unhealthy()
+
+    def _begin_settlement(self, born_ms: int) -> list[holds.HeldEffect]:
+        """End the runs that cannot be those of the later incarnation."""
+        is_first = self._successor_born_ms is None
+        self._successor_born_ms = born_ms
+        self.fence += 1
+        self._fenced_after_hold = self.hold_number
+        self._last_end_number = 0
+        self._unknown_runs = {}
+        result: list[holds.HeldEffect] = []
+        for name, run in list(self._runs.items()):
+            # A stop that was sent to an earlier incarnation is void.
+            run.stopped_s = None
+            if is_first and run.listed:
+                del self._runs[name]
+                result.append(
+                    holds.RunEnded(run.key, False, True, REASON_REBORN)
+                )
+        return result
+
     def _apply_ends(
         self, ended: tuple[holds.Ended, ...]
     ) -> list[holds.HeldEffect]:
@@ -350,7 +427,7 @@
         for name, run in list(self._runs.items()):
             percent = listed.get((name, run.attempt))
             if percent is not None:
-                run.confirmed = True
+                run.confirmed = run.listed = True
                 result += self._track_progress(
                     name, run, percent, response.clock_ms / 1000, now_s
                 )
@@ -369,7 +446,11 @@
             stopped_s = self._unknown_runs.get((name, attempt), float('-inf'))
             if now_s - stopped_s >= STOP_TIMEOUT_S:
                 self._unknown_runs[(name, attempt)] = now_s
-                result.append(holds.StopCall(name, attempt, self.fence))
+                result.append(
+                    holds.StopCall(
+                        self.incarnation.name, name, attempt, self.fence
+                    )
+                )
         self.reconciled = not self._unknown_runs
         return result
 
@@ -484,7 +565,7 @@
 
     def _end_target(self, reason: str) -> list[holds.HeldEffect]:
         """Report that no run is left at a target that is gone."""
-        if self._departing:
+        if self._departing or self._successor_born_ms is not None:
             return self._end_incarnation(reason)
         return self._end_runs(reason) + self._mark_unhealthy()
 
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -42,13 +42,15 @@
     draining: bool
 
 
-# Calls.
+# Calls.  Each names the incarnation of the target that it is meant for; one
+# with another name refuses it.  A target may keep its name when it restarts.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartCall:
     """Start an attempt, unless the target's clock is past ``deadline_ms``."""
 
+    target: str
     name: TaskName
     attempt: int
     payload: bytes
@@ -60,6 +62,7 @@
 class StopCall:
     """Stop an attempt, or prevent it from starting."""
 
+    target: str
     name: TaskName
     attempt: int
     fence: int
@@ -74,6 +77,7 @@
     for ``wait_s``.
     """
 
+    target: str
     number: int
     deadline_ms: int | None
     fence: int
@@ -153,6 +157,11 @@
     clock_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldMisdirected:
+    """A target with another name refused the hold."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HoldUnanswered:
     """A hold got no response; ``refused`` if the connection was refused."""
@@ -160,6 +169,9 @@
     refused: bool
 
 
+HoldResult = HoldResponse | HoldFenced | HoldMisdirected | HoldUnanswered
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DepartureAnnounced:
     """The target, or an earlier incarnation of it, said that it will end."""
@@ -200,6 +212,7 @@
     | CallUnanswered
     | HoldResponse
     | HoldFenced
+    | HoldMisdirected
     | HoldUnanswered
     | DepartureAnnounced
     | TargetDeparted
--- a/eelgrassworks/platform/targetlink.py
+++ b/eelgrassworks/platform/targetlink.py
@@ -16,7 +16,9 @@
 # expired.
 OUTCOME_FAILED: Final = 'failed'
 OUTCOME_DONE: Final = 'done'
-REASON_FENCE: Final = 'fence'
+# Names the incarnation that a call is meant for; another one refuses it.
+TARGET_HEADER: Final = 'X-Eelgrassworks-Target-Instance'
+STATUS_MISDIRECTED: Final = 421
 MAX_CONNECTIONS: Final = 32
 _RESPONSE_DECODER: Final = msgspec.json.Decoder(wire.TargetResponse)
 
@@ -39,7 +41,7 @@
             'deadlineMs': call.deadline_ms,
             'fence': call.fence,
         }
-        result = await self._post('/api/run-start', body, 0.0)
+        result = await self._post('/api/run-start', call.target, body, 0.0)
         if not isinstance(result, tuple):
             return holds.CallUnanswered(call.name, call.attempt)
         status, response = result
@@ -57,14 +59,12 @@
             'run': call.attempt,
             'fence': call.fence,
         }
-        result = await self._post('/api/run-stop', body, 0.0)
+        result = await self._post('/api/run-stop', call.target, body, 0.0)
         if isinstance(result, tuple) and result[0] == 200:
             return holds.StopResponse(call.name, call.attempt)
         return holds.CallUnanswered(call.name, call.attempt)
 
-    async def hold(
-        self, call: holds.HoldCall
-    ) -> holds.HoldResponse | holds.HoldFenced | holds.HoldUnanswered:
+    async def hold(self, call: holds.HoldCall) -> holds.HoldResult:
         """Renew the lease; request the current runs and the ends of runs."""
         body: dict[str, Any] = {
             'fence': call.fence,
@@ -74,12 +74,14 @@
             body['deadlineMs'] = call.deadline_ms
         if call.wait_s:
             body['waitMs'] = round(call.wait_s * 1000)
-        result = await self._post('/api/hold', body, call.wait_s)
+        result = await self._post('/api/hold', call.target, body, call.wait_s)
         if not isinstance(result, tuple):
             return holds.HoldUnanswered(result)
         status, response = result
         if status == 409:
             return holds.HoldFenced(response.clock_ms)
+        if status == STATUS_MISDIRECTED:
+            return holds.HoldMisdirected()
         if status != 200:
             return holds.HoldUnanswered(False)
         try:
@@ -94,7 +96,7 @@
             await self._session.close()
 
     async def _post(
-        self, path: str, body: dict[str, Any], wait_s: float
+        self, path: str, target: str, body: dict[str, Any], wait_s: float
     ) -> tuple[int, wire.TargetResponse] | bool:
         """Return status and body of a response.
 
@@ -115,7 +117,10 @@
             async with self._session.post(
                 self._base_url + path,
                 data=msgspec.json.encode(body),
-                headers={'Content-Type': 'application/json'},
+                headers={
+                    'Content-Type': 'application/json',
+                    TARGET_HEADER: target,
+                },
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 data = await response.read()
--- a/tests/platformstandins.py
+++ b/tests/platformstandins.py
@@ -19,6 +19,7 @@
 PREFIX = '/reads/'
 SERVICE = 'cover-check'
 PORTS = 12
+TARGET_HEADER = 'X-Eelgrassworks-Target-Instance'
 # The longest lease of a run, and the time that a stop takes.
 MAX_LEASE_S = 1.0
 STOP_GRACE_S = 0.05
@@ -37,8 +38,9 @@
     """HTTP server that acts as a target; its tasks only wait.
 
     Runs end when they are done, when they are stopped and when the lease ends.
-    The clock runs at ``clock_rate``.  A task whose ``spec`` is a number takes
-    that many milliseconds.
+    A call that names another target than ``name`` is refused; without a
+    ``name`` all calls are accepted.  The clock runs at ``clock_rate``.  A task
+    whose ``spec`` is a number takes that many milliseconds.
     """
 
     def __init__(
@@ -51,6 +53,9 @@
         self.host = host
         self.port = port
         self.zone = zone
+        self.name = ''
+        # Path and target of each call.
+        self.calls: set[tuple[str, str | None]] = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.task_duration_s = 0.05
         self.starts: list[tuple[str, int]] = []
@@ -70,7 +75,7 @@
 
     async def open(self) -> None:
         """Start the listener."""
-        application = web.Application()
+        application = web.Application(middlewares=[self._check_target])
         application.router.add_post('/api/run-start', self._start)
         application.router.add_post('/api/run-stop', self._stop)
         application.router.add_post('/api/hold', self._hold)
@@ -111,6 +116,18 @@
         self._end_runs()
         return list(self._running)
 
+    @web.middleware
+    async def _check_target(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Refuse a call that is meant for another target."""
+        named = request.headers.get(TARGET_HEADER)
+        self.calls.add((request.path, named))
+        if self.name and named != self.name:
+            return web.Response(status=421)
+        response: web.StreamResponse = await handler(request)
+        return response
+
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
         if self.scripted_responses:
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -19,9 +19,11 @@
 
 INCARNATION = holds.TargetIncarnation('i-1', 1_000_000)
 NEXT_INCARNATION = holds.TargetIncarnation('i-1', 2_000_000)
+THIRD_INCARNATION = holds.TargetIncarnation('i-1', 3_000_000)
 KEY = contracts.TaskKey('job/owner-1', 0)
 OTHER_KEY = contracts.TaskKey('job/owner-2', 0)
 NAME = heldtarget.make_task_name(KEY)
+OTHER_NAME = holds.TaskName('job', 7)
 UNKNOWN_TASK = holds.TaskName('strange', 3)
 CLOCK_MS = 5000
 HOLD = 'hold'
@@ -335,6 +337,90 @@
         ),
         [('RunEnded', 'reborn', True), ('HealthChanged', False)],
     ),
+    (
+        'a start that a later incarnation carried out is stopped',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.1, ACCEPTED),
+            (0.2, list_runs(2, run(), incarnation=NEXT_INCARNATION)),
+        ),
+        [('StopCall', 1), ('HealthChanged', False)],
+    ),
+    (
+        'it ends when the later incarnation lists it no more',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.1, ACCEPTED),
+            (0.2, list_runs(2, run(), incarnation=NEXT_INCARNATION)),
+            (0.2, HOLD),
+            (0.25, list_runs(3, run(), incarnation=NEXT_INCARNATION)),
+            (0.25, HOLD),
+            (0.3, list_runs(4, incarnation=NEXT_INCARNATION)),
+        ),
+        [('RunEnded', 'reborn', True)],
+    ),
+    (
+        'a start that is on its way does not end before the fence',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.2, list_runs(2, incarnation=NEXT_INCARNATION)),
+        ),
+        [('HealthChanged', False)],
+    ),
+    (
+        'a start that arrives after the fence is refused',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.2, list_runs(2, incarnation=NEXT_INCARNATION)),
+            (0.3, holds.StartResponse(NAME, 1, False, 'fence')),
+        ),
+        [('RunRejected', 'fence')],
+    ),
+    (
+        'a start that a later incarnation completed has succeeded',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.1, ACCEPTED),
+            (
+                0.2,
+                list_runs(
+                    2, ended=end(1, 'done'), incarnation=NEXT_INCARNATION
+                ),
+            ),
+        ),
+        [('RunEnded', 'done', False), ('HealthChanged', False)],
+    ),
+    (
+        'a listed run ends with the incarnation that listed it',
+        (
+            (0.0, START),
+            (0.1, list_runs(2, run())),
+            (0.1, HOLD),
+            (0.2, list_runs(3, incarnation=NEXT_INCARNATION)),
+        ),
+        [('RunEnded', 'reborn', True), ('HealthChanged', False)],
+    ),
+    (
+        'a second later incarnation is fenced as well',
+        (
+            (0.0, START),
+            (0.0, HOLD),
+            (0.1, list_runs(2, run(), incarnation=NEXT_INCARNATION)),
+            (0.1, HOLD),
+            (0.2, list_runs(3, run(), incarnation=THIRD_INCARNATION)),
+        ),
+        [('StopCall', 1)],
+    ),
+    (
+        'runs end when a target with another name refuses the hold',
+        ((0.0, START), (0.1, ACCEPTED), (0.2, holds.HoldMisdirected())),
+        [('RunEnded', 'reborn', True), ('HealthChanged', False)],
+    ),
     (
         'the runs of a departed target end',
         ((0.0, START), (0.1, ACCEPTED), (0.2, holds.TargetDeparted())),
@@ -449,6 +535,37 @@
         target.handle(holds.HoldFenced(CLOCK_MS + 7), 0.1)
         self.assertGreater(target.begin_hold(0.2).fence, before)
 
+    def test_hold_to_a_later_incarnation_changes_nothing_there(self) -> None:
+        """Guards against a lease or an acknowledgement of an earlier one."""
+        target = make_target()
+        target.handle(START, 0.0)
+        target.handle(list_runs(2, ended=end(4, 'failed', OTHER_NAME)), 0.1)
+        before = target.begin_hold(0.1)
+        target.handle(list_runs(2, incarnation=NEXT_INCARNATION), 0.2)
+        after = target.begin_hold(0.2)
+        self.assertEqual(before.acknowledged_end, 4)
+        self.assertGreater(after.fence, before.fence)
+        self.assertEqual(
+            (after.deadline_ms, after.acknowledged_end, after.wait_s),
+            (None, 0, 0.0),
+        )
+        self.assertTrue(target.needs_hold)
+
+    def test_calls_name_the_incarnation(self) -> None:
+        target = make_target()
+        effects = target.handle(START, 0.0)
+        effects += target.handle(UNANSWERED, 0.1)
+        effects += target.handle(
+            list_runs(2, holds.Running(UNKNOWN_TASK, 1, 0)), 0.1
+        )
+        calls = [
+            each
+            for each in effects
+            if isinstance(each, holds.StartCall | holds.StopCall)
+        ]
+        self.assertEqual([each.target for each in calls], ['i-1'] * 3)
+        self.assertEqual(target.begin_hold(0.2).target, 'i-1')
+
     def test_seen_ends_are_acknowledged(self) -> None:
         target = make_target()
         target.handle(START, 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -401,6 +401,32 @@
         tasks = [f'{1:016x}.0.0.{index}' for index in range(2)]
         self.assertEqual(sorted(task for task, _ in self.target.starts), tasks)
 
+    async def test_calls_name_their_target(self) -> None:
+        """Guards against calls that a later incarnation carries out."""
+        await self._submit(1)
+        agent: Any = self.processes['agent']
+        held = agent.held
+        self.assertEqual(
+            self.target.calls,
+            {('/api/hold', 'i-1'), ('/api/run-start', 'i-1')},
+        )
+        starts = list(self.target.starts)
+        # Another target at the same address.
+        self.target.name = 'i-2'
+        job = asyncio.create_task(self._submit(2))
+        self.assertTrue(await await_true(lambda: bool(held.ended)))
+        self.assertEqual(self.target.starts, starts)
+        self.target.name = 'i-1'
+        self.target.born_ms += 1
+        status, _ = await standins.call(
+            'POST',
+            self.nodes['agent'].listen.control,
+            '/api/instances/i-1/heartbeat',
+            json=self.target.make_report(1),
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(await job, (200, {'state': 'complete'}))
+
     async def test_refused_start(self) -> None:
         # After a timeout the rejection would count as a missing response.
         self.enterContext(
