Spread the voters over the failure domains

Operators would have seen: with two replicas a failure domain and one loss to be borne, the loss of a domain that was borne once could not be borne again, and all service ended.

Cause: a learner replaced an unresponsive voter whatever its domain, and nothing put the voters back when the lost domain returned, so that two of three voters were in one domain.

Change: members tell their failure domain with each answer to an append; the choice of the voters is a decision module of its own (voterchoice). A vacancy goes to the domain with the fewest voters; a domain with two voters more than another is relieved: the new voter is promoted before the other is demoted.

Result: tests.test_voters loses disks and whole domains in groups of 1 to 5 domains. Needed before more replicas than one a domain are run.

--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -127,6 +127,7 @@
                     tuple(model.replicas),
                     model.listen if model.open_members else '',
                     model.voters,
+                    model.vm.failure_domain,
                 ),
                 lease_ttl_s=model.lease_ttl_s,
                 addresses=dict(model.replicas),
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -403,7 +403,8 @@
     """Response to an append: the last index that matches durably.
 
     When ``accepted`` is False, ``match`` is the index to retry from.
-    ``disk`` is the identity of the data folder of the sender.
+    ``disk`` is the identity of the data folder of the sender, and
+    ``failure_domain`` where the sender runs.
     """
 
     TAG: ClassVar[str] = 'AppendTold'
@@ -413,6 +414,7 @@
     match: int
     sent_s: float
     disk: str
+    failure_domain: str = ''
 
 
 class SnapshotChunk(msgspec.Struct, frozen=True):
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -28,6 +28,7 @@
 from eelgrassworks.replication import membership
 from eelgrassworks.replication import replicatedlog
 from eelgrassworks.replication import roles
+from eelgrassworks.replication import voterchoice
 
 # Tolerates three lost heartbeats.  Timers are drawn between one and two
 # timeouts, so that closing a failure domain takes effect within 3 s even if
@@ -517,7 +518,7 @@
         ):
             role.transfer_started_s = None
         if inputs.now_s - role.last_heartbeat_s >= HEARTBEAT_INTERVAL_S:
-            return self.send_heartbeats(inputs) + self._promote_learner(
+            return self.send_heartbeats(inputs) + self._change_voters(
                 role, inputs
             )
         return []
@@ -602,6 +603,7 @@
         ):
             return []
         progress.last_contact_s = max(progress.last_contact_s, response.sent_s)
+        progress.failure_domain = response.failure_domain
         if not response.accepted:
             if response.sent_s < progress.resent_s:
                 # The entries that it lacks were sent after this request.
@@ -694,58 +696,62 @@
     def _members_committed(self) -> bool:
         return self.membership.changed_index <= self.commit_index
 
-    def _promote_learner(
+    def _change_voters(
         self, role: roles.Leader, inputs: decisioninputs.DecisionInputs
     ) -> effects.Effects:
-        """Promote one learner that has caught up to a voter."""
+        """Propose the next change of the voters, if one is due."""
         if not self.has_committed_in_term() or not self._members_committed():
             return []
         members = self.members
-        for name, disk in members.learners.items():
+        change = voterchoice.choose_change(
+            members,
+            self._describe_members(role, inputs.now_s),
+            self.options.name,
+            self.options.voters,
+        )
+        voters = dict(members.voters)
+        learners = dict(members.learners)
+        addresses = dict(members.addresses)
+        match change:
+            case None:
+                return []
+            case voterchoice.Promotion(name):
+                voters[name] = learners.pop(name)
+                self.counters['promotions'] += 1
+            case voterchoice.Demotion(name):
+                learners[name] = voters.pop(name)
+                self.counters['demotions'] += 1
+            case voterchoice.Removal(name):
+                del voters[name]
+                addresses.pop(name, None)
+                self.counters['retirements'] += 1
+        changed = commands.SetMembers(voters, learners, addresses)
+        return self.propose([codec.pack(changed)], inputs)[1]
+
+    def _describe_members(
+        self, role: roles.Leader, now_s: float
+    ) -> dict[str, voterchoice.MemberState]:
+        states = {
+            self.options.name: voterchoice.MemberState(
+                self.options.failure_domain
+            )
+        }
+        for name in self._list_followers():
             progress = role.progress.get(name)
             if progress is None:
+                states[name] = voterchoice.MemberState()
                 continue
-            if (
-                progress.match_index + PROMOTION_LAG_ENTRIES
-                < self.log.last_index
-            ):
-                continue
-            if inputs.now_s - progress.last_contact_s > ELECTION_TIMEOUT_S:
-                continue
-            if self._has_all_voters(members):
-                return self._remove_unresponsive_voter(role, inputs)
-            learners = {n: d for n, d in members.learners.items() if n != name}
-            voters = {**members.voters, name: disk}
-            self.counters['promotions'] += 1
-            change = commands.SetMembers(voters, learners, members.addresses)
-            return self.propose([codec.pack(change)], inputs)[1]
-        return []
-
-    def _has_all_voters(self, members: commands.SetMembers) -> bool:
-        max_voters = self.options.voters
-        return bool(max_voters) and len(members.voters) >= max_voters
-
-    def _remove_unresponsive_voter(
-        self, role: roles.Leader, inputs: decisioninputs.DecisionInputs
-    ) -> effects.Effects:
-        """Remove an unresponsive voter, so that a learner can replace it."""
-        members = self.members
-        for name in members.voters:
-            if name == self.options.name:
-                continue
-            last_contact_s = max(
-                role.progress[name].last_contact_s, role.since_s
+            lag = self.log.last_index - progress.match_index
+            answered_s = now_s - progress.last_contact_s
+            # A new leader has not been in contact with anyone before.
+            silent_s = now_s - max(progress.last_contact_s, role.since_s)
+            states[name] = voterchoice.MemberState(
+                progress.failure_domain,
+                lag <= PROMOTION_LAG_ENTRIES
+                and answered_s <= ELECTION_TIMEOUT_S,
+                silent_s >= VOTER_REPLACEMENT_TIMEOUT_S,
             )
-            if inputs.now_s - last_contact_s < VOTER_REPLACEMENT_TIMEOUT_S:
-                continue
-            voters = {n: d for n, d in members.voters.items() if n != name}
-            addresses = {
-                n: a for n, a in members.addresses.items() if n != name
-            }
-            self.counters['retirements'] += 1
-            change = commands.SetMembers(voters, members.learners, addresses)
-            return self.propose([codec.pack(change)], inputs)[1]
-        return []
+        return states
 
     # Followers.
 
@@ -813,7 +819,12 @@
         self, accepted: bool, match: int, sent_s: float
     ) -> messages.AppendResponse:
         return messages.AppendResponse(
-            self.term, accepted, match, sent_s, self.options.disk
+            self.term,
+            accepted,
+            match,
+            sent_s,
+            self.options.disk,
+            self.options.failure_domain,
         )
 
     # Verification of this data folder.
--- a/eelgrassworks/replication/roles.py
+++ b/eelgrassworks/replication/roles.py
@@ -19,7 +19,8 @@
 
     With an ``address`` the membership is open: replicas that the settings do
     not name may join, there are at most ``voters`` voters (0: no limit), and a
-    learner that has caught up replaces an unresponsive voter.
+    learner that has caught up replaces an unresponsive voter.  Voters are
+    spread over the failure domains.
     """
 
     name: str
@@ -27,6 +28,7 @@
     names: tuple[str, ...]
     address: str = ''
     voters: int = 0
+    failure_domain: str = ''
 
     @property
     def is_open(self) -> bool:
@@ -98,7 +100,8 @@
 
     ``last_contact_s`` is the sending time of the latest append that the
     member answered.  Since ``resent_s`` the member is sent the entries after
-    the index that its latest rejection named.
+    the index that its latest rejection named.  ``failure_domain`` is empty
+    until the member has answered.
     """
 
     next_index: int
@@ -108,6 +111,7 @@
     snapshot_offset: int = 0
     chunk_sent_s: float = float('-inf')
     in_flight: InFlight = dataclasses.field(default_factory=InFlight)
+    failure_domain: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/eelgrassworks/replication/voterchoice.py
@@ -0,0 +1,101 @@
+"""Choice of the members that vote.
+
+There are at most as many voters as the settings ask for; further members are
+learners.  A learner that has caught up fills a vacancy, takes the place of an
+unresponsive voter, or relieves a failure domain that has more voters than
+another.  A member of a relieved domain is demoted only after its successor
+votes, so the number of voters never falls below the maximum meanwhile.
+"""
+
+import collections
+import dataclasses
+
+from eelgrassworks.replication import commands
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberState:
+    """What the leader knows of a member.
+
+    ``failure_domain`` is empty until the member has answered this leader.
+    """
+
+    failure_domain: str = ''
+    is_caught_up: bool = False
+    is_unresponsive: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promotion:
+    """A learner becomes a voter."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demotion:
+    """A voter becomes a learner."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """A voter is a member no longer."""
+
+    name: str
+
+
+VoterChange = Promotion | Demotion | Removal
+
+
+def choose_change(
+    members: commands.SetMembers,
+    states: dict[str, MemberState],
+    leader: str,
+    max_voters: int,
+) -> VoterChange | None:
+    """Return the next change of the voters, if one is due.
+
+    ``states`` has every member but the leader, whose own failure domain it
+    has as well.  With ``max_voters`` 0 there is no limit.  The leader itself
+    is never demoted.
+    """
+    loads = collections.Counter(
+        states[name].failure_domain for name in members.voters
+    )
+    others = [name for name in members.voters if name != leader]
+    if max_voters and len(members.voters) > max_voters:
+        return Demotion(_choose_surplus(others, states, loads))
+    candidates = [n for n in members.learners if states[n].is_caught_up]
+    if not candidates:
+        return None
+    candidate = min(candidates, key=lambda n: loads[states[n].failure_domain])
+    if not max_voters or len(members.voters) < max_voters:
+        return Promotion(candidate)
+    for name in others:
+        if states[name].is_unresponsive:
+            return Removal(name)
+    if _is_relief(states[candidate].failure_domain, loads):
+        return Promotion(candidate)
+    return None
+
+
+def _choose_surplus(
+    voters: list[str],
+    states: dict[str, MemberState],
+    loads: collections.Counter[str],
+) -> str:
+    return max(
+        voters,
+        key=lambda name: (
+            states[name].is_unresponsive,
+            loads[states[name].failure_domain],
+        ),
+    )
+
+
+def _is_relief(domain: str, loads: collections.Counter[str]) -> bool:
+    """Return whether a voter in ``domain`` would spread the voters better."""
+    known = [count for each, count in loads.items() if each]
+    return bool(domain and known) and max(known) >= loads[domain] + 2
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -135,6 +135,8 @@
         self.cut: set[tuple[str, str]] = set()
         # Names of the nodes that share a machine with another one.
         self.machines: dict[str, str] = {}
+        # Failure domains of control replicas.
+        self.domains: dict[str, str] = {}
         self.run_model: RunModel = _default_run_model
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence_numbers = itertools.count()
@@ -198,6 +200,7 @@
                     names,
                     f'tcp://{name}' if voters else '',
                     voters,
+                    self.domains.get(node.name, ''),
                 ),
                 group_commit,
                 snapshot_interval,
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -190,7 +190,7 @@
     (
         messages.AppendResponse,
         'AppendTold',
-        ('term', 'accepted', 'match', 'sent_s', 'disk'),
+        ('term', 'accepted', 'match', 'sent_s', 'disk', 'failure_domain'),
     ),
     (
         messages.SnapshotChunk,
--- /dev/null
+++ b/tests/test_voters.py
@@ -0,0 +1,286 @@
+"""Which members vote, and what the group of voters survives."""
+
+import collections
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks.replication import commands
+from eelgrassworks.replication import voterchoice
+from eelgrassworks.trials import virtual
+from tests import worlds
+
+IDLE = voterchoice.MemberState
+LEADER = 'a1'
+
+
+def make_state(text: str) -> voterchoice.MemberState:
+    """Return a state: a domain, then ``!`` unresponsive or ``+`` caught up."""
+    return voterchoice.MemberState(
+        text.strip('!+'), text.endswith('+'), text.endswith('!')
+    )
+
+
+# Title, states of the voters and of the learners by name, the largest number
+# of voters, and the change.  The leader is a1.
+CHOICES: tuple[
+    tuple[
+        str,
+        dict[str, str],
+        dict[str, str],
+        int,
+        voterchoice.VoterChange | None,
+    ],
+    ...,
+] = (
+    (
+        'a learner that lags is not promoted',
+        {'a1': 'a'},
+        {'b1': 'b'},
+        3,
+        None,
+    ),
+    (
+        'a learner that has caught up fills a vacancy',
+        {'a1': 'a', 'b1': 'b'},
+        {'c1': 'c+'},
+        3,
+        voterchoice.Promotion('c1'),
+    ),
+    (
+        'a vacancy goes to the domain with the fewest voters',
+        {'a1': 'a', 'b1': 'b'},
+        {'a2': 'a+', 'b2': 'b+', 'c1': 'c+'},
+        5,
+        voterchoice.Promotion('c1'),
+    ),
+    (
+        'a learner beyond the voters stays one',
+        {'a1': 'a', 'b1': 'b', 'c1': 'c'},
+        {'a2': 'a+'},
+        3,
+        None,
+    ),
+    (
+        'an unresponsive voter is replaced',
+        {'a1': 'a', 'b1': 'b!', 'c1': 'c'},
+        {'a2': 'a+'},
+        3,
+        voterchoice.Removal('b1'),
+    ),
+    (
+        'an unresponsive voter stays until another can take its place',
+        {'a1': 'a', 'b1': 'b!', 'c1': 'c'},
+        {'a2': 'a'},
+        3,
+        None,
+    ),
+    (
+        'a domain with two voters more than another is relieved',
+        {'a1': 'a', 'a2': 'a', 'b1': 'b'},
+        {'c1': 'c+'},
+        3,
+        voterchoice.Promotion('c1'),
+    ),
+    (
+        'the relieved domain loses a voter, but not the leader',
+        {'a1': 'a', 'a2': 'a', 'b1': 'b', 'c1': 'c'},
+        {},
+        3,
+        voterchoice.Demotion('a2'),
+    ),
+    (
+        'of too many voters an unresponsive one is demoted first',
+        {'a1': 'a', 'a2': 'a', 'b1': 'b', 'c1': 'c!'},
+        {},
+        3,
+        voterchoice.Demotion('c1'),
+    ),
+    (
+        'voters of one domain stay when there is no other',
+        {'a1': 'a', 'a2': 'a', 'a3': 'a'},
+        {'a4': 'a+'},
+        3,
+        None,
+    ),
+    (
+        'a domain that is not known yet relieves none',
+        {'a1': 'a', 'a2': 'a', 'b1': 'b'},
+        {'c1': '+'},
+        3,
+        None,
+    ),
+    (
+        'without a limit every learner votes in the end',
+        {'a1': 'a', 'b1': 'b!'},
+        {'c1': 'c+'},
+        0,
+        voterchoice.Promotion('c1'),
+    ),
+)
+
+
+@ddt.ddt
+class ChoiceTest(unittest.TestCase):
+    @ddt.data(*CHOICES)
+    @ddt.unpack
+    def test_change(
+        self,
+        _: str,
+        voters: dict[str, str],
+        learners: dict[str, str],
+        max_voters: int,
+        expected: voterchoice.VoterChange | None,
+    ) -> None:
+        members = commands.SetMembers(
+            dict.fromkeys(voters, 'disk'), dict.fromkeys(learners, 'disk')
+        )
+        states = {
+            name: make_state(text)
+            for name, text in {**voters, **learners}.items()
+        }
+        change = voterchoice.choose_change(members, states, LEADER, max_voters)
+        self.assertEqual(change, expected)
+
+
+def name_replica(domain: int, number: int) -> str:
+    """Return the name of a replica in a domain; both count from 0."""
+    return f'control-{domain + 1}{number + 1}'
+
+
+class Group:
+    """Replicas in failure domains; the first of up to three form the log."""
+
+    def __init__(self, domains: int, replicas: int, faults: int) -> None:
+        self.max_voters = 2 * faults + 1
+        self.world = virtual.World(1)
+        self.names = [
+            name_replica(domain, number)
+            for number in range(replicas)
+            for domain in range(domains)
+        ]
+        self.seeds = tuple(self.names[:3])
+        self.world.domains = {
+            name: f'domain-{name[-2]}' for name in self.names
+        }
+        self.world.add_control(self.seeds, voters=self.max_voters)
+        self.world.add_entry('entry-1', self.seeds)
+        for name in self.names[3:]:
+            self.world.join_control(name, self.seeds, voters=self.max_voters)
+        self.world.run(10.0)
+
+    def find_voters(self) -> set[str]:
+        """Return the voters that the leader has."""
+        leader = await_any_leader(self.world, self.names)
+        return set(self.world.nodes[leader].core.replica.members.voters)
+
+    def measure_spread(self) -> int:
+        """Return the largest number of voters in one domain."""
+        loads = collections.Counter(
+            self.world.domains[name] for name in self.find_voters()
+        )
+        return max(loads.values())
+
+    def change(self, number: int) -> object:
+        """Commit a change; return the response."""
+        sheet = contracts.ReplaceSheet(number, worlds.SHEET, b'')
+        return worlds.change(
+            self.world,
+            'entry-1',
+            sheet,
+            contracts.ANY_REVISION,
+            f'change-{number}',
+        )
+
+    def read_version(self) -> int:
+        """Return the version that the leader has; 0 without a leader."""
+        leader = await_any_leader(self.world, self.names)
+        if not leader:
+            return 0
+        core = self.world.nodes[leader].core
+        if not core.replica.has_committed_in_term():
+            return 0
+        version: int = core.ledger.configuration.version
+        return version
+
+
+def await_any_leader(
+    world: virtual.World, names: list[str], limit_s: float = 12.0
+) -> str:
+    """Return the leader that has committed in its term; '' if none has."""
+
+    def find() -> str:
+        for name in names:
+            core = world.nodes[name].core
+            if core is not None and core.replica.has_committed_in_term():
+                return name
+        return ''
+
+    world.run_until(lambda: bool(find()), limit_s)
+    return find()
+
+
+# Numbers of domains, of replicas in each, and of machines that may be lost.
+GROUPS: tuple[tuple[int, int, int], ...] = (
+    (3, 1, 1),
+    (3, 2, 1),
+    (2, 2, 1),
+    (1, 3, 1),
+    (5, 1, 2),
+    (4, 2, 2),
+    (3, 2, 2),
+    (2, 3, 2),
+    (1, 5, 2),
+)
+
+
+@ddt.ddt
+class ToleranceTest(unittest.TestCase):
+    """What a deployment declares that it can bear."""
+
+    @ddt.data(*GROUPS)
+    @ddt.unpack
+    def test_disks_lost_while_all_lose_power(
+        self, domains: int, replicas: int, faults: int
+    ) -> None:
+        """Guards against a group that cannot lose the declared machines."""
+        group = Group(domains, replicas, faults)
+        self.assertEqual(len(group.find_voters()), 2 * faults + 1)
+        group.change(1)
+        world = group.world
+        leader = await_any_leader(world, group.names)
+        voters = sorted(group.find_voters(), key=lambda name: name != leader)
+        for name in group.names:
+            world.kill(name)
+        for name in voters[:faults]:
+            world.lose_disk(name)
+        world.run(1.0)
+        for name in group.names:
+            world.start(name)
+        world.run(3.0)
+        self.assertEqual(group.read_version(), 1)
+        response = group.change(2)
+        self.assertIsInstance(response.verdict, contracts.ChangeAccepted)
+
+    @ddt.data(*(each for each in GROUPS if each[0] >= 3))
+    @ddt.unpack
+    def test_whole_domain_is_lost_after_one_replica_was_replaced(
+        self, domains: int, replicas: int, faults: int
+    ) -> None:
+        """Guards against more voters in a domain than may be lost."""
+        group = Group(domains, replicas, faults)
+        world = group.world
+        for domain in range(domains):
+            away = [name_replica(domain, n) for n in range(replicas)]
+            for name in away:
+                world.kill(name)
+            world.run(6.0)
+            self.assertTrue(await_any_leader(world, group.names), away)
+            response = group.change(domain + 1)
+            self.assertIsInstance(response.verdict, contracts.ChangeAccepted)
+            for name in away:
+                world.start(name)
+            world.run(6.0)
+            spread = group.measure_spread()
+            self.assertLessEqual(spread, faults, group.find_voters())
