Keep a replaced voter as a learner

Operators would have seen: a replica that was frozen, cut off or down for more than 3 s while another could take its place never became a member again, though it ran; each such loss used up a spare.

Cause: the leader removed the unresponsive voter from the members. By its own log it is still a voter, so it asks for no admission; nobody sends it anything. With one replica a failure domain there is seldom a learner at hand; with spares it happens at each longer freeze.

Change: the unresponsive voter becomes a learner, which the leader goes on contacting, and it catches up and may vote again when it is back. Learners that are gone for good are forgotten beyond 32 members.

--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -722,7 +722,7 @@
                 learners[name] = voters.pop(name)
                 self.counters['demotions'] += 1
             case voterchoice.Removal(name):
-                del voters[name]
+                del learners[name]
                 addresses.pop(name, None)
                 self.counters['retirements'] += 1
         changed = commands.SetMembers(voters, learners, addresses)
--- a/eelgrassworks/replication/voterchoice.py
+++ b/eelgrassworks/replication/voterchoice.py
@@ -5,13 +5,20 @@
 unresponsive voter, or relieves a failure domain that has more voters than
 another.  A member of a relieved domain is demoted only after its successor
 votes, so the number of voters never falls below the maximum meanwhile.
+
+A voter that is replaced stays a learner, since nothing tells a replica that
+it is a member no longer: it may be frozen or cut off.
 """
 
 import collections
 import dataclasses
+from typing import Final
 
 from eelgrassworks.replication import commands
 
+# Bounds the members that are gone for good.
+MAX_MEMBERS: Final = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberState:
@@ -41,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removal:
-    """A voter is a member no longer."""
+    """A learner is a member no longer."""
 
     name: str
 
@@ -67,6 +74,10 @@
     others = [name for name in members.voters if name != leader]
     if max_voters and len(members.voters) > max_voters:
         return Demotion(_choose_surplus(others, states, loads))
+    if len(members.voters) + len(members.learners) > MAX_MEMBERS:
+        for name in members.learners:
+            if states[name].is_unresponsive:
+                return Removal(name)
     candidates = [n for n in members.learners if states[n].is_caught_up]
     if not candidates:
         return None
@@ -75,7 +86,7 @@
         return Promotion(candidate)
     for name in others:
         if states[name].is_unresponsive:
-            return Removal(name)
+            return Demotion(name)
     if _is_relief(states[candidate].failure_domain, loads):
         return Promotion(candidate)
     return None
