Run as many replicas as the declared losses need

Cause: two machines with a disk may be lost there, which takes five voters; the deploy file started one control process in each of four zones, and two of four are no majority.

A machine with a disk runs a replica. One without runs a relay, which stores nothing, asks the replicas who leads (the roster names the leader now) and directs operators there. The leader counts the voters that it lacks and logs voters_missing. Ruled out: a learner in memory on such machines, which would hold the whole log there; a share of the machines, which fits no two sites alike.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -32,6 +32,8 @@
 MAX_BATCH_CLAIMS: Final = 4096
 # An entry that got no answer for this long has asked another replica.
 DEFERRED_RENEWAL_TTL_S: Final = 0.6
+# Replicas that start together have joined and caught up by then.
+VOTERS_CHECK_DELAY_S: Final = 10.0
 # An entry may have lost its roster, or have got an older one after it.
 ROSTER_RESEND_S: Final = 1.0
 
@@ -192,6 +194,9 @@
         self.stopping = False
         self._exit_sent = False
         self._leadership_started = False
+        self._leadership_began_s = 0.0
+        # Voters that this leader lacks to bear the losses of the settings.
+        self.voters_missing = 0
         self._stop_requested_s = 0.0
         self._now_s = inputs.now_s
         self._batch: list[PendingClaims] = []
@@ -237,6 +242,7 @@
             case Ticked():
                 result = self.replica.tick(inputs)
                 result += self._end_unresponsive_entries(inputs)
+                result += self._check_voters(inputs.now_s)
                 self.grants.update_in_force(inputs.now_s)
             case StopRequested():
                 self.stopping = True
@@ -431,6 +437,7 @@
                 for name, record in self.ledger.entries.items()
                 if record.alive
             },
+            self.replica.find_leader(self._now_s),
         )
 
     def _send_roster(
@@ -657,6 +664,8 @@
         has_committed = self.replica.has_committed_in_term()
         if has_committed and not self._leadership_started:
             self._leadership_started = True
+            self._leadership_began_s = inputs.now_s
+            self.voters_missing = 0
             self._registering = {}
             self._answerable_entries |= self._deferred_renewals.keys()
             self._sent_rosters = {}
@@ -689,6 +698,23 @@
         self._leadership_started = False
         return result + self._abandon_pending()
 
+    def _check_voters(self, now_s: float) -> effects.Effects:
+        """Log when the number of voters that are missing has changed."""
+        elapsed_s = now_s - self._leadership_began_s
+        if not self._leadership_started or elapsed_s < VOTERS_CHECK_DELAY_S:
+            return []
+        members = self.replica.members
+        missing = max(0, self.options.replica.voters - len(members.voters))
+        if missing == self.voters_missing:
+            return []
+        self.voters_missing = missing
+        fields: dict[str, object] = {
+            'missing': missing,
+            'voters': len(members.voters),
+            'learners': len(members.learners),
+        }
+        return [effects.Log('voters_missing', fields)]
+
     def _connect_entries(self) -> effects.Effects:
         """Allow messages to entries that have not contacted this replica."""
         return [
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -275,6 +275,9 @@
         return {
             'claims_held': len(self.control.ledger.claims),
             'commit_index': self.control.replica.commit_index,
+            'voters': len(self.control.replica.members.voters),
+            'learners': len(self.control.replica.members.learners),
+            'voters_missing': self.control.voters_missing,
             'revision': self.control.ledger.configuration.revision,
         }
 
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -276,12 +276,16 @@
 
 
 class RosterUpdate(msgspec.Struct, frozen=True):
-    """Names and addresses of the control replicas and the live entries."""
+    """Names and addresses of the control replicas and the live entries.
+
+    ``leader`` is the name of the replica that leads, or empty if unknown.
+    """
 
     TAG: ClassVar[str] = 'RosterTold'
 
     replicas: dict[str, str]
     entries: dict[str, str]
+    leader: str = ''
 
     def digest(self) -> int:
         """Return a checksum that differs when a name or address differs."""
--- a/eelgrassworks/platform/operatorapi.py
+++ b/eelgrassworks/platform/operatorapi.py
@@ -9,7 +9,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import control
-from eelgrassworks import controlprocess
+from eelgrassworks import process
 from eelgrassworks.platform import ingress
 from eelgrassworks.platform import nodefile
 from eelgrassworks.platform import wire
@@ -21,10 +21,10 @@
 
 
 class OperatorApi:
-    """Serves the operators' API at a control replica."""
+    """Serves the operators' API at a control replica or a relay."""
 
     def __init__(
-        self, role_process: controlprocess.ControlProcess, node: wire.NodeFile
+        self, role_process: process.Process, node: wire.NodeFile
     ) -> None:
         self._process = role_process
         self._node = node
--- a/eelgrassworks/platform/roles.py
+++ b/eelgrassworks/platform/roles.py
@@ -39,7 +39,12 @@
 def make_control(
     node: wire.NodeFile, _: socket.socket | None = None
 ) -> process.Process:
-    """Return a control replica with the front end for operators."""
+    """Return a control replica, or a relay on a machine without a disk.
+
+    Either has the front end for operators.
+    """
+    if not node.data_dir:
+        return _make_relay(node)
     from eelgrassworks import controlprocess
     from eelgrassworks.platform import operatorapi
     from eelgrassworks.replication import journal
@@ -54,6 +59,25 @@
     return daemon
 
 
+def _make_relay(node: wire.NodeFile) -> process.Process:
+    from eelgrassworks import relayprocess
+    from eelgrassworks.platform import operatorapi
+
+    options = nodefile.make_control(node)
+    if node.first_start and options.name in nodefile.list_replicas(node):
+        logs.log(
+            'seed_without_disk',
+            seed=options.name,
+            remedy='list machines with a disk first: the seeds of the first '
+            'start form the group of replicas',
+        )
+    daemon = relayprocess.RelayProcess(
+        options, make_link(options.name, options.listen)
+    )
+    daemon.fronts.append(operatorapi.OperatorApi(daemon, node))
+    return daemon
+
+
 def make_entry(
     node: wire.NodeFile, _: socket.socket | None = None
 ) -> process.Process:
--- /dev/null
+++ b/eelgrassworks/relay.py
@@ -0,0 +1,123 @@
+"""Decisions of a relay: a control process without a data folder.
+
+A relay is no replica.  It asks the replicas in turn which of them leads, and
+directs operators, and entries that know no other control process, there.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import control
+from eelgrassworks import effects
+from eelgrassworks.links import messages
+
+POLL_INTERVAL_S: Final = 0.5
+# While no leader is known, operators and entries have to ask elsewhere.
+SEARCH_INTERVAL_S: Final = 0.15
+# Two polls may get no response.
+LEADER_MAX_AGE_S: Final = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Name of the relay, and the replicas that its settings list."""
+
+    name: str
+    replicas: tuple[str, ...]
+
+
+class Relay:
+    """The state and decisions of a relay."""
+
+    def __init__(self, options: RelayOptions) -> None:
+        self.options = options
+        self.roster = messages.RosterUpdate({}, {})
+        self.redirected = 0
+        self._replicas = options.replicas
+        self._last_roster_s = float('-inf')
+        self._last_poll_s = float('-inf')
+        self._poll_count = 0
+
+    def add_replicas(self, names: tuple[str, ...]) -> None:
+        """Add replicas to poll."""
+        known = dict.fromkeys((*self._replicas, *names))
+        known.pop(self.options.name, None)
+        self._replicas = tuple(known)
+
+    def find_leader(self, now_s: float) -> str:
+        """Return the leader's name; empty if it was not confirmed lately."""
+        if now_s - self._last_roster_s > LEADER_MAX_AGE_S:
+            return ''
+        return self.roster.leader
+
+    def handle(
+        self, event: control.ControlEvent, now_s: float
+    ) -> effects.Effects:
+        """Process one event and return the resulting effects in order."""
+        match event:
+            case control.Received(peer, _, message):
+                return self._handle_message(peer, message, now_s)
+            case (
+                control.ChangeRequested(request=request)
+                | control.ConfigurationRequested(request=request)
+            ):
+                self.redirected += 1
+                leader = self.find_leader(now_s)
+                return [effects.Reply(request, control.NotLeading(leader))]
+            case control.Ticked():
+                return self._poll(now_s)
+            case control.StopRequested():
+                return [effects.Exit()]
+            case control.Synced():
+                return []
+
+    def _handle_message(
+        self, peer: str, message: object, now_s: float
+    ) -> effects.Effects:
+        match message:
+            case messages.RosterUpdate():
+                return self._handle_roster(message, now_s)
+            case messages.RosterRequest():
+                return [effects.Send(peer, self.roster)]
+            case messages.EntryRenewal():
+                not_leader = messages.NotLeader(self.find_leader(now_s))
+                return [
+                    effects.Send(peer, self.roster),
+                    effects.Send(peer, not_leader),
+                ]
+            case _:
+                return []
+
+    def _handle_roster(
+        self, roster: messages.RosterUpdate, now_s: float
+    ) -> effects.Effects:
+        """Apply a roster; one without a leader comes from a replica alone."""
+        if not roster.leader:
+            return []
+        self._last_roster_s = now_s
+        if roster == self.roster:
+            return []
+        self.roster = roster
+        self.add_replicas(tuple(roster.replicas))
+        return [
+            effects.Connect(name, address, persistent=False)
+            for name, address in roster.replicas.items()
+            if name != self.options.name
+        ]
+
+    def _poll(self, now_s: float) -> effects.Effects:
+        is_known = bool(self.find_leader(now_s))
+        interval_s = POLL_INTERVAL_S if is_known else SEARCH_INTERVAL_S
+        if now_s - self._last_poll_s < interval_s or not self._replicas:
+            return []
+        self._last_poll_s = now_s
+        self._poll_count += 1
+        peer = self._replicas[self._poll_count % len(self._replicas)]
+        return [effects.Send(peer, messages.RosterRequest())]
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            'leader': self.find_leader(now_s),
+            'replicas': dict(self.roster.replicas),
+        }
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -12,6 +12,19 @@
 ROLES = ('entry', 'control', 'agent')
 
 
+# By failure domain, the machines with a disk and those without, and how many
+# with a disk may be lost at a time.
+TOLERANCES: tuple[tuple[tuple[tuple[int, int], ...], int], ...] = (
+    (((1, 2), (1, 1), (1, 1)), 1),
+    (((2, 2), (2, 1), (2, 2), (2, 1)), 2),
+    (((2, 1), (2, 1), (2, 1)), 2),
+    (((1, 7), (1, 8), (1, 8), (1, 6), (1, 5)), 2),
+    (((2, 0), (1, 3)), 1),
+    (((3, 2),), 1),
+    (((3, 0), (2, 4)), 2),
+)
+
+
 def read_deploy_file() -> dict[str, Any]:
     """Return the decoded deploy file."""
     text = (ROOT / 'deploy' / 'system.toml').read_text()
@@ -36,6 +49,16 @@
             'python3 -m compileall -q eelgrassworks', deploy['build']
         )
 
+    @ddt.data(*TOLERANCES)
+    @ddt.unpack
+    def test_group_of_replicas_bears_the_declared_losses(
+        self, domains: tuple[tuple[int, int], ...], faults: int
+    ) -> None:
+        """Guards against one replica a domain where more may be lost."""
+        count = read_deploy_file()['roles']['control']['count']
+        replicas = sum(min(count, with_disk) for with_disk, _ in domains)
+        self.assertGreaterEqual(replicas, 2 * faults + 1)
+
     @ddt.data(*ROLES)
     def test_no_certificates_are_read(self, role: str) -> None:
         variables = read_deploy_file()['roles'][role]['env']
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -153,7 +153,7 @@
     (messages.ConfigurationChangeResponse, 'ChangeTold', ('verdict',)),
     (messages.NotLeader, 'NotLeader', ('leader',)),
     (messages.RosterRequest, 'RosterAsked', ()),
-    (messages.RosterUpdate, 'RosterTold', ('replicas', 'entries')),
+    (messages.RosterUpdate, 'RosterTold', ('replicas', 'entries', 'leader')),
     (
         messages.AttachRequest,
         'AttachAsked',
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -299,6 +299,18 @@
             spread = group.measure_spread()
             self.assertLessEqual(spread, faults, group.find_voters())
 
+    @ddt.data(((4, 2, 2), 0), ((4, 1, 2), 1), ((1, 2, 1), 1))
+    @ddt.unpack
+    def test_missing_voters_are_counted(
+        self, sizes: tuple[int, int, int], missing: int
+    ) -> None:
+        """Guards against a group that silently bears less than declared."""
+        group = Group(*sizes)
+        group.world.run(5.0)
+        leader = await_any_leader(group.world, group.names)
+        core = group.world.nodes[leader].core
+        self.assertEqual(core.voters_missing, missing)
+
     @ddt.data('killed', 'frozen', 'cut off')
     def test_replaced_voter_is_a_member_again(self, reason: str) -> None:
         """Guards against a voter that is removed and never told."""
