Send large messages in several frames, and refuse what fits into none

Cause: all messages of one flush to a peer formed one frame, whatever their size, and a frame above 16 MiB is rejected by every receiver.

Change: Codec.encode_frames starts a new frame above 8 MiB; a message that fits into no frame is dropped by its sender with a log line; a change above 8 MiB is refused before it is proposed.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -30,6 +30,8 @@
 SNAPSHOT_INTERVAL: Final = 4096
 # Bounds the size of one record of the log, and how long its sync takes.
 MAX_BATCH_CLAIMS: Final = 4096
+# A frame holds such a change beside other messages.
+MAX_CHANGE_BYTES: Final = codec.MAX_BATCH_BYTES
 # An entry that got no answer for this long has asked another replica.
 DEFERRED_RENEWAL_TTL_S: Final = 0.6
 # Replicas that start together have joined and caught up by then.
@@ -508,7 +510,11 @@
             change.expected_revision,
             codec.pack(change.change),
         )
-        index, result = self.replica.propose([codec.pack(command)], inputs)
+        packed = codec.pack(command)
+        refusal = self._refuse_oversized(change.id, packed)
+        if refusal is not None:
+            return [effects.Reply(request, refusal)]
+        index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._reply_not_leader(request)]
         self._committing[index] = PendingLocalChange(request)
@@ -567,12 +573,33 @@
             request.expected_revision,
             request.change,
         )
-        index, result = self.replica.propose([codec.pack(command)], inputs)
+        packed = codec.pack(command)
+        refusal = self._refuse_oversized(request.id, packed)
+        if refusal is not None:
+            response = messages.ConfigurationChangeResponse(
+                codec.pack(refusal)
+            )
+            return [effects.Send(peer, response)]
+        index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._send_not_leader(peer)]
         self._committing[index] = PendingChange(peer)
         return result
 
+    def _refuse_oversized(
+        self, change_id: str, packed: codec.Variant
+    ) -> contracts.ChangeInvalid | None:
+        """Return a refusal of a change that fits into no frame."""
+        size = len(packed[1])
+        if size <= MAX_CHANGE_BYTES:
+            return None
+        return contracts.ChangeInvalid(
+            change_id,
+            self.ledger.configuration.revision,
+            f'the change has {size} bytes; at most {MAX_CHANGE_BYTES} fit '
+            'into a message between replicas',
+        )
+
     # Commits.
 
     def _append_batch(
--- a/eelgrassworks/links/bus.py
+++ b/eelgrassworks/links/bus.py
@@ -51,15 +51,15 @@
         self._outbox.setdefault(peer, []).append(message)
 
     def flush(self) -> None:
-        """Send the queued messages as one frame for each peer."""
+        """Send the queued messages, in as few frames as possible a peer."""
         outbox, self._outbox = self._outbox, {}
         for peer, messages in outbox.items():
             receiver = self._bus.transports.get(peer)
             if receiver is None:
                 continue
-            self.frames_sent += 1
-            data = self._codec.encode_frame(self.sender, messages)
-            asyncio.get_running_loop().call_soon(receiver.receive, data)
+            for data in self._codec.encode_frames(self.sender, messages):
+                self.frames_sent += 1
+                asyncio.get_running_loop().call_soon(receiver.receive, data)
 
     def receive(self, data: bytes) -> None:
         """Decode one frame and pass it to the handler."""
--- a/eelgrassworks/links/codec.py
+++ b/eelgrassworks/links/codec.py
@@ -18,6 +18,8 @@
 PROTOCOL_VERSION: Final = 2
 MAC_BYTES: Final = 16
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+# Messages that fit are sent together; leaves room for one that is larger.
+MAX_BATCH_BYTES: Final = MAX_FRAME_BYTES // 2
 # Configurations and snapshots exceed this size.  Messages about single tasks
 # are smaller; compressing them would cost more processor time than it saves.
 COMPRESSION_THRESHOLD_BYTES: Final = 4096
@@ -33,6 +35,10 @@
     """A frame is malformed, of another protocol version or not authentic."""
 
 
+class FrameTooLong(Exception):
+    """A frame exceeds the size that receivers accept."""
+
+
 class FrameModel(msgspec.Struct, array_like=True, frozen=True):
     """A frame as it is encoded; validated when it is decoded."""
 
@@ -103,15 +109,45 @@
     def encode_frame(
         self, sender: frame.Sender, messages: list[object]
     ) -> bytes:
-        """Return the bytes of one frame."""
+        """Return the bytes of one frame.
+
+        Raises FrameTooLong when a receiver would reject it.
+        """
+        return self._encode(sender, [pack(message) for message in messages])
+
+    def encode_frames(
+        self, sender: frame.Sender, messages: list[object]
+    ) -> list[bytes]:
+        """Return as few frames, in order, as their size limit allows.
+
+        Raises FrameTooLong when one message does not fit into a frame.
+        """
+        batches: list[list[Variant]] = [[]]
+        batch_bytes = 0
+        for message in messages:
+            variant = pack(message)
+            size = len(variant[1])
+            if batches[-1] and batch_bytes + size > MAX_BATCH_BYTES:
+                batches.append([])
+                batch_bytes = 0
+            batches[-1].append(variant)
+            batch_bytes += size
+        return [self._encode(sender, batch) for batch in batches]
+
+    def _encode(self, sender: frame.Sender, packed: list[Variant]) -> bytes:
         model = FrameModel(
             PROTOCOL_VERSION,
             sender.name,
             sender.incarnation,
             sender.address,
-            [pack(message) for message in messages],
+            packed,
         )
-        body = _compress(_ENCODER.encode(model))
+        encoded = _ENCODER.encode(model)
+        if len(encoded) > MAX_FRAME_BYTES:
+            raise FrameTooLong(
+                f'{len(encoded)} bytes exceed {MAX_FRAME_BYTES}'
+            )
+        body = _compress(encoded)
         return self._authenticate(body) + body
 
     def decode_frame(self, data: bytes) -> frame.Frame:
--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -66,7 +66,7 @@
         """Queue a message for the next flush to this peer."""
 
     def flush(self) -> None:
-        """Send the queued messages as one frame for each peer."""
+        """Send the queued messages, in as few frames as possible a peer."""
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and replace unresponsive connections."""
@@ -187,28 +187,32 @@
         self._outbox.setdefault(peer, []).append(message)
 
     def flush(self) -> None:
-        """Send the queued messages as one frame for each peer."""
+        """Send the queued messages, in as few frames as possible a peer."""
         outbox, self._outbox = self._outbox, {}
         now_s = clock.read_now()
         for peer, queued_messages in outbox.items():
             self._add_heartbeat(peer, queued_messages, now_s)
-            data = self._encode(peer, queued_messages)
-            if data is not None and self._send(peer, data):
-                self.counters['frames_sent'] += 1
+            frames = self._encode(peer, queued_messages)
+            sent = [data for data in frames if self._send(peer, data)]
+            self.counters['frames_sent'] += len(sent)
+            self.counters['bytes_sent'] += sum(map(len, sent))
+            self.counters['frames_dropped'] += len(frames) - len(sent)
+            if sent:
                 self.counters['messages_sent'] += len(queued_messages)
-                self.counters['bytes_sent'] += len(data)
-            else:
-                self.counters['frames_dropped'] += 1
-
-    def _encode(
-        self, peer: str, queued_messages: list[object]
-    ) -> bytes | None:
-        """Return a frame; None if a message of it cannot be encoded."""
+
+    def _encode(self, peer: str, queued_messages: list[object]) -> list[bytes]:
+        """Return the frames; none if a message cannot be encoded."""
         try:
-            return self._codec.encode_frame(self.sender, queued_messages)
-        except (OverflowError, TypeError, msgspec.MsgspecError) as error:
+            return self._codec.encode_frames(self.sender, queued_messages)
+        except (
+            codec.FrameTooLong,
+            OverflowError,
+            TypeError,
+            msgspec.MsgspecError,
+        ) as error:
             logs.log('frame_invalid', peer=peer, reason=str(error))
-            return None
+            self.counters['frames_dropped'] += 1
+            return []
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and replace unresponsive connections."""
--- a/tests/test_largelogs.py
+++ b/tests/test_largelogs.py
@@ -6,6 +6,8 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import control
+from eelgrassworks import entry
 from eelgrassworks import links
 from eelgrassworks.links import codec
 from eelgrassworks.links import messages
@@ -53,7 +55,7 @@
     source = random.Random(1)
     for number in range(count):
         document = source.randbytes(DOCUMENT_BYTES)
-        change = contracts.ReplaceSheet(number + 1, worlds.SHEET, document)
+        change = contracts.ReplaceSheet(number + 2, worlds.SHEET, document)
         verdict = worlds.change(
             world, 'entry-1', change, contracts.ANY_REVISION, f'c-{number}'
         )
@@ -130,3 +132,38 @@
         self.assertTrue(replica.is_voter)
         # Each entry is sent once, and a few again after a lost frame.
         self.assertLess(sent_bytes, 1.5 * CHANGES * DOCUMENT_BYTES)
+
+    @ddt.data(('local', 7, True), ('local', 17, False), ('entry', 7, True))
+    @ddt.unpack
+    def test_change_that_fits_into_no_frame_is_refused(
+        self, origin: str, size_mib: int, accepted: bool
+    ) -> None:
+        """Guards against an entry that no other replica can receive."""
+        world = make_world()
+        leader = worlds.find_leader(world)
+        document = bytes(size_mib * 1024 * 1024)
+        change = contracts.ReplaceSheet(1, worlds.SHEET, document)
+        request = contracts.ChangeRequest(
+            'large', 'ama', contracts.ANY_REVISION, change
+        )
+        if origin == 'local':
+            number = world.ask(
+                leader, lambda n: control.ChangeRequested(n, request)
+            )
+        else:
+            number = world.ask(
+                'entry-1', lambda n: entry.ChangeRequested(n, request)
+            )
+        world.run_until(lambda: number in world.replies, 5.0)
+        verdict = world.replies[number][1]
+        if origin == 'entry':
+            verdict = verdict.verdict
+        expected = (
+            contracts.ChangeAccepted if accepted else contracts.ChangeInvalid
+        )
+        self.assertIsInstance(verdict, expected)
+        commit_documents(world, 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,12 +1,14 @@
 """Socket transport, and liveness of connections."""
 
 import asyncio
+import random
 import unittest
 
 import ddt
 
 from eelgrassworks import clock
 from eelgrassworks import links
+from eelgrassworks.links import codec
 from eelgrassworks.links import connection
 from eelgrassworks.links import messages
 from eelgrassworks.links import transport
@@ -14,6 +16,9 @@
 
 KEY = b'a key for tests'
 BURST = 500
+LARGE_BYTES = 3 * 1024 * 1024
+# More than one frame may contain.
+LARGE_MESSAGES = 8
 
 
 class SocketTest(unittest.IsolatedAsyncioTestCase):
@@ -45,6 +50,38 @@
         waiting = [frame.messages[0].waiting for frame in received]
         self.assertEqual(waiting, list(range(BURST)))
 
+    async def test_large_messages_of_one_flush_arrive(self) -> None:
+        """Guards against a frame that every receiver rejects as too long."""
+        ports = deployment.find_ports(2)
+        left, _ = self.open('left', ports[0])
+        right, received = self.open('right', ports[1])
+        left.connect('right', right.sender.address)
+        await deployment.wait_until(lambda: self.receives_echo(left, 'right'))
+        data = random.Random(1).randbytes(LARGE_BYTES)
+        for number in range(LARGE_MESSAGES):
+            chunk = messages.SnapshotChunk(1, 1, 1, number, data, False, 0.0)
+            left.post('right', chunk)
+        await deployment.wait_until(
+            lambda: self.has_received(
+                [each for frame in received for each in frame.messages],
+                LARGE_MESSAGES,
+            )
+        )
+        offsets = [
+            each.offset for frame in received for each in frame.messages
+        ]
+        self.assertEqual(offsets, list(range(LARGE_MESSAGES)))
+        self.assertEqual(right.counters['frames_rejected'], 0)
+
+    async def test_message_that_fits_into_no_frame_is_dropped(self) -> None:
+        ports = deployment.find_ports(2)
+        left, _ = self.open('left', ports[0])
+        data = bytes(codec.MAX_FRAME_BYTES)
+        left.post('right', messages.SnapshotChunk(1, 1, 1, 0, data, True, 0.0))
+        left.flush()
+        self.assertEqual(left.counters['frames_dropped'], 1)
+        self.assertEqual(left.counters['messages_sent'], 0)
+
     async def receives_echo(
         self, link: transport.SocketTransport, peer: str
     ) -> bool:
