--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -11,7 +11,6 @@
 from eelgrassworks.trials import virtual
 from tests import worlds
 
-IDLE = voterchoice.MemberState
 LEADER = 'a1'
 
 
