Name the target in the calls of test_robustness

Change: the argument; no assertion or case was touched. Result: tests.test_robustness passes (21 tests).

--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -99,7 +99,9 @@
                 return False
 
         with mock.patch.object(link, '_post', post):
-            result = asyncio.run(link.hold(holds.HoldCall(1, None, 1, 0, 0)))
+            result = asyncio.run(
+                link.hold(holds.HoldCall('i-1', 1, None, 1, 0, 0))
+            )
         self.assertIsInstance(
             result, holds.HoldResponse | holds.HoldUnanswered
         )
@@ -132,7 +134,7 @@
             mock.patch.object(loop, 'sock_connect', failure),
             mock.patch.object(loop, 'create_connection', failure),
         ):
-            result = await link.hold(holds.HoldCall(1, None, 1, 0, 0))
+            result = await link.hold(holds.HoldCall('i-1', 1, None, 1, 0, 0))
         self.assertEqual(result, holds.HoldUnanswered(refused))
 
 
