Rename a local variable of the replica

Cause: it used the word silence where the tree says unanswered. Result: no behaviour changes; tests.test_voters, test_membership and test_deploy pass, with linters and type check.

--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -744,12 +744,12 @@
             lag = self.log.last_index - progress.match_index
             answered_s = now_s - progress.last_contact_s
             # A new leader has not been in contact with anyone before.
-            silent_s = now_s - max(progress.last_contact_s, role.since_s)
+            unanswered_s = now_s - max(progress.last_contact_s, role.since_s)
             states[name] = voterchoice.MemberState(
                 progress.failure_domain,
                 lag <= PROMOTION_LAG_ENTRIES
                 and answered_s <= ELECTION_TIMEOUT_S,
-                silent_s >= VOTER_REPLACEMENT_TIMEOUT_S,
+                unanswered_s >= VOTER_REPLACEMENT_TIMEOUT_S,
             )
         return states
 
