Virtual world: a message needs an address that its sender knows

Change: a node reaches the nodes of its settings, those to which it connected and those that it has heard from since its start; settings can name others.

--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -84,7 +84,10 @@
     ``rate`` is the speed of the node's clock relative to the world's clock.
     ``run`` counts starts and kills; events that were scheduled for an earlier
     value are discarded.  ``held`` has the events that arrived while the node
-    was frozen.
+    was frozen.  ``seeds`` are the nodes that its settings name.  A message to
+    a node that is not in ``contacts`` is dropped: these are the seeds, those
+    to which this run of the process has connected, and those from which it
+    has received a message.
     """
 
     name: str
@@ -95,6 +98,8 @@
     frozen: bool = False
     held: list[Any] = dataclasses.field(default_factory=list)
     disk: FakeDisk | None = None
+    seeds: tuple[str, ...] = ()
+    contacts: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,7 +194,7 @@
         snapshot_interval: int,
         voters: int,
     ) -> None:
-        node = Node(name, 'control', disk=disk)
+        node = Node(name, 'control', disk=disk, seeds=names)
 
         def make(node: Node) -> Any:
             disk = node.disk or FakeDisk('', {})
@@ -197,13 +202,14 @@
                 roles.ReplicaOptions(
                     node.name,
                     disk.identity,
-                    names,
-                    f'tcp://{name}' if voters else '',
+                    node.seeds,
+                    make_address(name) if voters else '',
                     voters,
                     self.domains.get(node.name, ''),
                 ),
                 group_commit,
                 snapshot_interval,
+                addresses={each: make_address(each) for each in node.seeds},
             )
             return control.Control(
                 options, disk.read(), disk.base[2], self._make_inputs(node)
@@ -224,7 +230,7 @@
 
         def make(node: Node) -> Any:
             options = session.SessionOptions(
-                name, f'tcp://{name}', self._make_run(node), replicas
+                name, make_address(name), self._make_run(node), node.seeds
             )
             return entry.Entry(
                 entry.EntryOptions(
@@ -236,7 +242,7 @@
                 )
             )
 
-        self._add(Node(name, 'entry'), make)
+        self._add(Node(name, 'entry', seeds=replicas), make)
 
     def add_agent(
         self,
@@ -253,14 +259,14 @@
                 agent.AgentOptions(
                     target,
                     self._make_run(node),
-                    entries,
+                    node.seeds,
                     queue_limit,
                     entry_ttl_s,
                     renewal_interval_s,
                 )
             )
 
-        self._add(Node(target.name, 'agent'), make)
+        self._add(Node(target.name, 'agent', seeds=entries), make)
 
     def _make_run(self, node: Node) -> int:
         return node.run * 1000 + list(self.nodes).index(node.name)
@@ -276,6 +282,7 @@
         node.run += 1
         node.frozen = False
         node.held = []
+        node.contacts = set(node.seeds)
         if node.disk is not None:
             node.disk.unsynced = []
             node.disk.syncing = False
@@ -284,6 +291,18 @@
         offset_s = self.random.random() * TICK_S
         self.at(offset_s, lambda: self._tick(node, run))
 
+    def reseed(self, name: str, seeds: tuple[str, ...]) -> None:
+        """Let the settings of a replica or an entry name other replicas."""
+        node = self.nodes[name]
+        node.seeds = seeds
+        if node.core is None:
+            return
+        node.contacts |= set(seeds)
+        if node.role == 'control':
+            node.core.replica.add_peers(seeds)
+        else:
+            node.core.session.add_replicas(seeds)
+
     def kill(self, name: str) -> None:
         """Stop a node without a shutdown; unsynced writes are lost."""
         node = self.nodes[name]
@@ -427,12 +446,16 @@
                     self.kill(node.name)
                 case effects.Exit():
                     self.exited.add(node.name)
+                case effects.Connect(peer):
+                    node.contacts.add(peer)
                 case _:
                     pass
         for peer, messages in frames.items():
             self._send(node, peer, messages)
 
     def _send(self, node: Node, peer: str, messages: list[object]) -> None:
+        if peer not in node.contacts:
+            return
         self.tally.frames += 1
         for message in messages:
             self.tally.messages[codec.find_tag(type(message))] += 1
@@ -460,6 +483,8 @@
         )
 
         def arrive() -> None:
+            if receiver.core is not None:
+                receiver.contacts.add(sender.name)
             self._handle_event(receiver, receiver.run, event)
 
         self.at(delay_s, arrive)
@@ -555,6 +580,11 @@
         self.at(self.sync_s, end)
 
 
+def make_address(name: str) -> str:
+    """Return the address of a node."""
+    return f'tcp://{name}'
+
+
 def _constant_latency(_: str, __: str) -> float:
     return LATENCY_S
 
