Replicas log members, admission and elections

Cause: the logs of the incident cannot tell a replica that is never admitted from one that nobody reaches or that is slow: after `started` there is no line. Change: lines on the members at the start and after a change, with those whose address is unknown; on an admission that is awaited, granted or refused; on changes of voters and leaders; and on why an election failed or a vote was refused.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -21,6 +21,7 @@
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import ledger
 from eelgrassworks.replication import replica
+from eelgrassworks.replication import reports
 from eelgrassworks.replication import roles
 from eelgrassworks.zones import grants
 
@@ -214,6 +215,9 @@
         )
         self._sent_rosters: dict[str, SentRoster] = {}
         self._connected_addresses: dict[str, str] = {}
+        self._reports = reports.Reports()
+        self._reported_membership: dict[str, object] = {}
+        self._reported_leader = ''
         self._pending_lookups: collections.deque[PendingLookups] = (
             collections.deque()
         )
@@ -245,6 +249,7 @@
                 result = self.replica.tick(inputs)
                 result += self._end_unresponsive_entries(inputs)
                 result += self._check_voters(inputs.now_s)
+                result += self._report_membership(inputs.now_s)
                 self.grants.update_in_force(inputs.now_s)
             case StopRequested():
                 self.stopping = True
@@ -742,6 +747,35 @@
         }
         return [effects.Log('voters_missing', fields)]
 
+    def _report_membership(self, now_s: float) -> effects.Effects:
+        """Report the members that this replica knows, and its leader."""
+        decisions = self.replica
+        members = decisions.members
+        names = {*members.voters, *members.learners}
+        known = {**self.options.addresses, **members.addresses}
+        fields: dict[str, object] = {
+            'part': _describe_part(decisions),
+            'voters': reports.join_names(members.voters),
+            'learners': reports.join_names(members.learners),
+            'without_address': reports.join_names(names - known.keys()),
+        }
+        result: effects.Effects = []
+        if fields != self._reported_membership:
+            self._reported_membership = fields
+            result.append(effects.Log('membership', fields))
+        leader = decisions.leader
+        if leader and leader != self._reported_leader:
+            self._reported_leader = leader
+            fields = {'leader': leader, 'term': decisions.term}
+            result.append(effects.Log('leader_changed', fields))
+        if not decisions.is_member:
+            fields = {
+                'disk': self.options.replica.disk,
+                'leader': decisions.find_leader(now_s),
+            }
+            result += self._reports.report('admission_awaited', fields, now_s)
+        return result
+
     def _connect_entries(self) -> effects.Effects:
         """Allow messages to entries that have not contacted this replica."""
         return [
@@ -857,6 +891,12 @@
         }
 
 
+def _describe_part(decisions: replica.Replica) -> str:
+    if decisions.is_voter:
+        return 'voter'
+    return 'learner' if decisions.is_member else 'none'
+
+
 def _send_claim_verdicts(
     peer: str, request: int, verdicts: list[Any]
 ) -> effects.Send:
--- a/eelgrassworks/replication/folderverification.py
+++ b/eelgrassworks/replication/folderverification.py
@@ -31,6 +31,11 @@
         confirming = self._confirmed_by.intersection(voters) | {self._name}
         return len(confirming) >= majority
 
+    @property
+    def confirmed_by(self) -> frozenset[str]:
+        """Return the names of the replicas that have confirmed this folder."""
+        return frozenset(self._confirmed_by)
+
     def is_confirmed_by(self, peer: str) -> bool:
         """Return whether another replica has confirmed this folder."""
         return peer in self._confirmed_by
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -27,6 +27,7 @@
 from eelgrassworks.replication import ledger
 from eelgrassworks.replication import membership
 from eelgrassworks.replication import replicatedlog
+from eelgrassworks.replication import reports
 from eelgrassworks.replication import roles
 from eelgrassworks.replication import voterchoice
 
@@ -81,6 +82,7 @@
         self._election_due_s = inputs.now_s + FIRST_ELECTION_TIMEOUT_S * (
             1 + inputs.random_fraction
         )
+        self._reports = reports.Reports()
 
     # Membership.
 
@@ -166,10 +168,10 @@
                 # An expired timer is not reset while the replica may not
                 # campaign.  After all replicas were lost, it can then
                 # campaign as soon as a second one confirms its folder.
-                if (
-                    inputs.now_s >= self._election_due_s
-                    and self._can_campaign()
-                ):
+                if inputs.now_s < self._election_due_s:
+                    return result
+                result += self._report_no_leader(inputs.now_s)
+                if self._can_campaign():
                     result += self._campaign(
                         inputs, pre_vote=True, transfer=False
                     )
@@ -330,6 +332,31 @@
     def _can_campaign(self) -> bool:
         return self.is_voter and self.is_verified
 
+    def _report_no_leader(self, now_s: float) -> effects.Effects:
+        """Report why the time until the next election has passed."""
+        voters = self.members.voters
+        match self.role:
+            case roles.Candidate(pre_vote, votes, _, refused_by):
+                fields: dict[str, object] = {
+                    'term': self.term,
+                    'pre_vote': pre_vote,
+                    'votes': reports.join_names(votes),
+                    'refused_by': reports.join_names(refused_by),
+                    'silent': reports.join_names(
+                        voters.keys() - votes - refused_by
+                    ),
+                }
+                return self._reports.report('election_failed', fields, now_s)
+            case _ if self.is_voter and not self.is_verified:
+                confirmed_by = self._verification.confirmed_by
+                fields = {
+                    'confirmed_by': reports.join_names(confirmed_by),
+                    'voters': reports.join_names(voters),
+                }
+                return self._reports.report('folder_unverified', fields, now_s)
+            case _:
+                return []
+
     def _campaign(
         self,
         inputs: decisioninputs.DecisionInputs,
@@ -374,38 +401,48 @@
         request: messages.VoteRequest,
         inputs: decisioninputs.DecisionInputs,
     ) -> effects.Effects:
-        granted = self._would_grant_vote(peer, request, inputs)
-        if granted and not request.trial:
+        reason = self._find_vote_refusal(peer, request, inputs)
+        if not reason and not request.trial:
             return self._grant_vote(peer, request, inputs)
         response = messages.VoteResponse(
-            request.term if granted else self.term,
+            self.term if reason else request.term,
             request.trial,
-            granted,
+            not reason,
             self.options.disk,
         )
-        return [effects.Send(peer, response)]
+        result: effects.Effects = [effects.Send(peer, response)]
+        if not reason:
+            return result
+        fields: dict[str, object] = {'candidate': peer, 'reason': reason}
+        return result + self._reports.report(
+            'vote_refused', fields, inputs.now_s
+        )
 
-    def _would_grant_vote(
+    def _find_vote_refusal(
         self,
         peer: str,
         request: messages.VoteRequest,
         inputs: decisioninputs.DecisionInputs,
-    ) -> bool:
-        """Return whether this replica would vote for the candidate."""
-        if not self._can_campaign():
-            return False
+    ) -> str:
+        """Return why this replica would not vote; empty if it would."""
+        if not self.is_voter:
+            return 'not-a-voter'
+        if not self.is_verified:
+            return 'unverified'
         if self.members.voters.get(peer) != request.disk:
-            return False
+            return 'candidate-not-a-voter'
         if request.term < self.term:
-            return False
+            return 'earlier-term'
         if self._has_leader(inputs) and not request.transfer:
-            return False
+            return 'has-leader'
         own_last = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < own_last:
-            return False
-        if request.trial:
-            return request.term > self.term
-        return request.term > self.term or self.vote in ('', peer)
+            return 'shorter-log'
+        if request.term > self.term:
+            return ''
+        if request.trial or self.vote not in ('', peer):
+            return 'has-voted'
+        return ''
 
     def _has_leader(self, inputs: decisioninputs.DecisionInputs) -> bool:
         """Return whether a leader had contact within a timeout."""
@@ -448,6 +485,7 @@
         if self.members.voters.get(peer) != response.disk:
             return []
         if not response.granted:
+            role.refused_by.add(peer)
             if response.term > self.term:
                 return self._adopt_term_durably(response.term, inputs)
             return []
@@ -673,25 +711,51 @@
         inputs: decisioninputs.DecisionInputs,
     ) -> effects.Effects:
         """Add a replica as a learner, replacing a member of its name."""
-        if not self.has_committed_in_term() or not self._members_committed():
-            return []
-        may_join = self.options.is_open or peer in self.options.names
-        if not may_join or self.membership.holds_disk(peer, disk):
+        if not self.is_leader or self.membership.holds_disk(peer, disk):
             return []
+        refusal = self._find_admission_refusal(peer)
+        if refusal:
+            fields: dict[str, object] = {'replica': peer, 'reason': refusal}
+            return self._reports.report(
+                'admission_refused', fields, inputs.now_s
+            )
         members = self.members
         voters = {n: d for n, d in members.voters.items() if n != peer}
         learners = {**members.learners, peer: disk}
         addresses = dict(members.addresses)
         if address:
             addresses[peer] = address
-        if not voters:
-            return []
         role = self.role
         if isinstance(role, roles.Leader):
             role.progress[peer] = roles.Progress(self.log.last_index + 1)
         self.counters['admissions'] += 1
         change = commands.SetMembers(voters, learners, addresses)
-        return self.propose([codec.pack(change)], inputs)[1]
+        admitted = effects.Log(
+            'member_admitted',
+            {
+                'replica': peer,
+                'disk': disk,
+                'address': address,
+                'was_voter': peer in members.voters,
+                'voters': len(voters),
+            },
+        )
+        return [admitted, *self.propose([codec.pack(change)], inputs)[1]]
+
+    def _find_admission_refusal(self, peer: str) -> str:
+        """Return why the leader cannot admit a replica now; empty if it can.
+
+        A replica that is refused asks again.
+        """
+        if not self.options.is_open and peer not in self.options.names:
+            return 'not-in-settings'
+        if not self.has_committed_in_term():
+            return 'nothing-committed'
+        if not self._members_committed():
+            return 'membership-change-pending'
+        if not self.members.voters.keys() - {peer}:
+            return 'only-voter'
+        return ''
 
     def _members_committed(self) -> bool:
         return self.membership.changed_index <= self.commit_index
@@ -726,7 +790,15 @@
                 addresses.pop(name, None)
                 self.counters['retirements'] += 1
         changed = commands.SetMembers(voters, learners, addresses)
-        return self.propose([codec.pack(changed)], inputs)[1]
+        line = effects.Log(
+            'voters_changed',
+            {
+                'change': type(change).__name__.lower(),
+                'replica': change.name,
+                'voters': reports.join_names(voters),
+            },
+        )
+        return [line, *self.propose([codec.pack(changed)], inputs)[1]]
 
     def _describe_members(
         self, role: roles.Leader, now_s: float
--- a/eelgrassworks/replication/roles.py
+++ b/eelgrassworks/replication/roles.py
@@ -62,6 +62,7 @@
     pre_vote: bool
     votes: set[str]
     transfer: bool
+    refused_by: set[str] = dataclasses.field(default_factory=set)
 
 
 class InFlight:
