The log has the addresses of the members that formed the group

Callers saw: after a loss of power, with new seeds, no machine serves again. Cause: only members that were admitted have an address in the log; those that formed the group had it in the settings alone. Once the seeds name others and all restart, two of them have no link, so neither gets the other's vote. Change: the identity of a new group has the addresses of its voters; a leader adds those that its log lacks and its settings have, for folders of earlier releases. Why it works: an address is now replicated with the member that it belongs to.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -250,6 +250,9 @@
                 result += self._end_unresponsive_entries(inputs)
                 result += self._check_voters(inputs.now_s)
                 result += self._report_membership(inputs.now_s)
+                result += self.replica.record_addresses(
+                    self.options.addresses, inputs
+                )
                 self.grants.update_in_force(inputs.now_s)
             case StopRequested():
                 self.stopping = True
@@ -426,19 +429,20 @@
         result.append(effects.Send(peer, lease))
         return result + self._send_roster(peer, renewal, inputs.now_s)
 
-    def _make_roster(self) -> messages.RosterUpdate:
-        """Return the addresses of the members and of the live entries.
-
-        Members without a known address are left out.
-        """
+    def _list_addresses(self) -> dict[str, str]:
+        """Return the members whose address is known, with the address."""
         members = self.replica.members
         addresses = {**self.options.addresses, **members.addresses}
+        return {
+            name: addresses[name]
+            for name in (*members.voters, *members.learners)
+            if name in addresses
+        }
+
+    def _make_roster(self) -> messages.RosterUpdate:
+        """Return the addresses of the members and of the live entries."""
         return messages.RosterUpdate(
-            {
-                name: addresses[name]
-                for name in (*members.voters, *members.learners)
-                if name in addresses
-            },
+            self._list_addresses(),
             {
                 name: record.address
                 for name, record in self.ledger.entries.items()
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -302,11 +302,14 @@
     must not format it again: it rejoins with an empty one as a learner.
     """
     voters = {name: f'{cluster}-{name}' for name in model.replicas}
+    addresses = dict(model.replicas) if model.open_members else {}
     folder = journal.Journal(
         pathlib.Path(model.data_folder), journal.SystemDisk()
     )
     folder.format(
-        journal.Identity(cluster, model.name, voters[model.name], voters)
+        journal.Identity(
+            cluster, model.name, voters[model.name], voters, addresses
+        )
     )
 
 
@@ -327,7 +330,7 @@
     try:
         folder.format(
             journal.Identity(
-                FIRST_CLUSTER, model.name, voters[model.name], voters
+                FIRST_CLUSTER, model.name, voters[model.name], voters, replicas
             )
         )
     except errors.Fault as fault:
--- a/eelgrassworks/replication/commands.py
+++ b/eelgrassworks/replication/commands.py
@@ -20,7 +20,8 @@
 class SetMembers:
     """Replaces the members of the log; maps names to disk identities.
 
-    ``addresses`` holds the addresses of members not in the settings.
+    ``addresses`` holds the addresses of the members where others may join:
+    the settings of a replica may name any of them, or none.
     """
 
     voters: dict[str, str]
--- a/eelgrassworks/replication/journal.py
+++ b/eelgrassworks/replication/journal.py
@@ -47,12 +47,17 @@
 
 
 class Identity(msgspec.Struct):
-    """Validated model of the identity file."""
+    """Validated model of the identity file.
+
+    ``voters`` and their ``addresses`` are those that formed the cluster;
+    empty if the replica joined later.
+    """
 
     cluster: str
     name: str
     disk: str
     voters: dict[str, str]
+    addresses: dict[str, str] = {}
 
 
 class JournalRecord(msgspec.Struct, array_like=True):
@@ -163,9 +168,8 @@
         identity = self._read_identity(name)
         self._remove_temporary_files()
         snapshot = self._read_snapshot()
-        stored = roles.StoredState(
-            0, '', 0, 0, commands.SetMembers(identity.voters, {}), ()
-        )
+        founders = commands.SetMembers(identity.voters, {}, identity.addresses)
+        stored = roles.StoredState(0, '', 0, 0, founders, ())
         data = b''
         if snapshot is not None:
             data = snapshot.data
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -149,6 +149,29 @@
             self.options, names=tuple(all_names)
         )
 
+    def record_addresses(
+        self, known: dict[str, str], inputs: decisioninputs.DecisionInputs
+    ) -> effects.Effects:
+        """Propose the known addresses of members that the log lacks.
+
+        A folder of an earlier release has no addresses of the members that
+        formed the group.
+        """
+        if not self.has_committed_in_term() or not self._members_committed():
+            return []
+        members = self.members
+        missing = {
+            name: known[name]
+            for name in (*members.voters, *members.learners)
+            if name in known and name not in members.addresses
+        }
+        if not missing or not self.options.is_open:
+            return []
+        change = dataclasses.replace(
+            members, addresses={**members.addresses, **missing}
+        )
+        return self.propose([codec.pack(change)], inputs)[1]
+
     def _list_peers(self) -> list[str]:
         members = self.members
         names = dict.fromkeys(
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -57,6 +57,7 @@
 
     identity: str
     voters: dict[str, str]
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
     base: tuple[int, int, bytes] = (0, 0, b'')
     records: list[journal.JournalRecord] = dataclasses.field(
         default_factory=list
@@ -70,7 +71,7 @@
     def read(self) -> roles.StoredState:
         """Return the durable state that a restarted replica loads."""
         last_index, last_term, data = self.base
-        members = commands.SetMembers(self.voters, {})
+        members = commands.SetMembers(self.voters, {}, self.addresses)
         if data:
             members = ledger.read_members(data)
         stored = roles.StoredState(0, '', last_index, last_term, members, ())
@@ -172,8 +173,9 @@
         replicas can join; at most ``voters`` of them vote.
         """
         disks = {name: f'disk-{name}' for name in names}
+        addresses = {name: make_address(name) for name in names}
         for name in names:
-            disk = FakeDisk(disks[name], disks)
+            disk = FakeDisk(disks[name], disks, addresses if voters else {})
             self._add_replica(
                 name, names, disk, group_commit, snapshot_interval, voters
             )
