Any replica names the leader to one that asks for admission

Callers saw: nothing at first; each lost disk or replaced machine used up a replica for good, until two more lost disks took the majority and no machine served. Cause: only the leader admits, and a replica that is no member asked the seeds alone; a replica that does not lead dropped the request. Change: a replica that does not lead answers with the members' addresses and the leader; the asking one asks that leader too, and the one whose appends it gets. Why it works: a replica that has contact with any member, or with the leader, is admitted, whoever its seeds are.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -295,6 +295,16 @@
                 return self.replica.send_heartbeats(inputs)
             case messages.ConfigurationChangeRequest():
                 return self._handle_change(peer, message, inputs)
+            case messages.AdmissionRequest() if not self.replica.is_leader:
+                # Only the leader admits; the roster says which one it is.
+                roster = messages.RosterUpdate(
+                    self._list_addresses(),
+                    {},
+                    self.replica.find_leader(self._now_s),
+                )
+                return [effects.Send(peer, roster)]
+            case messages.RosterUpdate():
+                return self._handle_roster(message)
             case _:
                 return self.replica.handle_message(peer, message, inputs)
 
@@ -429,6 +439,14 @@
         result.append(effects.Send(peer, lease))
         return result + self._send_roster(peer, renewal, inputs.now_s)
 
+    def _handle_roster(self, roster: messages.RosterUpdate) -> effects.Effects:
+        """Find the leader, while this replica waits to be admitted."""
+        address = roster.replicas.get(roster.leader)
+        if self.replica.is_member or address is None:
+            return []
+        self.replica.name_leader(roster.leader)
+        return [effects.Connect(roster.leader, address, persistent=False)]
+
     def _list_addresses(self) -> dict[str, str]:
         """Return the members whose address is known, with the address."""
         members = self.replica.members
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -83,6 +83,8 @@
             1 + inputs.random_fraction
         )
         self._reports = reports.Reports()
+        # Another replica or a relay named it; it may not lead any more.
+        self._named_leader = ''
 
     # Membership.
 
@@ -149,6 +151,10 @@
             self.options, names=tuple(all_names)
         )
 
+    def name_leader(self, leader: str) -> None:
+        """Record the leader, from which to request admission as well."""
+        self._named_leader = leader
+
     def record_addresses(
         self, known: dict[str, str], inputs: decisioninputs.DecisionInputs
     ) -> effects.Effects:
@@ -932,15 +938,18 @@
             return []
         self._last_request_s = inputs.now_s
         disk = self.options.disk
+        peers = self._list_peers()
         if not self.is_member:
             request: object = messages.AdmissionRequest(
                 disk, self.options.address
             )
+            leaders = {self.leader, self._named_leader} - {'', *peers}
+            peers += sorted(leaders)
         elif not self.is_verified:
             request = messages.VerificationRequest(disk)
         else:
             return []
-        return [effects.Send(name, request) for name in self._list_peers()]
+        return [effects.Send(name, request) for name in peers]
 
     def _request_verification_from(self, peer: str) -> effects.Effects:
         """Request a confirmation from a peer that has just restarted."""
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -11,6 +11,30 @@
 
 # Numbers of domains, of replicas in each, and of machines that may be lost.
 GROUPS: tuple[tuple[int, int, int], ...] = ((3, 2, 1), (4, 2, 2))
+NEW_REPLICA = 'control-19'
+
+
+def move_leadership(group: test_voters.Group, avoided: set[str]) -> str:
+    """Kill and restart leaders until one outside ``avoided`` leads."""
+    for _ in range(40):
+        leader = test_voters.await_any_leader(group.world, group.names)
+        if leader and leader not in avoided:
+            return leader
+        group.world.kill(leader)
+        group.world.run(1.5)
+        group.world.start(leader)
+        group.world.run(1.0)
+    raise AssertionError(f'only {avoided} lead')
+
+
+def find_strangers(group: test_voters.Group) -> list[str]:
+    """Return the running replicas that are no members with their disk."""
+    return [
+        name
+        for name in group.names
+        if group.world.nodes[name].core is not None
+        and not group.world.nodes[name].core.replica.is_member
+    ]
 
 
 def lose_power(
@@ -49,6 +73,8 @@
         self.assertEqual(group.read_version(), 1)
         response = group.change(2)
         self.assertIsInstance(response.verdict, contracts.ChangeAccepted)
+        world.run(3.0)
+        self.assertEqual(find_strangers(group), [])
 
     def test_folder_of_an_earlier_release_gets_the_addresses(self) -> None:
         """Guards against founders that stay without an address."""
@@ -65,6 +91,69 @@
             members = world.nodes[name].core.replica.members
             self.assertEqual(set(members.addresses), set(worlds.CONTROLS))
 
+    # How the replica comes to have an empty disk, and who its seeds are.
+    @ddt.data(
+        ('emptied', 'followers'),
+        ('emptied', 'gone'),
+        ('new', 'followers'),
+        ('new', 'not admitted yet'),
+    )
+    @ddt.unpack
+    def test_replica_is_admitted_while_no_seed_leads(
+        self, origin: str, seeds: str
+    ) -> None:
+        """Guards against an admission that only the seeds can grant."""
+        group = test_voters.Group(4, 2, 2)
+        world = group.world
+        leader = move_leadership(group, set(group.seeds))
+        others = [name for name in group.names if name != leader]
+        emptied = next(n for n in reversed(others) if n not in group.seeds)
+        match seeds:
+            case 'followers':
+                named = group.seeds
+            case 'gone':
+                named = ('control-91', 'control-92')
+            case _:
+                named = (emptied,)
+                world.kill(emptied)
+                world.lose_disk(emptied)
+                world.start(emptied)
+        if origin == 'emptied':
+            world.kill(emptied)
+            world.lose_disk(emptied)
+            world.reseed(emptied, named)
+            world.run(1.0)
+            world.start(emptied)
+        else:
+            world.join_control(NEW_REPLICA, named, voters=group.max_voters)
+            group.names.append(NEW_REPLICA)
+        world.run(4.0)
+        self.assertNotIn(
+            test_voters.await_any_leader(world, group.names), named
+        )
+        self.assertEqual(find_strangers(group), [])
+
+    def test_lost_disks_do_not_use_up_the_replicas(self) -> None:
+        """Guards against a lost disk that costs a replica for good."""
+        group = test_voters.Group(4, 2, 2)
+        world = group.world
+        move_leadership(group, set(group.seeds))
+        for number in range(4):
+            voters = group.find_voters()
+            leader = test_voters.await_any_leader(world, group.names)
+            emptied = min(voters - {leader})
+            world.kill(emptied)
+            world.lose_disk(emptied)
+            world.run(1.0)
+            world.start(emptied)
+            group.change(number + 1)
+            world.run(6.0)
+        lost = sorted(group.find_voters())[:2]
+        lose_power(world, group.names, lost)
+        world.run(4.0)
+        self.assertEqual(group.read_version(), 4)
+        self.assertEqual(find_strangers(group), [])
+
 
 if __name__ == '__main__':
     unittest.main()
