A member that no leader contacts asks for admission

Callers saw: nothing; the group has a replica less until an operator empties its folder. Change: a member that no leader has contacted for 3 s asks for admission beside what it does already; the leader ignores the request of a member, and has its address from then on. Evidence: test_removed_replica_is_admitted_again failed before (3 rows), passes. Result: tests of voters, membership, repair and fences pass.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -440,9 +440,9 @@
         return result + self._send_roster(peer, renewal, inputs.now_s)
 
     def _handle_roster(self, roster: messages.RosterUpdate) -> effects.Effects:
-        """Find the leader, while this replica waits to be admitted."""
+        """Find the leader, while none has contact with this replica."""
         address = roster.replicas.get(roster.leader)
-        if self.replica.is_member or address is None:
+        if self.replica.find_leader(self._now_s) or address is None:
             return []
         self.replica.name_leader(roster.leader)
         return [effects.Connect(roster.leader, address, persistent=False)]
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -46,6 +46,9 @@
 PROMOTION_LAG_ENTRIES: Final = 16
 # Longer than a machine takes to restart, so that a restart replaces no voter.
 VOTER_REPLACEMENT_TIMEOUT_S: Final = 3.0
+# Longer than an election takes.  A member that no leader contacts for this
+# long may have been removed meanwhile.
+LEADER_SILENCE_S: Final = 3.0
 
 
 class Replica:
@@ -74,6 +77,7 @@
         self._applied_index = stored.base_index
         self._durability = durability.Durability(self.log.last_index)
         self._incoming_snapshot: roles.IncomingSnapshot | None = None
+        self._started_s = inputs.now_s
         self._last_contact_s = float('-inf')
         self._last_request_s = float('-inf')
         self._verification = folderverification.FolderVerification(
@@ -933,23 +937,35 @@
     def _request_admission_or_verification(
         self, inputs: decisioninputs.DecisionInputs
     ) -> effects.Effects:
-        """Request admission, or confirmation of the folder by the peers."""
+        """Request confirmation of the folder by the peers, or admission.
+
+        The leader ignores the request of a replica that is a member.
+        """
         if inputs.now_s - self._last_request_s < RETRY_INTERVAL_S:
             return []
         self._last_request_s = inputs.now_s
         disk = self.options.disk
         peers = self._list_peers()
-        if not self.is_member:
-            request: object = messages.AdmissionRequest(
-                disk, self.options.address
-            )
+        result: effects.Effects = []
+        if self.is_member and not self.is_verified:
+            verification = messages.VerificationRequest(disk)
+            result += [effects.Send(name, verification) for name in peers]
+        if not self.is_member or self._may_be_removed(inputs.now_s):
+            admission = messages.AdmissionRequest(disk, self.options.address)
             leaders = {self.leader, self._named_leader} - {'', *peers}
-            peers += sorted(leaders)
-        elif not self.is_verified:
-            request = messages.VerificationRequest(disk)
-        else:
-            return []
-        return [effects.Send(name, request) for name in peers]
+            result += [
+                effects.Send(name, admission)
+                for name in (*peers, *sorted(leaders))
+            ]
+        return result
+
+    def _may_be_removed(self, now_s: float) -> bool:
+        """Return whether no leader has contacted this member for long.
+
+        Nothing tells a member that is away that it is removed.
+        """
+        contact_s = max(self._last_contact_s, self._started_s)
+        return now_s - contact_s > LEADER_SILENCE_S
 
     def _request_verification_from(self, peer: str) -> effects.Effects:
         """Request a confirmation from a peer that has just restarted."""
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -5,7 +5,11 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import decisioninputs
+from eelgrassworks import links
+from eelgrassworks.replication import commands
 from eelgrassworks.trials import virtual
+from tests import scenarios
 from tests import test_voters
 from tests import worlds
 
@@ -37,6 +41,20 @@
     ]
 
 
+def remove_member(world: virtual.World, leader: str, name: str) -> None:
+    """Let the leader remove a member from the group."""
+    node = world.nodes[leader]
+    members = node.core.replica.members
+    changed = commands.SetMembers(
+        {n: disk for n, disk in members.voters.items() if n != name},
+        {n: disk for n, disk in members.learners.items() if n != name},
+        {n: text for n, text in members.addresses.items() if n != name},
+    )
+    inputs = decisioninputs.DecisionInputs(world.now_s, 0, 0.5)
+    _, proposed = node.core.replica.propose([links.pack(changed)], inputs)
+    world._execute_effects(node, proposed)
+
+
 def lose_power(
     world: virtual.World, names: list[str], emptied: list[str]
 ) -> None:
@@ -133,6 +151,38 @@
         )
         self.assertEqual(find_strangers(group), [])
 
+    @ddt.data('killed', 'frozen', 'cut off')
+    def test_removed_replica_is_admitted_again(self, reason: str) -> None:
+        """Guards against a replica that is removed and never told."""
+        group = test_voters.Group(4, 2, 2)
+        world = group.world
+        leader = test_voters.await_any_leader(world, group.names)
+        removed = next(n for n in reversed(group.names) if n != leader)
+        match reason:
+            case 'killed':
+                world.kill(removed)
+            case 'frozen':
+                world.freeze(removed)
+            case _:
+                scenarios.isolate(world, removed)
+        remove_member(world, leader, removed)
+        world.run(6.0)
+        match reason:
+            case 'killed':
+                world.start(removed)
+            case 'frozen':
+                world.thaw(removed)
+            case _:
+                world.cut = set()
+        world.run(6.0)
+        leader = test_voters.await_any_leader(world, group.names)
+        members = world.nodes[leader].core.replica.members
+        self.assertIn(removed, {*members.voters, *members.learners})
+        self.assertEqual(
+            world.nodes[removed].core.replica.commit_index,
+            world.nodes[leader].core.replica.commit_index,
+        )
+
     def test_lost_disks_do_not_use_up_the_replicas(self) -> None:
         """Guards against a lost disk that costs a replica for good."""
         group = test_voters.Group(4, 2, 2)
