--- a/eelgrassworks/replication/journal.py
+++ b/eelgrassworks/replication/journal.py
@@ -2,9 +2,14 @@
 
 The folder contains three files.  ``identity`` names the cluster, the replica
 and the disk; a folder without it is new.  ``snapshot`` contains the state up
-to an index.  ``journal`` contains checksummed records; a batch of records is
-durable only once it is synced.  A file is replaced atomically: a temporary
-file is written and synced, renamed over the old one, and the folder synced.
+to an index.  ``journal`` contains checksummed records; a batch of writes is
+one record, durable only once it is synced.  A file is replaced atomically: a
+temporary file is written and synced, renamed over the old one, and the folder
+synced.
+
+After a power loss any part of the writes since the last sync may be missing.
+As these are a single record, a valid record after a damaged one shows that the
+damaged one had been synced.
 
 On start these cases are distinguished: an empty folder, a folder of another
 replica, a torn last record (truncated, since its sync never completed), a
@@ -125,7 +130,7 @@
         self.syncs = 0
         self._disk = disk
         self._descriptor = -1
-        self._buffer: list[bytes] = []
+        self._buffer: list[JournalRecord] = []
 
     # Start.
 
@@ -245,18 +250,18 @@
     # Writes.
 
     def append(self, write: effects.Write) -> None:
-        """Add a record to the batch that the next sync writes."""
-        record = JournalRecord(
-            write.term, write.vote, write.keep, write.entries
+        """Add a write to the batch that the next sync makes durable."""
+        self._buffer.append(
+            JournalRecord(write.term, write.vote, write.keep, write.entries)
         )
-        self._buffer.append(_frame(msgspec.msgpack.encode(record)))
 
     def sync(self) -> None:
         """Write and sync the batch; raise Fault when that fails."""
         if not self._buffer:
             return
-        data = b''.join(self._buffer)
+        record = merge(self._buffer)
         self._buffer = []
+        data = _frame(msgspec.msgpack.encode(record))
         self._write(self._descriptor, data)
         self._sync(self._descriptor)
 
@@ -416,6 +421,21 @@
     return False
 
 
+def merge(records: list[JournalRecord]) -> JournalRecord:
+    """Return one record with the effect of several in sequence.
+
+    The entries of a record are in order and all after its ``keep``.
+    """
+    entries: list[messages.LogEntry] = []
+    for record in records:
+        while entries and entries[-1].index > record.keep:
+            entries.pop()
+        entries += record.entries
+    last = records[-1]
+    keep = min(record.keep for record in records)
+    return JournalRecord(last.term, last.vote, keep, tuple(entries))
+
+
 def replay(
     stored: roles.StoredState, records: list[JournalRecord]
 ) -> roles.StoredState:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,13 +1,16 @@
 """The data folder: recovery on start, and disk failures."""
 
+from collections.abc import Callable
 import errno
 import os
 import pathlib
+import random
 import tempfile
 from typing import Any
 import unittest
 
 import ddt
+import msgspec
 
 from eelgrassworks import effects
 from eelgrassworks import errors
@@ -16,10 +19,12 @@
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import journal
 from eelgrassworks.replication import ledger
+from eelgrassworks.replication import roles
 
 VOTERS = {'control-1': 'disk-1'}
 IDENTITY = journal.Identity('test', 'control-1', 'disk-1', VOTERS)
 NO_OP = links.pack(commands.NoOp())
+SHORT_WRITE_BYTES = 7
 
 
 class FailingDisk(journal.SystemDisk):
@@ -34,7 +39,9 @@
         """Write all data, write only a part, or fail."""
         if self.failure == errno.ENOSPC:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        return super().write(descriptor, data[:7] if self.short else data)
+        return super().write(
+            descriptor, data[:SHORT_WRITE_BYTES] if self.short else data
+        )
 
     def sync(self, descriptor: int) -> None:
         """Sync, or fail."""
@@ -51,6 +58,16 @@
     return effects.Write(index, 1, 'control-1', previous, (entry,))
 
 
+def make_entries(
+    first: int, count: int, term: int
+) -> tuple[messages.LogEntry, ...]:
+    """Return entries of a term from an index on."""
+    return tuple(
+        messages.LogEntry(index, term, NO_OP)
+        for index in range(first, first + count)
+    )
+
+
 def make_snapshot(index: int) -> effects.SaveSnapshot:
     """Return a snapshot up to an index, with one entry after it."""
     data = ledger.Ledger().dump(commands.SetMembers(VOTERS, {}))
@@ -58,8 +75,38 @@
     return effects.SaveSnapshot(9, index, 1, data, 2, '', remaining)
 
 
-@ddt.ddt
-class JournalTest(unittest.TestCase):
+def lose(content: bytes, start: int, stop: int) -> bytes:
+    """Return the content with a range that was never written."""
+    lost = content[start:stop]
+    return content[:start] + bytes(len(lost)) + content[stop:]
+
+
+# What a power loss may leave of the writes after the last sync.
+TEARS: dict[str, Callable[[bytes], bytes]] = {
+    'all missing': lambda batch: b'',
+    'prefix': lambda batch: batch[: len(batch) // 2],
+    'header alone': lambda batch: batch[: journal.RECORD_HEADER.size],
+    'length torn': lambda batch: lose(batch, 0, 4),
+    'checksum torn': lambda batch: lose(batch, 4, 12),
+    'first body torn': lambda batch: lose(batch, 16, 24),
+    'middle torn': lambda batch: lose(
+        batch, len(batch) // 2 - 4, len(batch) // 2 + 4
+    ),
+    'end torn': lambda batch: lose(batch, len(batch) - 4, len(batch)),
+    'first half zeroed': lambda batch: lose(batch, 0, len(batch) // 2),
+    'all zeroed': lambda batch: bytes(len(batch)),
+    'first short write missing': lambda batch: lose(
+        batch, 0, SHORT_WRITE_BYTES
+    ),
+    'other bytes in the first body': lambda batch: (
+        batch[:16] + b'\xff' * 8 + batch[24:]
+    ),
+}
+
+
+class JournalCase(unittest.TestCase):
+    """Opens one data folder in a temporary place."""
+
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -80,6 +127,26 @@
             opened.append(make_write(index))
             opened.sync()
 
+    def write_batch(self) -> int:
+        """Write three entries after three synced ones, without a sync.
+
+        Returns the length of the synced part of the journal.
+        """
+        self.fill(3)
+        path = self.folder / journal.JOURNAL_NAME
+        synced_bytes = path.stat().st_size
+        opened, _ = self.open()
+        for index in (4, 5, 6):
+            opened.append(make_write(index))
+        self.disk.failure = errno.EIO
+        with self.assertRaises(errors.Fault):
+            opened.sync()
+        self.disk.failure = None
+        return synced_bytes
+
+
+@ddt.ddt
+class JournalTest(JournalCase):
     def test_keeps_what_was_synced(self) -> None:
         self.disk.short = True
         self.fill(5)
@@ -191,3 +258,135 @@
         with self.assertRaisesRegex(errors.Fault, 'a write failed'):
             opened.sync()
         self.assertLessEqual(self.disk.syncs, before + 1)
+
+
+@ddt.ddt
+class TornBatchTest(JournalCase):
+    """A power loss tears the writes after the last sync."""
+
+    def recover(self, content: bytes) -> list[int]:
+        """Return the indices read from a journal with this content."""
+        (self.folder / journal.JOURNAL_NAME).write_bytes(content)
+        opened, recovered = self.open()
+        opened.close()
+        return [entry.index for entry in recovered.stored.entries]
+
+    def assert_synced_part_recovered(self, content: bytes) -> None:
+        """Check that what was synced is read, and no entry after a gap."""
+        indices = self.recover(content)
+        self.assertEqual(indices[:3], [1, 2, 3])
+        self.assertEqual(indices, list(range(1, len(indices) + 1)))
+
+    @ddt.data(*TEARS)
+    def test_torn_batch_is_no_damage(self, tear: str) -> None:
+        """A torn batch must not cost the folder what was synced before."""
+        synced_bytes = self.write_batch()
+        content = (self.folder / journal.JOURNAL_NAME).read_bytes()
+        batch = TEARS[tear](content[synced_bytes:])
+        self.assert_synced_part_recovered(content[:synced_bytes] + batch)
+
+    @ddt.data(1, 4, 16)
+    def test_lost_range_of_a_batch_is_no_damage(self, length: int) -> None:
+        """No lost part of a batch, wherever it is, is taken for damage."""
+        synced_bytes = self.write_batch()
+        content = (self.folder / journal.JOURNAL_NAME).read_bytes()
+        for start in range(synced_bytes, len(content), length):
+            torn = lose(content, start, start + length)
+            if torn == content:
+                continue
+            with self.subTest(start=start - synced_bytes):
+                self.assert_synced_part_recovered(torn)
+
+    @ddt.data(*TEARS)
+    def test_damage_before_a_torn_batch_is_refused(self, tear: str) -> None:
+        synced_bytes = self.write_batch()
+        content = bytearray((self.folder / journal.JOURNAL_NAME).read_bytes())
+        batch = TEARS[tear](bytes(content[synced_bytes:]))
+        content[journal.RECORD_HEADER.size] ^= 0xFF
+        with self.assertRaisesRegex(errors.Fault, 'damaged at byte 0'):
+            self.recover(bytes(content[:synced_bytes]) + batch)
+
+    def test_whole_batch_is_kept(self) -> None:
+        self.write_batch()
+        content = (self.folder / journal.JOURNAL_NAME).read_bytes()
+        self.assertEqual(self.recover(content), [1, 2, 3, 4, 5, 6])
+
+
+# Writes of one batch, each with the index after which entries become void and
+# the number of entries that follow it.
+BATCHES: dict[str, tuple[tuple[int, int], ...]] = {
+    'one write': ((3, 1),),
+    'entries in sequence': ((3, 1), (4, 2), (6, 1)),
+    'term and vote alone': ((3, 0), (3, 0)),
+    'vote between entries': ((3, 2), (5, 0), (5, 1)),
+    'truncates the batch': ((3, 4), (5, 1)),
+    'truncates the synced part': ((1, 2), (3, 1)),
+    'truncates both, twice': ((3, 3), (1, 2), (2, 0), (2, 2)),
+    'truncates all': ((3, 1), (0, 0), (0, 1)),
+    'entries of the snapshot': ((0, 2), (2, 3)),
+}
+
+
+@ddt.ddt
+class MergedBatchTest(unittest.TestCase):
+    """One record has the effect of the writes that it replaces."""
+
+    def check(
+        self, base: int, synced: int, batch: tuple[tuple[int, int], ...]
+    ) -> None:
+        """Compare the states after single records and a merged one."""
+        stored = roles.StoredState(
+            0, '', base, 1, commands.SetMembers({}, {}), ()
+        )
+        before = [
+            journal.JournalRecord(1, '', index - 1, make_entries(index, 1, 1))
+            for index in range(1, synced + 1)
+        ]
+        records = [
+            journal.JournalRecord(
+                term, f'v-{term}', keep, make_entries(keep + 1, count, term)
+            )
+            for term, (keep, count) in enumerate(batch, 2)
+        ]
+        self.assertEqual(
+            journal.replay(stored, [*before, journal.merge(records)]),
+            journal.replay(stored, before + records),
+        )
+
+    @ddt.data(*BATCHES)
+    def test_merged_record_is_equivalent(self, name: str) -> None:
+        for base in (0, 2):
+            with self.subTest(base=base):
+                self.check(base, 3, BATCHES[name])
+
+    @ddt.data(*range(8))
+    def test_drawn_batch_is_equivalent(self, seed: int) -> None:
+        source = random.Random(seed)
+        for _ in range(200):
+            last = synced = source.randrange(6)
+            batch = []
+            for _ in range(source.randint(1, 6)):
+                keep = source.randint(0, last)
+                last = keep + source.randrange(4)
+                batch.append((keep, last - keep))
+            self.check(source.randint(0, synced), synced, tuple(batch))
+
+    def test_records_of_an_earlier_release_are_read(self) -> None:
+        """Earlier releases wrote one record for each write of a batch."""
+        records = [
+            journal.JournalRecord(1, '', index, make_entries(index + 1, 1, 1))
+            for index in range(3)
+        ]
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            opened = journal.Journal(folder, journal.SystemDisk())
+            opened.format(IDENTITY)
+            (folder / journal.JOURNAL_NAME).write_bytes(
+                b''.join(
+                    journal._frame(msgspec.msgpack.encode(record))
+                    for record in records
+                )
+            )
+            recovered = opened.open('control-1')
+            opened.close()
+        self.assertEqual(len(recovered.stored.entries), 3)
