An emptied data folder can't come back without its log

When all machines lose power, no other replica has a record to refuse it with. Change: the identity is removed and the folder synced before the other files are; files without an identity are refused and removed, as before. The folder is synced again at the end. As this can fail, a failure is logged and the folder is emptied again when it is reopened; folder_emptied is logged after it has succeeded. Result: test_power_loss_leaves_no_old_disk_without_its_log and test_emptied_folder_stays_empty failed before (2 rows each; the folder was read with an empty log, or with entries 8 and 9 counted from 1), pass. test_failed_sync_does_not_end_the_repair failed (4 rows, the process did not start) with the sync and without the handling of its failure, passes.

--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -92,12 +92,22 @@
         self._abandon_requests()
         self._journal.abandon()
         if refusal.values.get('damaged'):
-            logs.log('folder_emptied', folder=self.model.data_folder)
-            self._journal.empty()
+            self._empty_folder()
         asyncio.get_running_loop().call_later(
             REOPEN_INTERVAL_S, self._open_folder
         )
 
+    def _empty_folder(self) -> None:
+        """Empty the data folder; a failure shows when it is opened again."""
+        try:
+            self._journal.empty()
+        except errors.Fault as fault:
+            logs.log(
+                'folder_failed', reason=errors.format_refusal(fault.refusal)
+            )
+            return
+        logs.log('folder_emptied', folder=self.model.data_folder)
+
     def _abandon_requests(self) -> None:
         for request in list(self._requests):
             self.reply(request, control.NotLeading(''))
--- a/eelgrassworks/replication/journal.py
+++ b/eelgrassworks/replication/journal.py
@@ -289,14 +289,22 @@
         self.close()
 
     def empty(self) -> None:
-        """Remove all files of the replica; the folder is new again."""
-        for path in (
-            *self.folder.glob(f'*{TEMPORARY_SUFFIX}'),
-            self.folder / JOURNAL_NAME,
-            self.folder / SNAPSHOT_NAME,
-            self.folder / IDENTITY_NAME,
-        ):
-            path.unlink(missing_ok=True)
+        """Remove all files of the replica; the folder is new again.
+
+        Raises Fault when that fails; it may be called again.
+        """
+        with self._translate_errors():
+            self._empty()
+
+    def _empty(self) -> None:
+        # Files that outlive the identity are refused; an identity that
+        # outlived its journal would vote without what it acknowledged.
+        (self.folder / IDENTITY_NAME).unlink(missing_ok=True)
+        self._sync_folder()
+        self._remove_temporary_files()
+        for name in (JOURNAL_NAME, SNAPSHOT_NAME):
+            (self.folder / name).unlink(missing_ok=True)
+        self._sync_folder()
 
     def close(self) -> None:
         """Close the journal file."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,13 +1,17 @@
 """The data folder: recovery on start, and disk failures."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import errno
+import itertools
 import os
 import pathlib
 import random
+import stat
 import tempfile
 from typing import Any
 import unittest
+from unittest import mock
 
 import ddt
 import msgspec
@@ -312,6 +316,100 @@
         self.assertEqual(self.recover(content), [1, 2, 3, 4, 5, 6])
 
 
+class RecordingDisk(FailingDisk):
+    """A disk that records the durable files of a folder at its sync."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        super().__init__()
+        self.folder = folder
+        self.durable: dict[str, bytes] = {}
+
+    def sync(self, descriptor: int) -> None:
+        """Sync, and record the files if the descriptor is the folder."""
+        super().sync(descriptor)
+        if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+            self.durable = read_files(self.folder)
+
+
+def read_files(folder: pathlib.Path) -> dict[str, bytes]:
+    """Return the content of the files in a folder by name."""
+    return {path.name: path.read_bytes() for path in folder.iterdir()}
+
+
+def list_survivals(
+    durable: dict[str, bytes], current: dict[str, bytes]
+) -> Iterator[dict[str, bytes]]:
+    """Return what a power loss may leave: any removal may be undone."""
+    removed = sorted(set(durable) - set(current))
+    for count in range(len(removed) + 1):
+        for names in itertools.combinations(removed, count):
+            yield current | {name: durable[name] for name in names}
+
+
+@ddt.ddt
+class EmptiedFolderTest(JournalCase):
+    """A power loss while a folder is emptied, or right after."""
+
+    def prepare(self, with_snapshot: bool) -> RecordingDisk:
+        """Fill the folder; return a disk that knows its durable files."""
+        self.fill(8)
+        opened, _ = self.open()
+        if with_snapshot:
+            opened.save_snapshot(make_snapshot(7))
+            opened.append(make_write(9))
+            opened.sync()
+        opened.close()
+        disk = RecordingDisk(self.folder)
+        disk.durable = read_files(self.folder)
+        return disk
+
+    def recover(self, files: dict[str, bytes]) -> str:
+        """Return what a replica reads from a folder with these files."""
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            for file_name, content in files.items():
+                (folder / file_name).write_bytes(content)
+            opened = journal.Journal(folder, journal.SystemDisk())
+            if opened.is_new():
+                return 'new'
+            recovered = opened.open('control-1')
+            opened.close()
+            stored = recovered.stored
+            return f'{stored.term}: {stored.base_index + len(stored.entries)}'
+
+    @ddt.data(False, True)
+    def test_power_loss_leaves_no_old_disk_without_its_log(
+        self, with_snapshot: bool
+    ) -> None:
+        """An identity that outlives its journal would vote without it."""
+        disk = self.prepare(with_snapshot)
+        whole = self.recover(disk.durable)
+        states: list[tuple[dict[str, bytes], dict[str, bytes]]] = []
+        unlink = pathlib.Path.unlink
+
+        def unlink_and_record(
+            path: pathlib.Path, missing_ok: bool = False
+        ) -> None:
+            unlink(path, missing_ok)
+            states.append((disk.durable, read_files(self.folder)))
+
+        with mock.patch.object(pathlib.Path, 'unlink', unlink_and_record):
+            journal.Journal(self.folder, disk).empty()
+        self.assertGreater(len(states), 2)
+        for durable, current in states:
+            for files in list_survivals(durable, current):
+                with self.subTest(files=sorted(files)):
+                    self.assertIn(self.recover(files), ('new', whole))
+
+    @ddt.data(False, True)
+    def test_emptied_folder_stays_empty(self, with_snapshot: bool) -> None:
+        """A file that comes back after a power loss is of the old disk."""
+        disk = self.prepare(with_snapshot)
+        journal.Journal(self.folder, disk).empty()
+        self.assertEqual(read_files(self.folder), {})
+        self.assertEqual(disk.durable, {})
+
+
 # Writes of one batch, each with the index after which entries become void and
 # the number of entries that follow it.
 BATCHES: dict[str, tuple[tuple[int, int], ...]] = {
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -26,10 +26,21 @@
 
 
 class FailingDisk(journal.SystemDisk):
-    """A disk that fails writes with ENOSPC while it is full."""
+    """A disk that fails writes with ENOSPC while it is full.
+
+    The next ``failing_syncs`` syncs fail with EIO.
+    """
 
     def __init__(self) -> None:
         self.full = False
+        self.failing_syncs = 0
+
+    def sync(self, descriptor: int) -> None:
+        """Sync, or fail."""
+        if self.failing_syncs:
+            self.failing_syncs -= 1
+            raise OSError(errno.EIO, 'Input/output error')
+        super().sync(descriptor)
 
     def write(self, descriptor: int, data: bytes) -> int:
         """Write some of the data; return how much."""
@@ -154,6 +165,25 @@
                 self.assertFalse(core.replica.is_voter)
                 await running.close()
 
+    @ddt.data(1, 2, 3, 4)
+    async def test_failed_sync_does_not_end_the_repair(
+        self, failing_syncs: int
+    ) -> None:
+        """A disk that fails while its folder is emptied is tried again."""
+        before = await self._lead_once()
+        damage_journal(self.folder)
+        self.disk.failing_syncs = failing_syncs
+        running = self.make_process()
+        for _ in range(int(TIMEOUT_S / POLL_INTERVAL_S)):
+            if running.control is not None:
+                break
+            await asyncio.sleep(POLL_INTERVAL_S)
+        core: Any = running.control
+        self.assertEqual(self.disk.failing_syncs, 0)
+        self.assertNotEqual(core.replica.options.disk, before)
+        self.assertFalse(core.replica.is_voter)
+        await running.close()
+
 
 class StartTest(RepairCase):
     async def test_loaded_objects_are_frozen(self) -> None:
