A voter is demoted only after its successor votes

Cause: choose_change demoted an unresponsive voter before a learner took its place. Until then a group of 5 had 4 voters, which bear one lost disk, and the disk of the unresponsive voter no longer counted although it was whole. The demotion counts from the moment when its entry is in a log.

Change: the successor is promoted first; the surplus rule then demotes the unresponsive voter. 2 f + 2 voters bear f lost disks like 2 f + 1, and f + 1 responsive voters with the successor are a majority of them. The successor spreads the voters best while the unresponsive one still votes and, among equals, without it.

Not in this commit: power lost before the promotion has reached the successor.

--- a/eelgrassworks/replication/voterchoice.py
+++ b/eelgrassworks/replication/voterchoice.py
@@ -3,8 +3,11 @@
 There are at most as many voters as the settings ask for; further members are
 learners.  A learner that has caught up fills a vacancy, takes the place of an
 unresponsive voter, or relieves a failure domain that has more voters than
-another.  A member of a relieved domain is demoted only after its successor
-votes, so the number of voters never falls below the maximum meanwhile.
+another.  A voter is demoted only after its successor votes, so the number of
+voters never falls below the maximum meanwhile.  The disk of an unresponsive
+voter may be whole: 2 f + 1 voters bear f lost disks, and so do 2 f + 2, but
+2 f bear only f - 1.  If f voters are unresponsive, the others and the
+successor are a majority of 2 f + 2.
 
 A voter that is replaced stays a learner, since nothing tells a replica that
 it is a member no longer: it may be frozen or cut off.
@@ -81,17 +84,40 @@
     candidates = [n for n in members.learners if states[n].is_caught_up]
     if not candidates:
         return None
-    candidate = min(candidates, key=lambda n: loads[states[n].failure_domain])
-    if not max_voters or len(members.voters) < max_voters:
-        return Promotion(candidate)
-    for name in others:
-        if states[name].is_unresponsive:
-            return Demotion(name)
-    if _is_relief(states[candidate].failure_domain, loads):
+    candidate = _choose_successor(candidates, members, states, loads)
+    if (
+        not max_voters
+        or len(members.voters) < max_voters
+        or any(states[name].is_unresponsive for name in others)
+        or _is_relief(states[candidate].failure_domain, loads)
+    ):
         return Promotion(candidate)
     return None
 
 
+def _choose_successor(
+    candidates: list[str],
+    members: commands.SetMembers,
+    states: dict[str, MemberState],
+    loads: collections.Counter[str],
+) -> str:
+    """Return the candidate that spreads the voters best.
+
+    This holds while all of them vote and, among equals, once the unresponsive
+    ones are demoted.
+    """
+    staying = collections.Counter(
+        states[name].failure_domain
+        for name in members.voters
+        if not states[name].is_unresponsive
+    )
+    domains = {name: states[name].failure_domain for name in candidates}
+    return min(
+        candidates,
+        key=lambda name: (loads[domains[name]], staying[domains[name]]),
+    )
+
+
 def _choose_surplus(
     voters: list[str],
     states: dict[str, MemberState],
