--- a/eelgrassworks/replication/journal.py
+++ b/eelgrassworks/replication/journal.py
@@ -13,8 +13,9 @@
 
 On start these cases are distinguished: an empty folder, a folder of another
 replica, a torn last record (truncated, since its sync never completed), a
-damaged record with valid ones after it, a damaged snapshot, and a partial
-snapshot left by a crash (its temporary file is removed).
+damaged record with valid ones after it, a damaged snapshot, a missing journal
+or snapshot, and a partial snapshot left by a crash (its temporary file is
+removed).
 
 A failed write or sync is never retried: the state of the file is unknown
 afterwards, so the process must end.
@@ -184,7 +185,11 @@
                 base_term=snapshot.last_term,
                 members=ledger.read_members(data),
             )
+            if not (self.folder / JOURNAL_NAME).exists():
+                raise errors.Fault(self._make_missing_refusal(JOURNAL_NAME))
         records, torn_bytes = self._read_journal()
+        if not continues(stored.base_index, records):
+            raise errors.Fault(self._make_missing_refusal(SNAPSHOT_NAME))
         stored = replay(stored, records)
         return RecoveredState(identity, stored, data, torn_bytes)
 
@@ -382,6 +387,13 @@
             damaged=True,
         )
 
+    def _make_missing_refusal(self, name: str) -> errors.Refusal:
+        return self._make_refusal(
+            f'file {name} is missing or older than the others',
+            'empty the folder and start the replica; it rejoins as a learner',
+            damaged=True,
+        )
+
     def _make_write_refusal(self, error: OSError) -> errors.Refusal:
         return self._make_refusal(
             f'a write failed: {error}',
@@ -444,6 +456,19 @@
     return JournalRecord(last.term, last.vote, keep, tuple(entries))
 
 
+def continues(base_index: int, records: list[JournalRecord]) -> bool:
+    """Return whether the records have no gap after the snapshot."""
+    last_index = base_index
+    for record in records:
+        if record.keep > last_index:
+            return False
+        last_index = record.keep
+        if record.entries:
+            last_index = record.entries[-1].index
+        last_index = max(base_index, last_index)
+    return True
+
+
 def replay(
     stored: roles.StoredState, records: list[JournalRecord]
 ) -> roles.StoredState:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 import errno
 import itertools
 import os
@@ -205,6 +206,25 @@
         self.assertIn(reason, str(caught.exception))
         self.assertIn(remedy, str(caught.exception))
 
+    # The missing file, number of entries after the snapshot.
+    @ddt.data(('snapshot', 0), ('snapshot', 1), ('journal', 0), ('journal', 1))
+    @ddt.unpack
+    def test_refuses_folder_without_a_file(
+        self, name: str, count: int
+    ) -> None:
+        """A missing file must not be read as an empty one."""
+        self.fill(8)
+        opened, _ = self.open()
+        snapshot = make_snapshot(8)
+        remaining = snapshot.entries[:count]
+        opened.save_snapshot(dataclasses.replace(snapshot, entries=remaining))
+        (self.folder / name).unlink()
+        with self.assertRaisesRegex(
+            errors.Fault, f'file {name} is missing'
+        ) as caught:
+            self.open()
+        self.assertTrue(caught.exception.refusal.values['damaged'])
+
     def test_refuses_folder_of_another(self) -> None:
         self.fill(1)
         with self.assertRaisesRegex(errors.Fault, 'belongs to replica'):
