--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -51,8 +51,9 @@
     """The data folder of a control replica.
 
     ``base`` is the last index, last term and data of the latest snapshot,
-    ``records`` are durable, and ``unsynced`` records are lost when the node
-    is killed.  ``latest`` is the sequence number of the latest write.
+    ``records`` are durable; those ``in_flight``, which are being synced, and
+    those ``unsynced`` are lost when the node is killed.  ``latest`` is the
+    sequence number of the latest write.
     """
 
     identity: str
@@ -62,6 +63,9 @@
     records: list[journal.JournalRecord] = dataclasses.field(
         default_factory=list
     )
+    in_flight: list[journal.JournalRecord] = dataclasses.field(
+        default_factory=list
+    )
     unsynced: list[journal.JournalRecord] = dataclasses.field(
         default_factory=list
     )
@@ -286,6 +290,7 @@
         node.held = []
         node.contacts = set(node.seeds)
         if node.disk is not None:
+            node.disk.in_flight = []
             node.disk.unsynced = []
             node.disk.syncing = False
         node.core = self._factories[name](node)
@@ -549,6 +554,7 @@
                 )
             case effects.SaveSnapshot():
                 disk.base = (effect.last_index, effect.last_term, effect.data)
+                disk.in_flight = []
                 disk.unsynced = []
                 retained = journal.JournalRecord(
                     effect.term,
@@ -566,13 +572,14 @@
         """Make the records written so far durable after the sync time."""
         if node.run != run:
             return
-        batch, disk.unsynced = disk.unsynced, []
+        disk.in_flight, disk.unsynced = disk.unsynced, []
         sequence = disk.latest
 
         def end() -> None:
             if node.run != run:
                 return
-            disk.records += batch
+            disk.records += disk.in_flight
+            disk.in_flight = []
             disk.syncing = False
             self._handle_event(node, run, control.Synced(sequence))
             if disk.latest > sequence and not disk.syncing:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,6 +6,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import control
+from eelgrassworks import effects
 from eelgrassworks import links
 from eelgrassworks.contracts import ids
 from eelgrassworks.links import messages
@@ -237,6 +238,27 @@
         self.assertLessEqual(core.counters['claim_batches'] - before, 5)
 
 
+class VirtualDiskTest(unittest.TestCase):
+    def test_snapshot_replaces_a_write_under_way(self) -> None:
+        """An earlier write must not truncate what a snapshot has saved."""
+        world = worlds.make_world(agents=1)
+        world.kill(worlds.CONTROLS[0])
+        node = world.nodes[worlds.CONTROLS[0]]
+        disk = node.disk = virtual.FakeDisk('disk', {})
+        no_op = links.pack(commands.NoOp())
+        entries = tuple(
+            messages.LogEntry(index, 1, no_op) for index in (1, 2, 3)
+        )
+        data = ledger.Ledger().dump(commands.SetMembers({}, {}))
+        world._write(node, effects.Write(1, 1, '', 0, entries[:2]))
+        world.run(world.sync_s / 2)
+        world._write(node, effects.Write(2, 1, '', 2, entries[2:]))
+        save = effects.SaveSnapshot(3, 1, 1, data, 1, '', entries[1:])
+        world._write(node, save)
+        world.run(4 * world.sync_s)
+        self.assertEqual(disk.read().entries, entries[1:])
+
+
 class LedgerTest(unittest.TestCase):
     def test_expired_claims_are_reported_as_expired(self) -> None:
         state = ledger.Ledger()
