A learner is promoted once its log has its admission

Callers saw: nothing yet; a group that loses power in the moment after a promotion may lack a vote. Cause: a learner counted as caught up when its log was at most 16 entries behind. In a short log that is an empty one, and a replica that is no member by its own log does not vote. Change: its log must have the latest change of members as well. Evidence: test_learner_without_its_admission_is_not_promoted failed before (the leader promoted a replica that had received no entry), passes. Result: tests.test_seeds passes (12).

--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -855,9 +855,14 @@
             answered_s = now_s - progress.last_contact_s
             # A new leader has not been in contact with anyone before.
             unanswered_s = now_s - max(progress.last_contact_s, role.since_s)
+            # A replica votes only once its log says that it is a member.
+            knows_members = (
+                progress.match_index >= self.membership.changed_index
+            )
             states[name] = voterchoice.MemberState(
                 progress.failure_domain,
-                lag <= PROMOTION_LAG_ENTRIES
+                knows_members
+                and lag <= PROMOTION_LAG_ENTRIES
                 and answered_s <= ELECTION_TIMEOUT_S,
                 unanswered_s >= VOTER_REPLACEMENT_TIMEOUT_S,
             )
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -7,6 +7,7 @@
 from eelgrassworks import contracts
 from eelgrassworks import decisioninputs
 from eelgrassworks import links
+from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.trials import virtual
 from tests import scenarios
@@ -151,6 +152,25 @@
         )
         self.assertEqual(find_strangers(group), [])
 
+    def test_learner_without_its_admission_is_not_promoted(self) -> None:
+        """Guards against a voter that does not know that it is a member."""
+        group = test_voters.Group(4, 1, 2)
+        world = group.world
+        scenarios.delay_some(
+            world,
+            lambda _, receiver, message: (
+                receiver == NEW_REPLICA
+                and isinstance(message, messages.AppendRequest)
+                and bool(message.entries)
+            ),
+            [],
+        )
+        world.join_control(NEW_REPLICA, group.seeds, voters=group.max_voters)
+        world.run(3.0)
+        leader = test_voters.await_any_leader(world, group.names)
+        members = world.nodes[leader].core.replica.members
+        self.assertIn(NEW_REPLICA, members.learners)
+
     @ddt.data('killed', 'frozen', 'cut off')
     def test_removed_replica_is_admitted_again(self, reason: str) -> None:
         """Guards against a replica that is removed and never told."""
