A relay answers the requests that only the leader serves

Callers saw: nothing served after a replaced machine whose seeds are relays; its replica is never admitted. Cause: a relay dropped AdmissionRequest, ClaimsRequest, LookupsRequest and ConfigurationChangeRequest, though it knows who serves them. Change: it answers an admission request as a replica does that does not lead, and the requests of entries with NotLeader, which is empty without a recent leader. Result: four new rows of tests.test_relay failed before, pass.

--- a/eelgrassworks/relay.py
+++ b/eelgrassworks/relay.py
@@ -80,14 +80,27 @@
             case messages.RosterRequest():
                 return [effects.Send(peer, self.roster)]
             case messages.EntryRenewal():
-                not_leader = messages.NotLeader(self.find_leader(now_s))
                 return [
                     effects.Send(peer, self.roster),
-                    effects.Send(peer, not_leader),
+                    self._send_not_leader(peer, now_s),
                 ]
+            case (
+                messages.ClaimsRequest()
+                | messages.LookupsRequest()
+                | messages.ConfigurationChangeRequest()
+            ):
+                return [self._send_not_leader(peer, now_s)]
+            case messages.AdmissionRequest():
+                roster = messages.RosterUpdate(
+                    self.roster.replicas, {}, self.find_leader(now_s)
+                )
+                return [effects.Send(peer, roster)]
             case _:
                 return []
 
+    def _send_not_leader(self, peer: str, now_s: float) -> effects.Send:
+        return effects.Send(peer, messages.NotLeader(self.find_leader(now_s)))
+
     def _handle_roster(
         self, roster: messages.RosterUpdate, now_s: float
     ) -> effects.Effects:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,6 +21,7 @@
     {'a': 'tcp://a', 'b': 'tcp://b', 'c': 'tcp://c'}, {}, 'b'
 )
 NO_LEADER = messages.RosterUpdate({'a': 'tcp://a'}, {})
+ADMISSION = messages.AdmissionRequest('disk-9', 'tcp://9')
 RENEWAL = messages.EntryRenewal('entry-1', 'tcp://e', 1, 1, 1)
 READ = control.ConfigurationRequested(7)
 
@@ -87,6 +88,40 @@
             effects.Send('peer', messages.NotLeader('b')),
         ],
     ),
+    (
+        'a replica that asks for admission learns who leads',
+        ((0.0, receive(ROSTER)), (0.1, receive(ADMISSION))),
+        [effects.Send('peer', ROSTER)],
+    ),
+    (
+        'a change of an entry is directed to the leader',
+        (
+            (0.0, receive(ROSTER)),
+            (
+                0.1,
+                receive(
+                    messages.ConfigurationChangeRequest('1', '', 1, ('', b''))
+                ),
+            ),
+        ),
+        [effects.Send('peer', messages.NotLeader('b'))],
+    ),
+    (
+        'claims are directed to the leader',
+        (
+            (0.0, receive(ROSTER)),
+            (0.1, receive(messages.ClaimsRequest(1, ()))),
+        ),
+        [effects.Send('peer', messages.NotLeader('b'))],
+    ),
+    (
+        'lookups are directed to the leader',
+        (
+            (0.0, receive(ROSTER)),
+            (0.1, receive(messages.LookupsRequest(1, ()))),
+        ),
+        [effects.Send('peer', messages.NotLeader('b'))],
+    ),
     (
         'a planned stop has nothing to wait for',
         ((0.0, control.StopRequested()),),
