Only a replica's word confirms a leader to a relay

Callers saw: after the leader is gone with all replicas that a relay can reach, operators and entries are directed to it for good. Cause: a relay answered RosterRequest with the leader that it had once been told, and took such an answer of another relay for a confirmation of now. Change: the roster that a relay gives names no leader, or one confirmed lately where it answers a renewal. Rosters without a leader, which were ignored, now teach addresses while no leader is known. With a leader known only members are polled, so polls of relays do not let the confirmation expire; replicas that left are not polled.

--- a/eelgrassworks/relay.py
+++ b/eelgrassworks/relay.py
@@ -33,16 +33,16 @@
         self.options = options
         self.roster = messages.RosterUpdate({}, {})
         self.redirected = 0
-        self._replicas = options.replicas
+        self._listed_replicas = options.replicas
         self._last_roster_s = float('-inf')
         self._last_poll_s = float('-inf')
         self._poll_count = 0
 
     def add_replicas(self, names: tuple[str, ...]) -> None:
         """Add replicas to poll."""
-        known = dict.fromkeys((*self._replicas, *names))
-        known.pop(self.options.name, None)
-        self._replicas = tuple(known)
+        self._listed_replicas = tuple(
+            dict.fromkeys((*self._listed_replicas, *names))
+        )
 
     def find_leader(self, now_s: float) -> str:
         """Return the leader's name; empty if it was not confirmed lately."""
@@ -78,10 +78,13 @@
             case messages.RosterUpdate():
                 return self._handle_roster(message, now_s)
             case messages.RosterRequest():
-                return [effects.Send(peer, self.roster)]
+                # Only a replica's word confirms a leader: two relays that ask
+                # each other would confirm one that is gone.
+                return [effects.Send(peer, self._make_roster(''))]
             case messages.EntryRenewal():
+                roster = self._make_roster(self.find_leader(now_s))
                 return [
-                    effects.Send(peer, self.roster),
+                    effects.Send(peer, roster),
                     self._send_not_leader(peer, now_s),
                 ]
             case (
@@ -101,17 +104,39 @@
     def _send_not_leader(self, peer: str, now_s: float) -> effects.Send:
         return effects.Send(peer, messages.NotLeader(self.find_leader(now_s)))
 
+    def _make_roster(self, leader: str) -> messages.RosterUpdate:
+        return messages.RosterUpdate(
+            self.roster.replicas, self.roster.entries, leader
+        )
+
     def _handle_roster(
         self, roster: messages.RosterUpdate, now_s: float
     ) -> effects.Effects:
-        """Apply a roster; one without a leader comes from a replica alone."""
-        if not roster.leader:
+        """Apply a roster; one without a leader may come from a relay.
+
+        Its addresses are used while no leader is known, and only for names
+        that are new, since they may be outdated.
+        """
+        if roster.leader in roster.replicas:
+            self._last_roster_s = now_s
+            entries = roster.entries or self.roster.entries
+            return self._replace_roster(
+                messages.RosterUpdate(roster.replicas, entries, roster.leader)
+            )
+        if roster.leader or self.find_leader(now_s):
             return []
-        self._last_roster_s = now_s
+        replicas = {**roster.replicas, **self.roster.replicas}
+        entries = {**roster.entries, **self.roster.entries}
+        return self._replace_roster(
+            messages.RosterUpdate(replicas, entries, self.roster.leader)
+        )
+
+    def _replace_roster(
+        self, roster: messages.RosterUpdate
+    ) -> effects.Effects:
         if roster == self.roster:
             return []
         self.roster = roster
-        self.add_replicas(tuple(roster.replicas))
         return [
             effects.Connect(name, address, persistent=False)
             for name, address in roster.replicas.items()
@@ -121,11 +146,17 @@
     def _poll(self, now_s: float) -> effects.Effects:
         is_known = bool(self.find_leader(now_s))
         interval_s = POLL_INTERVAL_S if is_known else SEARCH_INTERVAL_S
-        if now_s - self._last_poll_s < interval_s or not self._replicas:
+        if now_s - self._last_poll_s < interval_s:
+            return []
+        # The settings may list relays, which confirm no leader.
+        listed = () if is_known else self._listed_replicas
+        peers = dict.fromkeys((*listed, *self.roster.replicas))
+        peers.pop(self.options.name, None)
+        if not peers:
             return []
         self._last_poll_s = now_s
         self._poll_count += 1
-        peer = self._replicas[self._poll_count % len(self._replicas)]
+        peer = list(peers)[self._poll_count % len(peers)]
         return [effects.Send(peer, messages.RosterRequest())]
 
     def describe(self, now_s: float) -> dict[str, object]:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,6 +21,10 @@
     {'a': 'tcp://a', 'b': 'tcp://b', 'c': 'tcp://c'}, {}, 'b'
 )
 NO_LEADER = messages.RosterUpdate({'a': 'tcp://a'}, {})
+ROSTER_OF_RELAY = messages.RosterUpdate({'d': 'tcp://d'}, {'e': 'tcp://e'})
+ROSTER_BEFORE = messages.RosterUpdate(
+    {**ROSTER.replicas, 'd': 'tcp://d'}, {}, 'b'
+)
 ADMISSION = messages.AdmissionRequest('disk-9', 'tcp://9')
 RENEWAL = messages.EntryRenewal('entry-1', 'tcp://e', 1, 1, 1)
 READ = control.ConfigurationRequested(7)
@@ -88,11 +92,93 @@
             effects.Send('peer', messages.NotLeader('b')),
         ],
     ),
+    (
+        'an entry does not learn of a leader that nobody confirms',
+        ((0.0, receive(ROSTER)), (1.6, receive(RENEWAL))),
+        [
+            effects.Send(
+                'peer', messages.RosterUpdate(ROSTER.replicas, {}, '')
+            ),
+            effects.Send('peer', messages.NotLeader('')),
+        ],
+    ),
+    (
+        'a roster for another relay confirms no leader',
+        ((0.0, receive(ROSTER)), (0.1, receive(messages.RosterRequest()))),
+        [effects.Send('peer', messages.RosterUpdate(ROSTER.replicas, {}, ''))],
+    ),
+    (
+        'a leader without an address is not named',
+        (
+            (0.0, receive(messages.RosterUpdate({}, {}, 'b'))),
+            (0.1, READ),
+        ),
+        redirect(''),
+    ),
+    (
+        'a roster without a leader teaches addresses',
+        ((0.0, receive(ROSTER_OF_RELAY)),),
+        [effects.Connect('d', 'tcp://d', persistent=False)],
+    ),
+    (
+        'a replica whose address another relay told is polled',
+        (
+            (0.0, receive(ROSTER_OF_RELAY)),
+            (0.2, control.Ticked()),
+            (0.4, control.Ticked()),
+        ),
+        [effects.Send('d', messages.RosterRequest())],
+    ),
+    (
+        'a roster without a leader replaces no address',
+        (
+            (0.0, receive(ROSTER)),
+            (1.6, receive(messages.RosterUpdate({'a': 'tcp://old'}, {}))),
+        ),
+        [],
+    ),
+    (
+        'a replica that left is not polled any more',
+        (
+            (0.0, receive(ROSTER_BEFORE)),
+            (0.1, receive(ROSTER)),
+            (0.2, control.Ticked()),
+            (0.8, control.Ticked()),
+            (1.4, control.Ticked()),
+        ),
+        [effects.Send('a', messages.RosterRequest())],
+    ),
+    (
+        'a seed that is no member is not polled while a leader is known',
+        (
+            (
+                0.0,
+                receive(
+                    messages.RosterUpdate(
+                        {'b': 'tcp://b', 'c': 'tcp://c'}, {}, 'b'
+                    )
+                ),
+            ),
+            (0.2, control.Ticked()),
+            (0.8, control.Ticked()),
+            (1.4, control.Ticked()),
+        ),
+        [effects.Send('c', messages.RosterRequest())],
+    ),
     (
         'a replica that asks for admission learns who leads',
         ((0.0, receive(ROSTER)), (0.1, receive(ADMISSION))),
         [effects.Send('peer', ROSTER)],
     ),
+    (
+        'a replica that asks for admission learns addresses without a leader',
+        ((0.0, receive(ROSTER_OF_RELAY)), (0.1, receive(ADMISSION))),
+        [
+            effects.Send(
+                'peer', messages.RosterUpdate({'d': 'tcp://d'}, {}, '')
+            )
+        ],
+    ),
     (
         'a change of an entry is directed to the leader',
         (
@@ -146,6 +232,31 @@
             result = decisions.handle(event, at_s)
         self.assertEqual(result, expected)
 
+    def test_relays_that_poll_each_other_give_up_a_lost_leader(self) -> None:
+        """Guards against relays that confirm a lost leader to each other."""
+        relays = {
+            name: relay.Relay(relay.RelayOptions(name, other))
+            for name, other in (('r1', ('r2',)), ('r2', ('r1',)))
+        }
+        relays['r1'].handle(receive(ROSTER), 0.0)
+        for step in range(100):
+            now_s = step * 0.05
+            sent = [
+                (name, effect)
+                for name, each in relays.items()
+                for effect in each.handle(control.Ticked(), now_s)
+            ]
+            while sent:
+                sender, effect = sent.pop(0)
+                if isinstance(effect, effects.Send) and effect.peer in relays:
+                    event = control.Received(sender, 1, effect.message)
+                    result = relays[effect.peer].handle(event, now_s)
+                    sent += [(effect.peer, each) for each in result]
+        for each in relays.values():
+            self.assertEqual(each.find_leader(5.0), '')
+            # The replicas are known to both: one of them names the next.
+            self.assertEqual(each.roster.replicas, ROSTER.replicas)
+
 
 class RedirectTest(unittest.IsolatedAsyncioTestCase):
     """A replica and a relay on two loopback addresses."""
