A leader tells the seeds that are no members who leads

Callers saw: nothing served after a loss of power, once the seeds name relays alone: no relay, entry or agent knows a replica, while the replicas know each other. Cause: all addresses of replicas are learned from a seed, and a relay that restarts has only its settings. Change: once a second a leader sends those of its latest settings that are no members a roster without entries, which the relay then requests from a replica. Changed settings reach a replica that runs, not only the process around it. The virtual world has relays, and agents that look for entries. Cost: a message a second and seed, whatever the number of entries.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -39,6 +39,8 @@
 VOTERS_CHECK_DELAY_S: Final = 10.0
 # An entry may have lost its roster, or have got an older one after it.
 ROSTER_RESEND_S: Final = 1.0
+# Shorter than the time for which a relay relies on what it was told.
+ANNOUNCEMENT_INTERVAL_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +217,9 @@
         )
         self._sent_rosters: dict[str, SentRoster] = {}
         self._connected_addresses: dict[str, str] = {}
+        # The names that the latest settings list.
+        self._listed_names = tuple(options.addresses)
+        self._last_announcement_s = float('-inf')
         self._reports = reports.Reports()
         self._reported_membership: dict[str, object] = {}
         self._reported_leader = ''
@@ -250,6 +255,7 @@
                 result += self._end_unresponsive_entries(inputs)
                 result += self._check_voters(inputs.now_s)
                 result += self._report_membership(inputs.now_s)
+                result += self._announce_leader(inputs.now_s)
                 result += self.replica.record_addresses(
                     self.options.addresses, inputs
                 )
@@ -267,6 +273,14 @@
         result += self._answer_reads(inputs)
         return result + self._finish_stop(inputs)
 
+    def add_replicas(self, addresses: dict[str, str]) -> None:
+        """Use the addresses, by name, that changed settings list."""
+        self.options = dataclasses.replace(
+            self.options, addresses={**self.options.addresses, **addresses}
+        )
+        self._listed_names = tuple(addresses)
+        self.replica.add_peers(tuple(addresses))
+
     # Messages.
 
     def _handle_message(
@@ -297,12 +311,7 @@
                 return self._handle_change(peer, message, inputs)
             case messages.AdmissionRequest() if not self.replica.is_leader:
                 # Only the leader admits; the roster says which one it is.
-                roster = messages.RosterUpdate(
-                    self._list_addresses(),
-                    {},
-                    self.replica.find_leader(self._now_s),
-                )
-                return [effects.Send(peer, roster)]
+                return [effects.Send(peer, self._make_announcement())]
             case messages.RosterUpdate():
                 return self._handle_roster(message)
             case _:
@@ -457,6 +466,37 @@
             if name in addresses
         }
 
+    def _make_announcement(self) -> messages.RosterUpdate:
+        """Return a roster that names the leader, without the entries."""
+        return messages.RosterUpdate(
+            self._list_addresses(),
+            {},
+            self.replica.find_leader(self._now_s),
+        )
+
+    def _announce_leader(self, now_s: float) -> effects.Effects:
+        """Tell those in the settings that are no members who leads.
+
+        They are relays, or replicas that wait for admission.  If the settings
+        name no member, none of them can find a member by itself.
+        """
+        elapsed_s = now_s - self._last_announcement_s
+        if not self._leadership_started or elapsed_s < ANNOUNCEMENT_INTERVAL_S:
+            return []
+        self._last_announcement_s = now_s
+        members = self.replica.members
+        known = {
+            self.options.replica.name,
+            *members.voters,
+            *members.learners,
+        }
+        announcement = self._make_announcement()
+        return [
+            effects.Send(name, announcement)
+            for name in self._listed_names
+            if name not in known
+        ]
+
     def _make_roster(self) -> messages.RosterUpdate:
         """Return the addresses of the members and of the live entries."""
         return messages.RosterUpdate(
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -65,7 +65,7 @@
         super().add_replicas(replicas)
         self.model.replicas = {**self.model.replicas, **replicas}
         if self.control is not None:
-            self.control.replica.add_peers(tuple(replicas))
+            self.control.add_replicas(replicas)
 
     def _open_folder(self) -> None:
         """Recover from the data folder; if this fails, schedule a retry.
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -1,10 +1,10 @@
 """Discrete-event simulation of the decision classes.
 
-Runs the real decision classes of control, entry and agent in one process
-under a virtual clock, without sockets, disks or waiting.  Fakes replace the
-rest of the system: links have a latency and can be cut, disks lose unsynced
-writes when their node is killed, and a run model gives the run time of each
-task.  A run is determined by its seed.
+Runs the real decision classes of control, relay, entry and agent in one
+process under a virtual clock, without sockets, disks or waiting.  Fakes
+replace the rest of the system: links have a latency and can be cut, disks
+lose unsynced writes when their node is killed, and a run model gives the run
+time of each task.  A run is determined by its seed.
 """
 
 import collections
@@ -24,8 +24,11 @@
 from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import machines
+from eelgrassworks import relay
 from eelgrassworks import shedding
 from eelgrassworks.links import codec
+from eelgrassworks.links import discovery
+from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
 from eelgrassworks.replication import commands
@@ -123,6 +126,23 @@
     )
 
 
+class Finder:
+    """The part of an agent that finds the entries."""
+
+    def __init__(self, name: str, replicas: tuple[str, ...]) -> None:
+        self.discovery = discovery.Discovery(replicas, name)
+
+    def handle(self, event: object, now_s: float) -> effects.Effects:
+        """Process one event and return the resulting effects in order."""
+        match event:
+            case agent.Received(message=messages.RosterUpdate() as roster):
+                return self.discovery.handle_roster(roster, now_s).effects
+            case agent.Ticked():
+                return self.discovery.tick(now_s)
+            case _:
+                return []
+
+
 class World:
     """A set of simulated nodes, their event queue and the virtual clock."""
 
@@ -270,6 +290,22 @@
 
         self._add(Node(target.name, 'agent', seeds=entries), make)
 
+    def add_relay(self, name: str, seeds: tuple[str, ...]) -> None:
+        """Add a relay."""
+
+        def make(node: Node) -> Any:
+            return relay.Relay(relay.RelayOptions(name, node.seeds))
+
+        self._add(Node(name, 'relay', seeds=seeds), make)
+
+    def add_finder(self, name: str, seeds: tuple[str, ...]) -> None:
+        """Add an agent without a target that finds the entries."""
+
+        def make(node: Node) -> Any:
+            return Finder(name, node.seeds)
+
+        self._add(Node(name, 'agent', seeds=seeds), make)
+
     def _make_run(self, node: Node) -> int:
         return node.run * 1000 + list(self.nodes).index(node.name)
 
@@ -294,16 +330,23 @@
         self.at(offset_s, lambda: self._tick(node, run))
 
     def reseed(self, name: str, seeds: tuple[str, ...]) -> None:
-        """Let the settings of a replica or an entry name other replicas."""
+        """Let the settings of a node name other control processes."""
         node = self.nodes[name]
         node.seeds = seeds
         if node.core is None:
             return
         node.contacts |= set(seeds)
-        if node.role == 'control':
-            node.core.replica.add_peers(seeds)
-        else:
-            node.core.session.add_replicas(seeds)
+        match node.role:
+            case 'control':
+                node.core.add_replicas(
+                    {each: make_address(each) for each in seeds}
+                )
+            case 'relay':
+                node.core.add_replicas(seeds)
+            case 'agent':
+                node.core.discovery.add_replicas(seeds)
+            case _:
+                node.core.session.add_replicas(seeds)
 
     def kill(self, name: str) -> None:
         """Stop a node without a shutdown; unsynced writes are lost."""
@@ -452,14 +495,14 @@
                     node.contacts.add(peer)
                 case _:
                     pass
-        for peer, messages in frames.items():
-            self._send(node, peer, messages)
+        for peer, frame in frames.items():
+            self._send(node, peer, frame)
 
-    def _send(self, node: Node, peer: str, messages: list[object]) -> None:
+    def _send(self, node: Node, peer: str, frame: list[object]) -> None:
         if peer not in node.contacts:
             return
         self.tally.frames += 1
-        for message in messages:
+        for message in frame:
             self.tally.messages[codec.find_tag(type(message))] += 1
             for delay_s in self.router(node.name, peer, message):
                 self._deliver(node, peer, message, delay_s)
@@ -606,7 +649,7 @@
 ) -> object:
     """Return the event by which a role receives one message."""
     match role:
-        case 'control':
+        case 'control' | 'relay':
             return control.Received(sender, run, message)
         case 'entry':
             return entry.Received(sender, run, (message,), is_local)
@@ -616,6 +659,7 @@
 
 _TICKS: Final[dict[str, object]] = {
     'control': control.Ticked(),
+    'relay': control.Ticked(),
     'entry': entry.Ticked(),
     'agent': agent.Ticked(),
 }
--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,176 @@
+"""Processes find the leader again, whichever of them restart.
+
+After a change of the seeds the settings may name relays alone, which know no
+replica after a restart.
+"""
+
+import unittest
+
+import ddt
+
+from eelgrassworks import contracts
+from eelgrassworks.links import messages
+from tests import test_seeds
+from tests import test_voters
+
+RELAYS = ('relay-1', 'relay-2', 'relay-3')
+NEW_REPLICA = 'control-19'
+ENTRY = 'entry-1'
+AGENT = 'runner-1'
+# Half of the time in which a deployment must serve again.
+LIMIT_S = 6.0
+
+
+class Deployment:
+    """A group of replicas, three relays, an entry and an agent."""
+
+    def __init__(self) -> None:
+        self.group = test_voters.Group(4, 2, 2)
+        self.world = self.group.world
+        for name in RELAYS:
+            self.world.add_relay(name, self.group.seeds)
+        self.world.add_finder(AGENT, self.group.seeds)
+        self.world.run(2.0)
+        self.leader = test_seeds.move_leadership(
+            self.group, set(self.group.seeds)
+        )
+        self.world.run(2.0)
+
+    def choose_seeds(self, kind: str) -> tuple[str, ...]:
+        """Return the names that the changed settings have."""
+        followers = [n for n in self.group.names if n != self.leader]
+        match kind:
+            case 'relays':
+                return RELAYS
+            case 'relays and a replica':
+                return (*RELAYS[:2], followers[-1])
+            case 'gone':
+                return ('control-91', 'control-92')
+            case _:
+                return tuple(followers[-3:])
+
+    def reseed(self, seeds: tuple[str, ...]) -> None:
+        """Change the settings of all running processes."""
+        for name in (*self.group.names, *RELAYS, ENTRY, AGENT):
+            self.world.reseed(name, seeds)
+        self.world.run(1.0)
+
+    def restart(self, part: str, seeds: tuple[str, ...]) -> None:
+        """Restart a part of the deployment."""
+        match part:
+            case 'entry':
+                self._restart((ENTRY,))
+            case 'relays':
+                self._restart(RELAYS)
+            case 'entry and relays':
+                self._restart((ENTRY, *RELAYS))
+            case 'agent and relays':
+                self._restart((AGENT, *RELAYS))
+            case 'new replica':
+                self.group.names.append(NEW_REPLICA)
+                self.world.join_control(
+                    NEW_REPLICA, seeds, voters=self.group.max_voters
+                )
+            case 'emptied replica':
+                name = next(
+                    each
+                    for each in self.group.names
+                    if each not in (self.leader, *seeds)
+                )
+                self.world.kill(name)
+                self.world.lose_disk(name)
+                self._restart((name,))
+            case _:
+                self._restart((*self.group.names, *RELAYS, ENTRY, AGENT))
+
+    def _restart(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            self.world.kill(name)
+        self.world.run(1.0)
+        for name in names:
+            self.world.start(name)
+
+    def find_faults(self) -> list[str]:
+        """Return what does not work."""
+        leader = test_voters.await_any_leader(self.world, self.group.names)
+        now_s = self.world.now_s
+        faults = [
+            f'{name} knows no leader'
+            for name in RELAYS
+            if self.world.nodes[name].core.find_leader(now_s) != leader
+        ]
+        strangers = test_seeds.find_strangers(self.group)
+        faults += [f'{name} is no member' for name in strangers]
+        session = self.world.nodes[ENTRY].core.session
+        if not session.has_confirmed_lease(now_s):
+            faults.append(f'{ENTRY} has no lease')
+        if not self.world.nodes[AGENT].core.discovery.entries:
+            faults.append(f'{AGENT} knows no entry')
+        return faults
+
+
+# Which processes restart, and which ones their settings name.
+ROWS: tuple[tuple[str, str], ...] = tuple(
+    (part, seeds)
+    for part in (
+        'entry',
+        'relays',
+        'entry and relays',
+        'agent and relays',
+        'new replica',
+        'emptied replica',
+        'all',
+    )
+    for seeds in ('relays', 'relays and a replica', 'followers')
+)
+
+
+@ddt.ddt
+class RendezvousTest(unittest.TestCase):
+    @ddt.data(*ROWS)
+    @ddt.unpack
+    def test_all_find_the_leader_after_the_seeds_changed(
+        self, part: str, kind: str
+    ) -> None:
+        """Guards against processes that know none which knows a replica."""
+        deployment = Deployment()
+        seeds = deployment.choose_seeds(kind)
+        deployment.reseed(seeds)
+        deployment.restart(part, seeds)
+        deployment.world.run(LIMIT_S)
+        self.assertEqual(deployment.find_faults(), [])
+        response = deployment.group.change(1)
+        self.assertIsInstance(response.verdict, contracts.ChangeAccepted)
+
+    @ddt.data(0, 40)
+    def test_announcements_do_not_grow_with_the_entries(
+        self, entries: int
+    ) -> None:
+        """Guards against a cost of control that grows with the deployment."""
+        deployment = Deployment()
+        world = deployment.world
+        for number in range(entries):
+            world.add_entry(f'entry-{number + 2}', deployment.group.seeds)
+        deployment.reseed(RELAYS)
+        world.run(5.0)
+        announced: list[messages.RosterUpdate] = []
+        route = world.router
+
+        def record(sender: str, receiver: str, message: object) -> list[float]:
+            if (
+                sender == deployment.leader
+                and receiver in RELAYS
+                and isinstance(message, messages.RosterUpdate)
+                and not message.entries
+            ):
+                announced.append(message)
+            return route(sender, receiver, message)
+
+        world.router = record
+        world.run(10.0)
+        # Each of the three is told once a second.
+        self.assertIn(len(announced), range(27, 34))
+
+
+if __name__ == '__main__':
+    unittest.main()
