A roster does not make an entry forget the replicas it knows

Cause: each roster replaced the replicas, also an empty one, and dropped those that changed settings had added. Change: a roster without replicas changes none, one without entries does not replace the roster that agents get, and the replicas of changed settings are retained. Result: two rows of tests.test_rendezvous failed before, pass.

--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -62,6 +62,8 @@
         )
         self.in_force_revision = 0
         self.replicas = options.replicas
+        # The replicas that the settings list.
+        self._listed_replicas = options.replicas
         self.roster = messages.RosterUpdate({}, {})
         self.leader = options.replicas[0]
         # A leader that a replica named and whose address is requested.
@@ -175,15 +177,19 @@
     def handle_roster(
         self, roster: messages.RosterUpdate, now_s: float
     ) -> effects.Effects:
-        """Apply the roster of the leader and connect to its replicas.
+        """Apply a roster and connect to its replicas.
 
         The replicas of the settings are retained, since a partitioned leader
-        may send an outdated roster.  If the roster was requested for the
-        address of a leader, the entry turns to that leader.
+        may send an outdated roster.  A roster without entries only names
+        replicas: the leader lists this entry, and a relay that has just
+        started knows nothing.  If the roster was requested for the address of
+        a leader, the entry turns to that leader.
         """
-        self.roster = roster
-        names = dict.fromkeys((*roster.replicas, *self.options.replicas))
-        self.replicas = tuple(names)
+        if roster.entries:
+            self.roster = roster
+        if roster.replicas:
+            names = (*roster.replicas, *self._listed_replicas)
+            self.replicas = tuple(dict.fromkeys(names))
         result: effects.Effects = [
             effects.Connect(name, address)
             for name, address in roster.replicas.items()
@@ -194,7 +200,10 @@
         return result + self._renew(now_s) + self._resend(now_s, 0.0)
 
     def add_replicas(self, names: tuple[str, ...]) -> None:
-        """Add replicas to the search for a leader."""
+        """Add replicas of changed settings to the search for a leader."""
+        self._listed_replicas = tuple(
+            dict.fromkeys((*self._listed_replicas, *names))
+        )
         self.replicas = tuple(dict.fromkeys((*self.replicas, *names)))
 
     def request_lease(self, now_s: float) -> effects.Effects:
@@ -239,13 +248,16 @@
         sooner which revision is in force.
         """
         result: effects.Effects = []
-        searching = now_s - self._leader_last_contact_s > LEADER_TIMEOUT_S
+        searching = self._is_searching(now_s)
         if now_s - self._last_renewal_s >= _choose_interval(searching, eager):
             if searching:
                 self._try_next_replica()
             result += self._renew(now_s)
         return result + self._resend(now_s, RESEND_INTERVAL_S)
 
+    def _is_searching(self, now_s: float) -> bool:
+        return now_s - self._leader_last_contact_s > LEADER_TIMEOUT_S
+
     def _send_request(
         self,
         request: int | str,
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -10,6 +10,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks.links import messages
+from eelgrassworks.links import session
 from tests import test_seeds
 from tests import test_voters
 
@@ -101,8 +102,8 @@
         ]
         strangers = test_seeds.find_strangers(self.group)
         faults += [f'{name} is no member' for name in strangers]
-        session = self.world.nodes[ENTRY].core.session
-        if not session.has_confirmed_lease(now_s):
+        entry_session = self.world.nodes[ENTRY].core.session
+        if not entry_session.has_confirmed_lease(now_s):
             faults.append(f'{ENTRY} has no lease')
         if not self.world.nodes[AGENT].core.discovery.entries:
             faults.append(f'{AGENT} knows no entry')
@@ -172,5 +173,44 @@
         self.assertIn(len(announced), range(27, 34))
 
 
+ADDRESSES = {'control-4': 'tcp://4', 'control-5': 'tcp://5'}
+ENTRIES = {'entry-1': 'tcp://e'}
+# Title, a roster after one that names control-4 and control-5, and the
+# replicas that the entry knows then.  Its settings have changed to relay-2.
+KNOWN: tuple[tuple[str, messages.RosterUpdate, set[str]], ...] = (
+    (
+        'a relay that has just started knows nothing',
+        messages.RosterUpdate({}, {}),
+        {*ADDRESSES, 'control-1', 'relay-2'},
+    ),
+    (
+        'a member that left',
+        messages.RosterUpdate({'control-4': 'tcp://4'}, ENTRIES),
+        {'control-4', 'control-1', 'relay-2'},
+    ),
+)
+
+
+@ddt.ddt
+class EntryRosterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.session = session.Session(
+            session.SessionOptions(ENTRY, 'tcp://e', 1, ('control-1',))
+        )
+
+    @ddt.data(*KNOWN)
+    @ddt.unpack
+    def test_entry_keeps_the_replicas_that_it_knows(
+        self, _: str, roster: messages.RosterUpdate, names: set[str]
+    ) -> None:
+        """Guards against an entry that forgets all replicas or new seeds."""
+        full = messages.RosterUpdate(ADDRESSES, ENTRIES)
+        self.session.handle_roster(full, 1.0)
+        self.session.add_replicas(('relay-2',))
+        self.session.handle_roster(roster, 2.0)
+        self.assertEqual(set(self.session.replicas), names)
+        self.assertEqual(self.session.roster.entries, ENTRIES)
+
+
 if __name__ == '__main__':
     unittest.main()
