A leader tells the entries of its ledger who leads

Callers saw: nothing served after a loss of power while the seeds of the settings are down or gone; the replicas know the entries, the entries no replica. Cause: an entry found the leader only by its own search, which starts from the settings alone after a restart. Change: a replica whose leadership begins sends each live entry a roster without entries. An entry that has no leader turns to a sender that says it leads; one whose leader answers does not, so an outdated roster of a deposed leader moves nobody. Cost: one small message an entry and leadership. Result: four rows of test_entry_is_told_who_leads_while_no_seed_does and one of test_entry_turns_to_a_leader failed before, pass.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -839,12 +839,22 @@
         return result
 
     def _connect_entries(self) -> effects.Effects:
-        """Allow messages to entries that have not contacted this replica."""
-        return [
-            effects.Connect(name, record.address, persistent=False)
-            for name, record in self.ledger.entries.items()
-            if record.alive
-        ]
+        """Allow messages to entries that have not contacted this replica.
+
+        Those of an open group are told who leads, since their settings may
+        name no member.
+        """
+        result: effects.Effects = []
+        announcement = self._make_announcement()
+        for name, record in self.ledger.entries.items():
+            if not record.alive:
+                continue
+            result.append(
+                effects.Connect(name, record.address, persistent=False)
+            )
+            if self.options.replica.is_open:
+                result.append(effects.Send(name, announcement))
+        return result
 
     def _abandon_pending(self) -> effects.Effects:
         """Answer all pending requests after leadership was lost."""
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -439,7 +439,7 @@
             case messages.ConfigurationChangeResponse():
                 return self._handle_change_response(message, now_s)
             case messages.RosterUpdate():
-                return self.session.handle_roster(message, now_s)
+                return self.session.handle_roster(message, now_s, peer)
             case messages.RosterRequest():
                 return [effects.Send(peer, self.session.roster)]
             case messages.NotLeader(leader):
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -175,15 +175,14 @@
         return True
 
     def handle_roster(
-        self, roster: messages.RosterUpdate, now_s: float
+        self, roster: messages.RosterUpdate, now_s: float, peer: str = ''
     ) -> effects.Effects:
         """Apply a roster and connect to its replicas.
 
         The replicas of the settings are retained, since a partitioned leader
         may send an outdated roster.  A roster without entries only names
         replicas: the leader lists this entry, and a relay that has just
-        started knows nothing.  If the roster was requested for the address of
-        a leader, the entry turns to that leader.
+        started knows nothing.
         """
         if roster.entries:
             self.roster = roster
@@ -194,11 +193,31 @@
             effects.Connect(name, address)
             for name, address in roster.replicas.items()
         ]
-        if self._unknown_leader not in roster.replicas:
+        leader = self._choose_leader(roster, peer, now_s)
+        if not leader:
             return result
-        self.leader, self._unknown_leader = self._unknown_leader, ''
+        self.leader, self._unknown_leader = leader, ''
         return result + self._renew(now_s) + self._resend(now_s, 0.0)
 
+    def _choose_leader(
+        self, roster: messages.RosterUpdate, peer: str, now_s: float
+    ) -> str:
+        """Return the leader to turn to; empty to stay with the current one.
+
+        It is the one whose address was requested or, during a search, the
+        sender that says it leads.  A deposed leader costs one renewal.
+        """
+        if self._unknown_leader in roster.replicas:
+            return self._unknown_leader
+        if (
+            self._is_searching(now_s)
+            and roster.leader == peer
+            and peer in roster.replicas
+            and peer != self.leader
+        ):
+            return peer
+        return ''
+
     def add_replicas(self, names: tuple[str, ...]) -> None:
         """Add replicas of changed settings to the search for a leader."""
         self._listed_replicas = tuple(
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -9,6 +9,7 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import effects
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from tests import test_seeds
@@ -84,6 +85,10 @@
             case _:
                 self._restart((*self.group.names, *RELAYS, ENTRY, AGENT))
 
+    def restart_replicas_and_entry(self) -> None:
+        """Restart all but the relays and the agent."""
+        self._restart((*self.group.names, ENTRY))
+
     def _restart(self, names: tuple[str, ...]) -> None:
         for name in names:
             self.world.kill(name)
@@ -125,6 +130,15 @@
     for seeds in ('relays', 'relays and a replica', 'followers')
 )
 
+# What restarts, or changes its leader, and what the settings name.  Relays
+# are down.
+UNREACHABLE_SEEDS: tuple[tuple[str, str], ...] = (
+    ('all', 'gone'),
+    ('all', 'relays'),
+    ('entry, then the leader', 'gone'),
+    ('entry, then the leader', 'relays'),
+)
+
 
 @ddt.ddt
 class RendezvousTest(unittest.TestCase):
@@ -143,6 +157,31 @@
         response = deployment.group.change(1)
         self.assertIsInstance(response.verdict, contracts.ChangeAccepted)
 
+    @ddt.data(*UNREACHABLE_SEEDS)
+    @ddt.unpack
+    def test_entry_is_told_who_leads_while_no_seed_does(
+        self, part: str, kind: str
+    ) -> None:
+        """Guards against an entry that only its own search can help."""
+        deployment = Deployment()
+        seeds = deployment.choose_seeds(kind)
+        deployment.reseed(seeds)
+        if kind == 'relays':
+            for name in RELAYS:
+                deployment.world.kill(name)
+        match part:
+            case 'all':
+                deployment.restart_replicas_and_entry()
+            case _:
+                deployment.world.kill(ENTRY)
+                deployment.world.start(ENTRY)
+                deployment.world.kill(deployment.leader)
+        deployment.world.run(LIMIT_S)
+        entry_session = deployment.world.nodes[ENTRY].core.session
+        self.assertTrue(
+            entry_session.has_confirmed_lease(deployment.world.now_s)
+        )
+
     @ddt.data(0, 40)
     def test_announcements_do_not_grow_with_the_entries(
         self, entries: int
@@ -175,6 +214,38 @@
 
 ADDRESSES = {'control-4': 'tcp://4', 'control-5': 'tcp://5'}
 ENTRIES = {'entry-1': 'tcp://e'}
+# Title, when the leader was in contact last, the sender of a roster at 10 s,
+# the roster, and the leader that the entry asks from then on.
+LEADERS: tuple[tuple[str, float, str, messages.RosterUpdate, str], ...] = (
+    (
+        'a leader that tells so during a search',
+        9.0,
+        'control-5',
+        messages.RosterUpdate(ADDRESSES, {}, 'control-5'),
+        'control-5',
+    ),
+    (
+        'an outdated roster while another leader answers',
+        9.9,
+        'control-5',
+        messages.RosterUpdate(ADDRESSES, {}, 'control-5'),
+        'control-1',
+    ),
+    (
+        'a leader that another process names',
+        9.0,
+        'relay-1',
+        messages.RosterUpdate(ADDRESSES, ENTRIES, 'control-5'),
+        'control-1',
+    ),
+    (
+        'a leader without an address',
+        9.0,
+        'control-6',
+        messages.RosterUpdate(ADDRESSES, {}, 'control-6'),
+        'control-1',
+    ),
+)
 # Title, a roster after one that names control-4 and control-5, and the
 # replicas that the entry knows then.  Its settings have changed to relay-2.
 KNOWN: tuple[tuple[str, messages.RosterUpdate, set[str]], ...] = (
@@ -198,6 +269,28 @@
             session.SessionOptions(ENTRY, 'tcp://e', 1, ('control-1',))
         )
 
+    @ddt.data(*LEADERS)
+    @ddt.unpack
+    def test_entry_turns_to_a_leader(
+        self,
+        _: str,
+        contact_s: float,
+        peer: str,
+        roster: messages.RosterUpdate,
+        leader: str,
+    ) -> None:
+        """Guards against a search that ends at a deposed leader."""
+        self.session.tick(contact_s)
+        sent_ms = int(contact_s * 1000)
+        lease = messages.EntryLease(sent_ms, 1000, 0, 0, 1)
+        self.session.handle_lease('control-1', lease, contact_s)
+        result = self.session.handle_roster(roster, 10.0, peer)
+        asked = [
+            each.peer for each in result if isinstance(each, effects.Send)
+        ]
+        self.assertEqual(self.session.leader, leader)
+        self.assertEqual(asked, [leader] if leader == peer else [])
+
     @ddt.data(*KNOWN)
     @ddt.unpack
     def test_entry_keeps_the_replicas_that_it_knows(
@@ -205,9 +298,9 @@
     ) -> None:
         """Guards against an entry that forgets all replicas or new seeds."""
         full = messages.RosterUpdate(ADDRESSES, ENTRIES)
-        self.session.handle_roster(full, 1.0)
+        self.session.handle_roster(full, 1.0, 'control-4')
         self.session.add_replicas(('relay-2',))
-        self.session.handle_roster(roster, 2.0)
+        self.session.handle_roster(roster, 2.0, 'relay-1')
         self.assertEqual(set(self.session.replicas), names)
         self.assertEqual(self.session.roster.entries, ENTRIES)
 
