A failed connection is reopened where its peer sends from

Cause: a connection that a process keeps was reopened at the address of its start for good, though frames of the peer name another one. Change: after a timeout it is reopened at the address of the peer's latest frame, or where it was made if that one cannot be used. One that responds is not moved.

--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -86,6 +86,7 @@
     reopened when it becomes unresponsive; others are removed, and closed when
     idle.  ``last_use_s`` is when a message of the application was sent or
     received, or a heartbeat of a peer that keeps its connection.
+    ``sender_address`` is the one from which the peer sent its latest frame.
     """
 
     address: str
@@ -93,6 +94,7 @@
     state: connection.Connection
     persistent: bool
     last_use_s: float
+    sender_address: str
 
     def is_idle(self, now_s: float) -> bool:
         """Tell whether neither end needs the connection any more."""
@@ -331,14 +333,20 @@
             timeout_s=self._echo_timeout_s,
         )
         self._outgoing[peer] = OutgoingConnection(
-            address, socket, state, persistent, clock.read_now()
+            address, socket, state, persistent, clock.read_now(), address
         )
         return True
 
     def _replace(self, peer: str, outgoing: OutgoingConnection) -> None:
         self.counters['connections_replaced'] += 1
         if outgoing.persistent:
-            self._open(peer, outgoing.address, persistent=True)
+            # The peer may have restarted at another address.
+            moved = outgoing.sender_address != outgoing.address
+            if moved and self._open(
+                peer, outgoing.sender_address, persistent=True
+            ):
+                return
+            self._open(peer, self._addresses[peer], persistent=True)
             return
         self._close(peer, outgoing)
 
@@ -386,6 +394,7 @@
         ):
             self.counters['frames_rejected'] += 1
             return
+        self._outgoing[sender.name].sender_address = sender.address
         self.counters['frames_received'] += 1
         self.counters['bytes_received'] += len(data)
         remaining = tuple(
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -20,7 +20,16 @@
 # More than one frame may contain.
 LARGE_MESSAGES = 8
 
+# Title, the address that a frame of the peer names, and the one that is used
+# once 127.0.0.2, to which the connection was made, does not respond.
+MOVED_PEERS: tuple[tuple[str, str, str], ...] = (
+    ('same address', 'tcp://127.0.0.2:9', 'tcp://127.0.0.2:9'),
+    ('another address', 'tcp://127.0.0.3:9', 'tcp://127.0.0.3:9'),
+    ('invalid address', 'odd', 'tcp://127.0.0.2:9'),
+)
+
 
+@ddt.ddt
 class SocketTest(unittest.IsolatedAsyncioTestCase):
     def open(
         self, name: str, port: int, key: bytes = KEY
@@ -154,6 +163,48 @@
         left.post('right', messages.SlotsRequest(2))
         await deployment.wait_until(lambda: self.has_received(received, 2))
 
+    async def test_peer_that_restarts_at_another_address_is_answered(
+        self,
+    ) -> None:
+        """Guards against responses to the address that a peer had before."""
+        ports = deployment.find_ports(3)
+        left, heard = self.open('left', ports[0])
+        right, received = self.open('right', ports[1])
+        left.connect('right', f'tcp://127.0.0.1:{ports[2]}')
+        right.connect('left', left.sender.address, persistent=False)
+
+        async def is_answered() -> bool:
+            for each in (left, right):
+                each.tick(clock.read_now())
+            right.post('left', messages.SlotsRequest(1))
+            if heard:
+                left.post('right', messages.SlotsRequest(2))
+            await asyncio.sleep(0.05)
+            return bool(received)
+
+        await deployment.wait_until(is_answered)
+        peer = left.describe()['peers']
+        assert isinstance(peer, dict)
+        self.assertEqual(peer['right']['address'], right.sender.address)
+
+    @ddt.data(*MOVED_PEERS)
+    @ddt.unpack
+    async def test_connection_that_failed_is_reopened(
+        self, _: str, sender_address: str, address: str
+    ) -> None:
+        """Guards against a connection that no address can restore."""
+        left, _ = self.open('left', deployment.find_ports(1)[0])
+        left.connect('right', 'tcp://127.0.0.2:9')
+        sender = links.Sender('right', 1, sender_address)
+        for data in links.Codec(KEY).encode_frames(
+            sender, [messages.SlotsRequest(1)]
+        ):
+            left._receive_frame(data)
+        left.tick(clock.read_now() + 60.0)
+        peers = left.describe()['peers']
+        assert isinstance(peers, dict)
+        self.assertEqual(peers['right']['address'], address)
+
 
 # Sending times of echoed heartbeats, current time, and whether the connection
 # is unresponsive.
