Power loss: a run that is stopped ends its processes

Cause: SIGTERM ended the command without its cleanup. Change: SIGTERM cancels the run, which then ends the replicas. Result: test_stopped_run_ends_its_processes failed before (8 replicas left), passes.

--- a/soak/powerloss.py
+++ b/soak/powerloss.py
@@ -272,6 +272,14 @@
         self._report.all_read_s = elapsed_s
 
 
+async def _play(run: Run) -> Report:
+    """Play a run; SIGTERM ends its processes as well."""
+    task = asyncio.ensure_future(run.play())
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def soak(
     seed: int = 1, seeds: int = 1, report: str = '', logs: str = ''
 ) -> None:
@@ -286,7 +294,7 @@
     broken = False
     for each in range(seed, seed + seeds):
         run = Run(each, powerplan.draw_script(each), logs)
-        result = asyncio.run(run.play())
+        result = asyncio.run(_play(run))
         broken |= bool(result.violations)
         line = json.dumps(dataclasses.asdict(result))
         print(line, flush=True)
--- a/tests/test_powerloss.py
+++ b/tests/test_powerloss.py
@@ -1,12 +1,18 @@
 """Groups of eight replicas, as processes, that lose power and disks."""
 
 import asyncio
+import os
+import pathlib
+import signal
+import sys
 import unittest
 
 import ddt
 
 from soak import powerloss
 from soak import powerplan
+from soak import replicagroup
+from tests import deployment
 
 VOTERS_LOST = (
     powerplan.Victim(powerplan.Role.VOTER, 1),
@@ -98,6 +104,43 @@
         self.assertEqual(report.violations, [], report)
 
 
+def list_children(process: int) -> list[int]:
+    """Return the processes that a process has started."""
+    path = pathlib.Path(f'/proc/{process}/task/{process}/children')
+    return [int(each) for each in path.read_text().split()]
+
+
+def list_running(processes: list[int]) -> list[int]:
+    """Return those of some processes that have not ended."""
+    return [p for p in processes if pathlib.Path(f'/proc/{p}').exists()]
+
+
+class CommandTest(unittest.IsolatedAsyncioTestCase):
+    async def test_stopped_run_ends_its_processes(self) -> None:
+        """Guards against replicas that outlive a run that is stopped."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'soak.powerloss',
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+            cwd=replicagroup.ROOT,
+        )
+        children: list[int] = []
+
+        async def has_started() -> bool:
+            children[:] = list_children(process.pid)
+            return len(children) == len(replicagroup.DOMAINS) * 2
+
+        await deployment.wait_until(has_started)
+        process.terminate()
+        await process.wait()
+        left = list_running(children)
+        for each in left:
+            os.kill(each, signal.SIGKILL)
+        self.assertEqual(left, [])
+
+
 @ddt.ddt
 class ScriptTest(unittest.TestCase):
     @ddt.data(*range(1, 51))
