A learner votes for a candidate whose log has its promotion

Cause: a replica refused its vote unless its own log had it, and the candidate, as voters. A change of members counts from the moment when it is in a log: a leader that had written the promotion of a sixth voter needs four of six votes, and after two lost disks one of them is that of the new voter, whose log may not have the change yet. The others have shorter logs and cannot lead. It is the same if the new voter has the longest log: the others did not vote for a candidate that is a learner in theirs. Relieving a failure domain had this fault before; promoting the successor first has it too.

Change: a member votes, voter or learner; the candidate counts the votes of its own voters by their disks, as before. Refused is only a candidate whose name is registered with another disk. A learner does not count itself among the majority that confirms its folder, since it now votes. The reasons of vote_refused are not-a-member and candidate-has-another-disk.

--- a/eelgrassworks/replication/folderverification.py
+++ b/eelgrassworks/replication/folderverification.py
@@ -27,8 +27,11 @@
         self._positions: dict[str, tuple[int, int]] = {}
 
     def is_verified(self, voters: Iterable[str], majority: int) -> bool:
-        """Return whether a majority of voters confirms this folder."""
-        confirming = self._confirmed_by.intersection(voters) | {self._name}
+        """Return whether a majority of voters confirms this folder.
+
+        A voter counts itself.
+        """
+        confirming = (self._confirmed_by | {self._name}).intersection(voters)
         return len(confirming) >= majority
 
     @property
--- a/eelgrassworks/replication/membership.py
+++ b/eelgrassworks/replication/membership.py
@@ -55,6 +55,12 @@
 
     def holds_disk(self, name: str, disk: str) -> bool:
         """Return whether a member is registered with this disk."""
+        return self._find_disk(name) == disk
+
+    def may_hold_disk(self, name: str, disk: str) -> bool:
+        """Return whether no other disk is registered for this name."""
+        return self._find_disk(name) in (None, disk)
+
+    def _find_disk(self, name: str) -> str | None:
         members = self.current
-        current_disk = members.voters.get(name) or members.learners.get(name)
-        return current_disk == disk
+        return members.voters.get(name) or members.learners.get(name)
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -453,13 +453,18 @@
         request: messages.VoteRequest,
         inputs: decisioninputs.DecisionInputs,
     ) -> str:
-        """Return why this replica would not vote; empty if it would."""
-        if not self.is_voter:
-            return 'not-a-voter'
+        """Return why this replica would not vote; empty if it would.
+
+        A candidate counts the voters of its own log, which may have a later
+        change than this one: a learner votes as well, and for any candidate
+        but one whose disk was replaced.
+        """
+        if not self.is_member:
+            return 'not-a-member'
         if not self.is_verified:
             return 'unverified'
-        if self.members.voters.get(peer) != request.disk:
-            return 'candidate-not-a-voter'
+        if not self.membership.may_hold_disk(peer, request.disk):
+            return 'candidate-has-another-disk'
         if request.term < self.term:
             return 'earlier-term'
         if self._has_leader(inputs) and not request.transfer:
