voters_missing counts the voters whose disk answers

Cause: the leader counted the names of the voters. One whose disk is lost, or that has not answered, was still counted, so nothing told that the group bears less than declared.

Change: Replica.count_answering_voters leaves out the voters that are unresponsive to the leader (VOTER_REPLACEMENT_TIMEOUT_S); an answer from another disk is no answer. The names of the log line, its fields and the gauge stay.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -753,12 +753,16 @@
         return result + self._abandon_pending()
 
     def _check_voters(self, now_s: float) -> effects.Effects:
-        """Log when the number of voters that are missing has changed."""
+        """Log when the number of voters that are missing has changed.
+
+        A voter whose disk is lost or does not answer is missing as well.
+        """
         elapsed_s = now_s - self._leadership_began_s
         if not self._leadership_started or elapsed_s < VOTERS_CHECK_DELAY_S:
             return []
         members = self.replica.members
-        missing = max(0, self.options.replica.voters - len(members.voters))
+        answering = self.replica.count_answering_voters(now_s)
+        missing = max(0, self.options.replica.voters - answering)
         if missing == self.voters_missing:
             return []
         self.voters_missing = missing
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -859,6 +859,19 @@
             )
         return states
 
+    def count_answering_voters(self, now_s: float) -> int:
+        """Return the number of voters whose disk answers this leader.
+
+        A voter counts until it is unresponsive; 0 on other replicas.
+        """
+        role = self.role
+        if not isinstance(role, roles.Leader):
+            return 0
+        states = self._describe_members(role, now_s)
+        return sum(
+            not states[name].is_unresponsive for name in self.members.voters
+        )
+
     # Followers.
 
     def _handle_append(
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -348,6 +348,56 @@
         core = group.world.nodes[leader].core
         self.assertEqual(core.voters_missing, missing)
 
+    @ddt.data(
+        ((5, 1, 2), 'none', 1.0, 0),
+        ((5, 1, 2), 'killed', 1.0, 0),
+        ((5, 1, 2), 'killed', 5.0, 1),
+        ((5, 1, 2), 'frozen', 5.0, 1),
+        ((5, 1, 2), 'disk lost', 1.0, 1),
+        ((4, 2, 2), 'killed', 5.0, 0),
+        ((4, 2, 2), 'disk lost', 5.0, 0),
+        ((3, 1, 1), 'killed', 5.0, 1),
+    )
+    @ddt.unpack
+    def test_voters_without_their_disk_are_missing(
+        self,
+        sizes: tuple[int, int, int],
+        reason: str,
+        away_s: float,
+        missing: int,
+    ) -> None:
+        """Guards against counting voters that bear no loss any more."""
+        group = Group(*sizes)
+        world = group.world
+        world.run(5.0)
+        leader = await_any_leader(world, group.names)
+        away = next(n for n in sorted(group.find_voters()) if n != leader)
+        match reason:
+            case 'killed':
+                world.kill(away)
+            case 'frozen':
+                world.freeze(away)
+            case 'disk lost':
+                others = [name for name in group.names if name != away]
+                world.kill(away)
+                world.lose_disk(away)
+                world.start(away)
+                # It is not admitted until the links are back.
+                world.cut = {(away, each) for each in others}
+                world.run(4.0)
+            case _:
+                pass
+        world.run(away_s)
+        core = world.nodes[leader].core
+        self.assertEqual(core.voters_missing, missing)
+        world.cut = set()
+        if world.nodes[away].frozen:
+            world.thaw(away)
+        if world.nodes[away].core is None:
+            world.start(away)
+        world.run(5.0)
+        self.assertEqual(core.voters_missing, 0)
+
     @ddt.data('killed', 'frozen', 'cut off')
     def test_replaced_voter_is_a_member_again(self, reason: str) -> None:
         """Guards against a voter that is removed and never told."""
