Tests: disks lost while a lost disk is replaced

A voter whose disk is lost is demoted at the admission of its new folder, before another one votes. This costs nothing: of 2 f + 1 voters with g lost disks 2 f + 1 - g are whole and f + 1 must stay, which leaves f - g; of the 2 f that are left f + 1 must stay as well, and 2 f - (g - 1) are whole, which leaves f - g too. Whether the entry of the admission has reached a replica or not, the majority is f + 1.

--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -469,11 +469,14 @@
         self.leader = await_any_leader(self.world, self.group.names)
         self.voters = sorted(self.group.find_voters())
         self.away = next(n for n in self.voters if n != self.leader)
-        if reason == 'killed':
-            self.world.kill(self.away)
-        else:
+        if reason == 'frozen':
             self.world.freeze(self.away)
+        else:
+            self.world.kill(self.away)
         self.group.change(2)
+        if reason == 'disk lost':
+            self.world.lose_disk(self.away)
+            self.world.start(self.away)
 
     @property
     def members(self) -> commands.SetMembers:
@@ -565,6 +568,25 @@
                 replacement.lose_power(lost)
                 self.check_service(replacement.group, versions)
 
+    @ddt.data(*itertools.product(((4, 2, 2), (5, 1, 2), (3, 2, 1)), WINDOWS))
+    @ddt.unpack
+    def test_disks_lost_while_a_lost_disk_is_replaced(
+        self, sizes: tuple[int, int, int], window: tuple[int, str]
+    ) -> None:
+        """Guards against a lost disk that counts twice while it is replaced.
+
+        Its voter is no voter any more before another one votes.
+        """
+        versions = {2, 3} if window[1] == 'successor is ahead' else {2}
+        first = Replacement(sizes, 'disk lost')
+        answering = [n for n in first.voters if n != first.away]
+        for lost in itertools.combinations(answering, sizes[2] - 1):
+            with self.subTest(lost=lost, leader=first.leader):
+                replacement = Replacement(sizes, 'disk lost')
+                replacement.reach(*window)
+                replacement.lose_power(lost)
+                self.check_service(replacement.group, versions)
+
     def check_service(self, group: Group, versions: set[int]) -> None:
         """Check that changes are kept and all replicas are members."""
         self.assertIn(group.read_version(), versions)
