--- a/eelgrassworks/replication/membership.py
+++ b/eelgrassworks/replication/membership.py
@@ -59,8 +59,8 @@
 
     def may_hold_disk(self, name: str, disk: str) -> bool:
         """Return whether no other disk is registered for this name."""
-        return self._find_disk(name) in ('', disk)
+        return self._find_disk(name) in (None, disk)
 
-    def _find_disk(self, name: str) -> str:
+    def _find_disk(self, name: str) -> str | None:
         members = self.current
-        return members.voters.get(name) or members.learners.get(name, '')
+        return members.voters.get(name) or members.learners.get(name)
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -348,6 +348,56 @@
         core = group.world.nodes[leader].core
         self.assertEqual(core.voters_missing, missing)
 
+    @ddt.data(
+        ((5, 1, 2), 'none', 1.0, 0),
+        ((5, 1, 2), 'killed', 1.0, 0),
+        ((5, 1, 2), 'killed', 5.0, 1),
+        ((5, 1, 2), 'frozen', 5.0, 1),
+        ((5, 1, 2), 'disk lost', 1.0, 1),
+        ((4, 2, 2), 'killed', 5.0, 0),
+        ((4, 2, 2), 'disk lost', 5.0, 0),
+        ((3, 1, 1), 'killed', 5.0, 1),
+    )
+    @ddt.unpack
+    def test_voters_without_their_disk_are_missing(
+        self,
+        sizes: tuple[int, int, int],
+        reason: str,
+        away_s: float,
+        missing: int,
+    ) -> None:
+        """Guards against counting voters that bear no loss any more."""
+        group = Group(*sizes)
+        world = group.world
+        world.run(5.0)
+        leader = await_any_leader(world, group.names)
+        away = next(n for n in sorted(group.find_voters()) if n != leader)
+        match reason:
+            case 'killed':
+                world.kill(away)
+            case 'frozen':
+                world.freeze(away)
+            case 'disk lost':
+                others = [name for name in group.names if name != away]
+                world.kill(away)
+                world.lose_disk(away)
+                world.start(away)
+                # It is not admitted until the links are back.
+                world.cut = {(away, each) for each in others}
+                world.run(4.0)
+            case _:
+                pass
+        world.run(away_s)
+        core = world.nodes[leader].core
+        self.assertEqual(core.voters_missing, missing)
+        world.cut = set()
+        if world.nodes[away].frozen:
+            world.thaw(away)
+        if world.nodes[away].core is None:
+            world.start(away)
+        world.run(5.0)
+        self.assertEqual(core.voters_missing, 0)
+
     @ddt.data('killed', 'frozen', 'cut off')
     def test_replaced_voter_is_a_member_again(self, reason: str) -> None:
         """Guards against a voter that is removed and never told."""
@@ -419,11 +469,14 @@
         self.leader = await_any_leader(self.world, self.group.names)
         self.voters = sorted(self.group.find_voters())
         self.away = next(n for n in self.voters if n != self.leader)
-        if reason == 'killed':
-            self.world.kill(self.away)
-        else:
+        if reason == 'frozen':
             self.world.freeze(self.away)
+        else:
+            self.world.kill(self.away)
         self.group.change(2)
+        if reason == 'disk lost':
+            self.world.lose_disk(self.away)
+            self.world.start(self.away)
 
     @property
     def members(self) -> commands.SetMembers:
@@ -515,6 +568,25 @@
                 replacement.lose_power(lost)
                 self.check_service(replacement.group, versions)
 
+    @ddt.data(*itertools.product(((4, 2, 2), (5, 1, 2), (3, 2, 1)), WINDOWS))
+    @ddt.unpack
+    def test_disks_lost_while_a_lost_disk_is_replaced(
+        self, sizes: tuple[int, int, int], window: tuple[int, str]
+    ) -> None:
+        """Guards against a lost disk that counts twice while it is replaced.
+
+        Its voter is no voter any more before another one votes.
+        """
+        versions = {2, 3} if window[1] == 'successor is ahead' else {2}
+        first = Replacement(sizes, 'disk lost')
+        answering = [n for n in first.voters if n != first.away]
+        for lost in itertools.combinations(answering, sizes[2] - 1):
+            with self.subTest(lost=lost, leader=first.leader):
+                replacement = Replacement(sizes, 'disk lost')
+                replacement.reach(*window)
+                replacement.lose_power(lost)
+                self.check_service(replacement.group, versions)
+
     def check_service(self, group: Group, versions: set[int]) -> None:
         """Check that changes are kept and all replicas are members."""
         self.assertIn(group.read_version(), versions)
