A connection that once responded is reopened where it was made

Evidence: test_unresponsive_connection_is_replaced of tests.test_processes failed (TimeoutError): the forwarder gets no second connection. Change: the address of the peer's frames is tried only once a connection has had no echo at all.

--- a/eelgrassworks/links/connection.py
+++ b/eelgrassworks/links/connection.py
@@ -18,7 +18,7 @@
     """Heartbeat state of a connection to ``peer``.  Times are monotonic.
 
     ``last_contact_s`` is the sending time of the latest heartbeat that was
-    echoed, or the opening time of the connection.
+    echoed, or the opening time of the connection; ``has_echo`` tells which.
     """
 
     peer: str
@@ -26,6 +26,7 @@
     last_heartbeat_s: float = float('-inf')
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
     timeout_s: float = ECHO_TIMEOUT_S
+    has_echo: bool = False
 
     def needs_heartbeat(self, now_s: float) -> bool:
         """Return whether the next heartbeat is due."""
@@ -44,7 +45,10 @@
 
     def record_echo(self, sent_s: float) -> None:
         """Record the echo of a heartbeat that was sent at ``sent_s``."""
-        self.last_contact_s = max(self.last_contact_s, sent_s)
+        # An echo of an earlier connection may still arrive.
+        if sent_s >= self.last_contact_s:
+            self.last_contact_s = sent_s
+            self.has_echo = True
 
     def is_unresponsive(self, now_s: float) -> bool:
         """Return whether no echo arrived within the timeout."""
--- a/eelgrassworks/links/transport.py
+++ b/eelgrassworks/links/transport.py
@@ -340,9 +340,13 @@
     def _replace(self, peer: str, outgoing: OutgoingConnection) -> None:
         self.counters['connections_replaced'] += 1
         if outgoing.persistent:
-            # The peer may have restarted at another address.
-            moved = outgoing.sender_address != outgoing.address
-            if moved and self._open(
+            # The peer may have restarted at another address, or be reached
+            # at one that it does not know.
+            is_moved = (
+                not outgoing.state.has_echo
+                and outgoing.sender_address != outgoing.address
+            )
+            if is_moved and self._open(
                 peer, outgoing.sender_address, persistent=True
             ):
                 return
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -20,12 +20,19 @@
 # More than one frame may contain.
 LARGE_MESSAGES = 8
 
-# Title, the address that a frame of the peer names, and the one that is used
-# once 127.0.0.2, to which the connection was made, does not respond.
-MOVED_PEERS: tuple[tuple[str, str, str], ...] = (
-    ('same address', 'tcp://127.0.0.2:9', 'tcp://127.0.0.2:9'),
-    ('another address', 'tcp://127.0.0.3:9', 'tcp://127.0.0.3:9'),
-    ('invalid address', 'odd', 'tcp://127.0.0.2:9'),
+# Title, the address that a frame of the peer names, whether a connection to
+# 127.0.0.2 was ever confirmed by an echo, and the address that is used once
+# it does not respond.
+MOVED_PEERS: tuple[tuple[str, str, bool, str], ...] = (
+    ('same address', 'tcp://127.0.0.2:9', False, 'tcp://127.0.0.2:9'),
+    ('another address', 'tcp://127.0.0.3:9', False, 'tcp://127.0.0.3:9'),
+    ('invalid address', 'odd', False, 'tcp://127.0.0.2:9'),
+    (
+        'an address behind a forwarder',
+        'tcp://127.0.0.3:9',
+        True,
+        'tcp://127.0.0.2:9',
+    ),
 )
 
 
@@ -190,15 +197,16 @@
     @ddt.data(*MOVED_PEERS)
     @ddt.unpack
     async def test_connection_that_failed_is_reopened(
-        self, _: str, sender_address: str, address: str
+        self, _: str, sender_address: str, has_echo: bool, address: str
     ) -> None:
         """Guards against a connection that no address can restore."""
         left, _ = self.open('left', deployment.find_ports(1)[0])
         left.connect('right', 'tcp://127.0.0.2:9')
         sender = links.Sender('right', 1, sender_address)
-        for data in links.Codec(KEY).encode_frames(
-            sender, [messages.SlotsRequest(1)]
-        ):
+        received: list[object] = [messages.SlotsRequest(1)]
+        if has_echo:
+            received.append(messages.HeartbeatEcho(clock.read_now()))
+        for data in links.Codec(KEY).encode_frames(sender, received):
             left._receive_frame(data)
         left.tick(clock.read_now() + 60.0)
         peers = left.describe()['peers']
