A replica keeps no connection to a former member

Cause: a replica connected to each member that the log adds, and never let go of one. Change: the connection to a member that is removed may close when it is idle, unless the latest settings list it. Result: one row of test_connection_to_a_former_member_is_not_kept failed before, passes.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -533,16 +533,24 @@
         return [effects.Send(peer, roster)]
 
     def _connect_members(self) -> effects.Effects:
-        """Connect to the members that the settings do not list."""
+        """Connect to the members, and keep no connection to former ones."""
         addresses = self.replica.members.addresses
-        if addresses == self._connected_addresses:
+        previous = self._connected_addresses
+        if addresses == previous:
             return []
         self._connected_addresses = dict(addresses)
-        return [
+        result: effects.Effects = [
             effects.Connect(name, address)
             for name, address in addresses.items()
             if name != self.options.replica.name
         ]
+        retained = {*addresses, *self._listed_names}
+        result += [
+            effects.Disconnect(name)
+            for name in previous
+            if name not in retained
+        ]
+        return result
 
     def _make_configuration(self) -> messages.ConfigurationUpdate:
         """Return the configuration without its original document."""
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -9,11 +9,17 @@
 import ddt
 
 from eelgrassworks import contracts
+from eelgrassworks import control
+from eelgrassworks import decisioninputs
 from eelgrassworks import effects
+from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
+from eelgrassworks.replication import commands
+from eelgrassworks.trials import virtual
 from tests import test_seeds
 from tests import test_voters
+from tests import worlds
 
 RELAYS = ('relay-1', 'relay-2', 'relay-3')
 NEW_REPLICA = 'control-19'
@@ -305,5 +311,46 @@
         self.assertEqual(self.session.roster.entries, ENTRIES)
 
 
+# Title, the names of the settings that have changed last, and the peers to
+# which no connection is kept once control-2 is no member any more.
+LEAVERS: tuple[tuple[str, tuple[str, ...], set[str]], ...] = (
+    ('a former member', ('control-1', 'control-3'), {'control-2'}),
+    ('one that the settings list', ('control-1', 'control-2'), set()),
+)
+
+
+@ddt.ddt
+class MemberAddressTest(unittest.TestCase):
+    @ddt.data(*LEAVERS)
+    @ddt.unpack
+    def test_connection_to_a_former_member_is_not_kept(
+        self, _: str, listed: tuple[str, ...], disconnected: set[str]
+    ) -> None:
+        """Guards against a connection for each member that ever left."""
+        world = virtual.World(1)
+        world.add_control(worlds.CONTROLS, voters=3)
+        world.run(2.0)
+        core = world.nodes['control-1'].core
+        world.reseed('control-1', listed)
+        members = core.replica.members
+        remaining = commands.SetMembers(
+            {n: d for n, d in members.voters.items() if n != 'control-2'},
+            {},
+            {n: a for n, a in members.addresses.items() if n != 'control-2'},
+        )
+        index = core.replica.log.last_index + 1
+        core.replica.membership.apply_entries(
+            [messages.LogEntry(index, 1, codec.pack(remaining))]
+        )
+        inputs = decisioninputs.DecisionInputs(world.now_s, 0, 0.5)
+        result = core.handle(control.Synced(0), inputs)
+        closed = {
+            each.peer
+            for each in result
+            if isinstance(each, effects.Disconnect)
+        }
+        self.assertEqual(closed, disconnected)
+
+
 if __name__ == '__main__':
     unittest.main()
