An agent does not ask replicas that have left

Cause: the replicas of each roster were added to those to ask, for good. Change: it asks those of the settings and of the latest roster that names any. Result: test_polls_no_replicas_that_have_left failed before, passes.

--- a/eelgrassworks/links/discovery.py
+++ b/eelgrassworks/links/discovery.py
@@ -44,13 +44,15 @@
         self._name = name
         self._subset_size = subset_size
         self._replicas = replicas
+        # Those of the latest roster that names any.
+        self._roster_replicas: tuple[str, ...] = ()
         self._last_request_s = float('-inf')
         self._last_roster_s = float('-inf')
         self._roster = messages.RosterUpdate({}, {})
         self._request_count = 0
 
     def add_replicas(self, names: tuple[str, ...]) -> None:
-        """Add replicas to request the roster from."""
+        """Add replicas of changed settings to request the roster from."""
         self._replicas = tuple(dict.fromkeys((*self._replicas, *names)))
 
     def tick(self, now_s: float) -> effects.Effects:
@@ -63,12 +65,17 @@
             return []
         self._last_request_s = now_s
         self._request_count += 1
-        peers = self.entries if is_fresh else (*self._replicas, *self.entries)
+        peers = self.entries if is_fresh else self._list_all()
         if not peers:
             return []
         peer = peers[self._request_count % len(peers)]
         return [effects.Send(peer, messages.RosterRequest())]
 
+    def _list_all(self) -> tuple[str, ...]:
+        """Return the replicas of the settings and roster, and the entries."""
+        replicas = dict.fromkeys((*self._replicas, *self._roster_replicas))
+        return (*replicas, *self.entries)
+
     def handle_roster(
         self, roster: messages.RosterUpdate, now_s: float
     ) -> DiscoveryResult:
@@ -88,7 +95,7 @@
             self._name, tuple(roster.entries), self._subset_size
         )
         if roster.replicas:
-            self.add_replicas(tuple(roster.replicas))
+            self._roster_replicas = tuple(roster.replicas)
         result: effects.Effects = [
             # Replicas are asked only while no entry is known.
             effects.Connect(name, address, persistent=False)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -287,6 +287,25 @@
         entry_discovery.handle_roster(messages.RosterUpdate({}, {}), 1.0)
         self.assertEqual(entry_discovery.entries, ('entry-1',))
 
+    def test_polls_no_replicas_that_have_left(self) -> None:
+        """Guards against a search among all replicas that ever were."""
+        entry_discovery = discovery.Discovery(('control-1',))
+        entry_discovery.add_replicas(('relay-1',))
+        for number in range(2, 22):
+            name = f'control-{number}'
+            roster = messages.RosterUpdate(
+                {name: f'tcp://{name}'}, {'entry-1': 'tcp://1'}
+            )
+            entry_discovery.handle_roster(roster, number)
+        # A roster without replicas makes it forget none.
+        entry_discovery.handle_roster(
+            messages.RosterUpdate({}, {'entry-1': 'tcp://1'}), 30.0
+        )
+        self.assertEqual(
+            set(self._list_polled_peers(entry_discovery, 100.0, 8)),
+            {'control-1', 'relay-1', 'control-21', 'entry-1'},
+        )
+
     def _list_polled_peers(
         self, entry_discovery: discovery.Discovery, since_s: float, count: int
     ) -> list[str]:
