A relay answers a renewal without the entries

Callers saw: nothing; without a leader, relays send each searching entry the whole roster several times a second (594 rosters and 1.6 MB in 2 s with 100 entries under the virtual clock, found by a review). Cause: the answer to a renewal had the live entries, which an entry that looks for the leader does not need. Change: it has the replicas and the leader, as the answer to a request for admission. Result: tests.test_relay and tests.test_rendezvous pass.

--- a/eelgrassworks/relay.py
+++ b/eelgrassworks/relay.py
@@ -80,11 +80,13 @@
             case messages.RosterRequest():
                 # Only a replica's word confirms a leader: two relays that ask
                 # each other would confirm one that is gone.
-                return [effects.Send(peer, self._make_roster(''))]
+                roster = messages.RosterUpdate(
+                    self.roster.replicas, self.roster.entries, ''
+                )
+                return [effects.Send(peer, roster)]
             case messages.EntryRenewal():
-                roster = self._make_roster(self.find_leader(now_s))
                 return [
-                    effects.Send(peer, roster),
+                    self._send_replicas(peer, now_s),
                     self._send_not_leader(peer, now_s),
                 ]
             case (
@@ -94,21 +96,20 @@
             ):
                 return [self._send_not_leader(peer, now_s)]
             case messages.AdmissionRequest():
-                roster = messages.RosterUpdate(
-                    self.roster.replicas, {}, self.find_leader(now_s)
-                )
-                return [effects.Send(peer, roster)]
+                return [self._send_replicas(peer, now_s)]
             case _:
                 return []
 
+    def _send_replicas(self, peer: str, now_s: float) -> effects.Send:
+        """Send a roster without entries, whose size does not grow."""
+        roster = messages.RosterUpdate(
+            self.roster.replicas, {}, self.find_leader(now_s)
+        )
+        return effects.Send(peer, roster)
+
     def _send_not_leader(self, peer: str, now_s: float) -> effects.Send:
         return effects.Send(peer, messages.NotLeader(self.find_leader(now_s)))
 
-    def _make_roster(self, leader: str) -> messages.RosterUpdate:
-        return messages.RosterUpdate(
-            self.roster.replicas, self.roster.entries, leader
-        )
-
     def _handle_roster(
         self, roster: messages.RosterUpdate, now_s: float
     ) -> effects.Effects:
