A member without a recorded address asks the leader to record it

Callers saw: nothing in a new group. A group whose folders are of an earlier release did not serve after other seeds, a loss of power and two lost disks. Cause: a leader added only the addresses that its own settings have. Change: a member whose log lacks its address asks for admission, and the leader records the address; a leader records its own. A replica that no leader contacts connects to all replicas of a roster, since it may lack the address of one whose vote it needs. Lines on two peers do not hide each other. Evidence: a row of test_folder_of_an_earlier_release_gets_the_addresses and test_few_messages_while_no_majority_runs (2448 requests for 180) failed before, pass. Result: tests of seeds, rendezvous, membership, replicas, relay and reports pass.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -449,12 +449,20 @@
         return result + self._send_roster(peer, renewal, inputs.now_s)
 
     def _handle_roster(self, roster: messages.RosterUpdate) -> effects.Effects:
-        """Find the leader, while none has contact with this replica."""
-        address = roster.replicas.get(roster.leader)
-        if self.replica.find_leader(self._now_s) or address is None:
+        """Find the leader, while none has contact with this replica.
+
+        The others are connected as well: this replica may lack the address of
+        a member whose vote it needs.
+        """
+        if self.replica.find_leader(self._now_s):
             return []
-        self.replica.name_leader(roster.leader)
-        return [effects.Connect(roster.leader, address, persistent=False)]
+        if roster.leader in roster.replicas:
+            self.replica.name_leader(roster.leader)
+        return [
+            effects.Connect(name, address, persistent=False)
+            for name, address in roster.replicas.items()
+            if name != self.options.replica.name
+        ]
 
     def _list_addresses(self) -> dict[str, str]:
         """Return the members whose address is known, with the address."""
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -87,6 +87,7 @@
             1 + inputs.random_fraction
         )
         self._reports = reports.Reports()
+        self._request_count = 0
         # Another replica or a relay named it; it may not lead any more.
         self._named_leader = ''
 
@@ -170,6 +171,7 @@
         if not self.has_committed_in_term() or not self._members_committed():
             return []
         members = self.members
+        known = {**known, self.options.name: self.options.address}
         missing = {
             name: known[name]
             for name in (*members.voters, *members.learners)
@@ -177,8 +179,16 @@
         }
         if not missing or not self.options.is_open:
             return []
+        return self._propose_addresses(missing, inputs)
+
+    def _propose_addresses(
+        self,
+        changed: dict[str, str],
+        inputs: decisioninputs.DecisionInputs,
+    ) -> effects.Effects:
+        members = self.members
         change = dataclasses.replace(
-            members, addresses={**members.addresses, **missing}
+            members, addresses={**members.addresses, **changed}
         )
         return self.propose([codec.pack(change)], inputs)[1]
 
@@ -448,7 +458,7 @@
             return result
         fields: dict[str, object] = {'candidate': peer, 'reason': reason}
         return result + self._reports.report(
-            'vote_refused', fields, inputs.now_s
+            'vote_refused', fields, inputs.now_s, peer
         )
 
     def _find_vote_refusal(
@@ -749,14 +759,19 @@
         inputs: decisioninputs.DecisionInputs,
     ) -> effects.Effects:
         """Add a replica as a learner, replacing a member of its name."""
-        if not self.is_leader or self.membership.holds_disk(peer, disk):
+        if not self.is_leader:
+            return []
+        is_member = self.membership.holds_disk(peer, disk)
+        if is_member and self.members.addresses.get(peer, '') == address:
             return []
         refusal = self._find_admission_refusal(peer)
         if refusal:
             fields: dict[str, object] = {'replica': peer, 'reason': refusal}
             return self._reports.report(
-                'admission_refused', fields, inputs.now_s
+                'admission_refused', fields, inputs.now_s, peer
             )
+        if is_member:
+            return self._propose_addresses({peer: address}, inputs)
         members = self.members
         voters = {n: d for n, d in members.voters.items() if n != peer}
         learners = {**members.learners, peer: disk}
@@ -962,7 +977,7 @@
     ) -> effects.Effects:
         """Request confirmation of the folder by the peers, or admission.
 
-        The leader ignores the request of a replica that is a member.
+        The leader only records the address of a replica that is a member.
         """
         if inputs.now_s - self._last_request_s < RETRY_INTERVAL_S:
             return []
@@ -973,15 +988,33 @@
         if self.is_member and not self.is_verified:
             verification = messages.VerificationRequest(disk)
             result += [effects.Send(name, verification) for name in peers]
-        if not self.is_member or self._may_be_removed(inputs.now_s):
-            admission = messages.AdmissionRequest(disk, self.options.address)
-            leaders = {self.leader, self._named_leader} - {'', *peers}
-            result += [
-                effects.Send(name, admission)
-                for name in (*peers, *sorted(leaders))
-            ]
+        result += [
+            effects.Send(
+                name, messages.AdmissionRequest(disk, self.options.address)
+            )
+            for name in self._choose_admitters(peers, inputs.now_s)
+        ]
         return result
 
+    def _choose_admitters(self, peers: list[str], now_s: float) -> list[str]:
+        """Return the replicas from which to request admission now.
+
+        A member asks one at a time: without a leader all members ask.
+        """
+        leaders = {self.leader, self._named_leader} - {'', *peers}
+        if not self.is_member:
+            return [*peers, *sorted(leaders)]
+        if not self._may_be_removed(now_s) and self._has_recorded_address():
+            return []
+        self._request_count += 1
+        names = [*peers, *sorted(leaders)]
+        return names and [names[self._request_count % len(names)]]
+
+    def _has_recorded_address(self) -> bool:
+        """Return whether the log has this replica's address, if it has one."""
+        recorded = self.members.addresses.get(self.options.name, '')
+        return not self.options.is_open or recorded == self.options.address
+
     def _may_be_removed(self, now_s: float) -> bool:
         """Return whether no leader has contacted this member for long.
 
--- a/eelgrassworks/replication/reports.py
+++ b/eelgrassworks/replication/reports.py
@@ -18,19 +18,29 @@
     """Decides which of the lines of each event are written."""
 
     def __init__(self) -> None:
-        # By event: when it was logged last, and with which fields.
-        self._logged: dict[str, tuple[float, dict[str, object]]] = {}
+        # By event and peer: when it was logged last, and with which fields.
+        self._logged: dict[
+            tuple[str, str], tuple[float, dict[str, object]]
+        ] = {}
 
     def report(
-        self, event: str, fields: dict[str, object], now_s: float
+        self,
+        event: str,
+        fields: dict[str, object],
+        now_s: float,
+        peer: str = '',
     ) -> effects.Effects:
-        """Return the line of an event, or nothing while it is not due."""
-        logged_s, logged = self._logged.get(event, (float('-inf'), {}))
+        """Return the line of an event, or nothing while it is not due.
+
+        Lines on different peers do not hide each other.
+        """
+        key = (event, peer)
+        logged_s, logged = self._logged.get(key, (float('-inf'), {}))
         is_same = logged == fields
         interval_s = REPEAT_INTERVAL_S if is_same else CHANGE_INTERVAL_S
         if now_s - logged_s < interval_s:
             return []
-        self._logged[event] = (now_s, fields)
+        self._logged[key] = (now_s, fields)
         return [effects.Log(event, fields)]
 
 
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -1,5 +1,6 @@
 """Replicas whose seeds do not name the leader, or name other replicas."""
 
+import dataclasses
 import unittest
 
 import ddt
@@ -7,16 +8,17 @@
 from eelgrassworks import contracts
 from eelgrassworks import decisioninputs
 from eelgrassworks import links
+from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.trials import virtual
 from tests import scenarios
 from tests import test_voters
-from tests import worlds
 
 # Numbers of domains, of replicas in each, and of machines that may be lost.
 GROUPS: tuple[tuple[int, int, int], ...] = ((3, 2, 1), (4, 2, 2))
 NEW_REPLICA = 'control-19'
+REQUEST_TAG = codec.find_tag(messages.AdmissionRequest)
 
 
 def move_leadership(group: test_voters.Group, avoided: set[str]) -> str:
@@ -42,6 +44,35 @@
     ]
 
 
+def forget_founders(
+    world: virtual.World, name: str, founders: tuple[str, ...]
+) -> None:
+    """Take the founders' addresses out of a replica's folder."""
+    disk = world.nodes[name].disk
+    assert disk is not None and not disk.base[2]
+    disk.addresses = {}
+    for record in disk.records:
+        record.entries = tuple(
+            forget_addresses(entry, founders) for entry in record.entries
+        )
+
+
+def forget_addresses(
+    entry: messages.LogEntry, founders: tuple[str, ...]
+) -> messages.LogEntry:
+    """Return an entry without the addresses of the founders."""
+    if entry.command[0] != codec.find_tag(commands.SetMembers):
+        return entry
+    change = codec.unpack(entry.command)
+    addresses = {
+        name: address
+        for name, address in change.addresses.items()
+        if name not in founders
+    }
+    changed = dataclasses.replace(change, addresses=addresses)
+    return messages.LogEntry(entry.index, entry.term, codec.pack(changed))
+
+
 def remove_member(world: virtual.World, leader: str, name: str) -> None:
     """Let the leader remove a member from the group."""
     node = world.nodes[leader]
@@ -95,20 +126,37 @@
         world.run(3.0)
         self.assertEqual(find_strangers(group), [])
 
-    def test_folder_of_an_earlier_release_gets_the_addresses(self) -> None:
+    @ddt.data('the founders', 'others')
+    def test_folder_of_an_earlier_release_gets_the_addresses(
+        self, seeds: str
+    ) -> None:
         """Guards against founders that stay without an address."""
-        world = virtual.World(1)
-        world.add_control(worlds.CONTROLS, voters=3)
-        for name in worlds.CONTROLS:
+        group = test_voters.Group(4, 2, 2)
+        world = group.world
+        for name in group.names:
             world.kill(name)
-            disk = world.nodes[name].disk
-            assert disk is not None
-            disk.addresses = {}
+            forget_founders(world, name, group.seeds)
+            if seeds == 'others':
+                world.reseed(name, tuple(group.names[3:6]))
+        for name in group.names:
             world.start(name)
-        world.run(4.0)
-        for name in worlds.CONTROLS:
+        world.run(8.0)
+        for name in group.names:
             members = world.nodes[name].core.replica.members
-            self.assertEqual(set(members.addresses), set(worlds.CONTROLS))
+            self.assertEqual(set(members.addresses), set(group.names))
+
+    def test_few_messages_while_no_majority_runs(self) -> None:
+        """Guards against members that all ask each other for admission."""
+        group = test_voters.Group(3, 6, 1)
+        world = group.world
+        for name in sorted(group.find_voters())[:2]:
+            world.kill(name)
+        world.run(5.0)
+        before = world.tally.messages[REQUEST_TAG]
+        world.run(3.0)
+        requests = world.tally.messages[REQUEST_TAG] - before
+        # Each asks one other every 0.3 s.
+        self.assertLessEqual(requests, 10 * len(group.names))
 
     # How the replica comes to have an empty disk, and who its seeds are.
     @ddt.data(
