The leader keeps a member whose disk answers

Callers saw: nothing; a request for admission that arrives late takes a healthy voter out for a moment, in which a group without a spare bears a lost disk less. Cause: any disk that asked displaced the registered one of its name; a request may have been sent by a process whose disk was lost since. Change: the leader refuses it while the registered disk answers. A disk that is really lost has not answered since its process ended, so it is not delayed. Evidence: found by a review; test_late_request_of_another_disk_displaces_no_voter failed before (the voter was a learner), passes. Result: tests of seeds, rendezvous, membership, replicas and repair pass (113).

--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -764,7 +764,7 @@
         is_member = self.membership.holds_disk(peer, disk)
         if is_member and self.members.addresses.get(peer, '') == address:
             return []
-        refusal = self._find_admission_refusal(peer)
+        refusal = self._find_admission_refusal(peer, is_member, inputs.now_s)
         if refusal:
             fields: dict[str, object] = {'replica': peer, 'reason': refusal}
             return self._reports.report(
@@ -795,7 +795,9 @@
         )
         return [admitted, *self.propose([codec.pack(change)], inputs)[1]]
 
-    def _find_admission_refusal(self, peer: str) -> str:
+    def _find_admission_refusal(
+        self, peer: str, is_member: bool, now_s: float
+    ) -> str:
         """Return why the leader cannot admit a replica now; empty if it can.
 
         A replica that is refused asks again.
@@ -806,10 +808,24 @@
             return 'nothing-committed'
         if not self._members_committed():
             return 'membership-change-pending'
+        if is_member:
+            return ''
+        if self._answers(peer, now_s):
+            # The request may have been sent before its disk was lost.
+            return 'another-disk-answers'
         if not self.members.voters.keys() - {peer}:
             return 'only-voter'
         return ''
 
+    def _answers(self, name: str, now_s: float) -> bool:
+        """Return whether the registered disk of a name answers this leader."""
+        match self.role:
+            case roles.Leader(progress) if name in progress:
+                contact_s = progress[name].last_contact_s
+                return now_s - contact_s < ELECTION_TIMEOUT_S
+            case _:
+                return False
+
     def _members_committed(self) -> bool:
         return self.membership.changed_index <= self.commit_index
 
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -145,6 +145,22 @@
             members = world.nodes[name].core.replica.members
             self.assertEqual(set(members.addresses), set(group.names))
 
+    def test_late_request_of_another_disk_displaces_no_voter(self) -> None:
+        """Guards against a request of a lost disk that arrives late."""
+        group = test_voters.Group(5, 1, 2)
+        world = group.world
+        leader = test_voters.await_any_leader(world, group.names)
+        members = world.nodes[leader].core.replica.members
+        voter = next(name for name in group.names if name != leader)
+        request = messages.AdmissionRequest(
+            'disk-lost', virtual.make_address(voter)
+        )
+        event = virtual.make_received('control', voter, 1, request)
+        world.give(leader, event)
+        self.assertEqual(
+            world.nodes[leader].core.replica.members.voters, members.voters
+        )
+
     def test_few_messages_while_no_majority_runs(self) -> None:
         """Guards against members that all ask each other for admission."""
         group = test_voters.Group(3, 6, 1)
