--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,6 +21,9 @@
     {'a': 'tcp://a', 'b': 'tcp://b', 'c': 'tcp://c'}, {}, 'b'
 )
 NO_LEADER = messages.RosterUpdate({'a': 'tcp://a'}, {})
+ROSTER_WITH_ENTRIES = messages.RosterUpdate(
+    ROSTER.replicas, {'e': 'tcp://e'}, ROSTER.leader
+)
 ROSTER_OF_RELAY = messages.RosterUpdate({'d': 'tcp://d'}, {'e': 'tcp://e'})
 ROSTER_BEFORE = messages.RosterUpdate(
     {**ROSTER.replicas, 'd': 'tcp://d'}, {}, 'b'
@@ -92,6 +95,14 @@
             effects.Send('peer', messages.NotLeader('b')),
         ],
     ),
+    (
+        'an entry gets the replicas without the entries',
+        ((0.0, receive(ROSTER_WITH_ENTRIES)), (0.1, receive(RENEWAL))),
+        [
+            effects.Send('peer', ROSTER),
+            effects.Send('peer', messages.NotLeader('b')),
+        ],
+    ),
     (
         'an entry does not learn of a leader that nobody confirms',
         ((0.0, receive(ROSTER)), (1.6, receive(RENEWAL))),
