Log what a target had shown of a settled attempt

The logs could not tell a lease that ended too early from a start that was still under way: run_settled named neither the fence and the age of the start nor whether the target had shown the attempt, and a start without a response left no line at all.

run_settled has them now, and start_unanswered is written for each start without a response. No decision changes; tests.test_heldtarget passes.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -273,13 +273,13 @@
                 self._spawn(self._call_start(held, effect))
             case holds.StopCall():
                 self._spawn(self._call_stop(held, effect))
-            case holds.RunEnded(key, succeeded, stopped, reason):
+            case holds.RunEnded(key, succeeded, stopped, reason, evidence):
                 if not succeeded:
-                    _log_settled(held, key, reason)
+                    _log_settled(held, key, reason, evidence)
                 body = b'' if succeeded else reason.encode()
                 self.dispatch(agent.TaskEnded(key, succeeded, body, stopped))
-            case holds.RunRejected(key, reason):
-                _log_settled(held, key, reason)
+            case holds.RunRejected(key, reason, evidence):
+                _log_settled(held, key, reason, evidence)
                 self.dispatch(agent.TaskRejected(key, reason))
             case holds.HealthChanged(healthy):
                 logs.log(
@@ -298,6 +298,15 @@
             # Without an outcome the attempt would be pending for ever.
             self._count_failed_call(error)
             response = holds.CallUnanswered(call.name, call.attempt)
+        if isinstance(response, holds.CallUnanswered):
+            logs.log(
+                'start_unanswered',
+                job=call.name.job,
+                index=call.name.index,
+                attempt=call.attempt,
+                target=call.target,
+                fence=call.fence,
+            )
         if held is self.held:
             self.dispatch_held(response)
 
@@ -486,14 +495,28 @@
 
 
 def _log_settled(
-    held: heldtarget.HeldTarget, key: contracts.TaskKey, reason: str
+    held: heldtarget.HeldTarget,
+    key: contracts.TaskKey,
+    reason: str,
+    evidence: holds.Evidence | None,
 ) -> None:
     """Log why an attempt counts as ended, or as one that never starts."""
+    now_s = clock.read_now()
+    shown: dict[str, Any] = {}
+    if evidence is not None:
+        shown = {
+            'attempt': evidence.attempt,
+            'confirmed': evidence.confirmed,
+            'located': evidence.located,
+            'start_fence': evidence.start_fence,
+            'start_age_s': round(now_s - evidence.sent_s, 3),
+        }
     logs.log(
         'run_settled',
         id=key.submission,
         index=key.index,
         target=held.incarnation.name,
         reason=reason,
-        **held.describe_contact(clock.read_now()),
+        **shown,
+        **held.describe_contact(now_s),
     )
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -83,6 +83,8 @@
     key: contracts.TaskKey
     attempt: int
     deadline_ms: int
+    sent_s: float
+    start_fence: int
     estimate_s: float = 0.0
     start_pending: bool = True
     confirmed: bool = False
@@ -102,6 +104,25 @@
         """Tell whether the target has not accepted a stop of the agent."""
         return self.must_end and not self.stop_answered
 
+    @property
+    def evidence(self) -> holds.Evidence:
+        """Return what the target has shown of the attempt."""
+        return holds.Evidence(
+            self.attempt,
+            self.confirmed,
+            self.located,
+            self.sent_s,
+            self.start_fence,
+        )
+
+    def end_stopped(self, reason: str) -> holds.RunEnded:
+        """Return the report of an attempt that has ended unsuccessfully."""
+        return holds.RunEnded(self.key, False, True, reason, self.evidence)
+
+    def reject(self, reason: str) -> holds.RunRejected:
+        """Return the report of an attempt that never starts."""
+        return holds.RunRejected(self.key, reason, self.evidence)
+
 
 class HeldTarget:
     """State of one incarnation of an agent's target.
@@ -247,7 +268,7 @@
         # The lease of an unresponsive target must expire, so that its runs end
         # whether or not the holds reach it.
         is_superseded = self._successor_born_ms is not None
-        is_responsive = now_s - self._last_contact_s < UNRESPONSIVE_S
+        is_responsive = self._is_responsive(now_s)
         if self._runs and is_responsive and not is_superseded:
             deadline_ms = self._extend_lease(now_s)
         may_wait = self._runs and self._hold_answered and not is_superseded
@@ -261,6 +282,9 @@
             HOLD_WAIT_S if may_wait else 0.0,
         )
 
+    def _is_responsive(self, now_s: float) -> bool:
+        return now_s - self._last_contact_s < UNRESPONSIVE_S
+
     def _raise_fence(self) -> None:
         """Let the next hold fence the calls sent so far.
 
@@ -332,7 +356,14 @@
             # A run of the same task for an earlier owner has not ended yet.
             return [holds.RunRejected(key, 'twin')]
         deadline_ms = self._extend_lease(now_s)
-        self._runs[name] = Run(key, attempt, deadline_ms, request.estimate_s)
+        self._runs[name] = Run(
+            key,
+            attempt,
+            deadline_ms,
+            now_s,
+            self.fence,
+            request.estimate_s,
+        )
         return [
             holds.StartCall(
                 self.incarnation.name,
@@ -383,7 +414,7 @@
             return []
         del self._runs[response.name]
         self.counters[f'refused_{response.reason}'] += 1
-        return [holds.RunRejected(run.key, response.reason)]
+        return [run.reject(response.reason)]
 
     def _handle_stop_response(
         self, name: holds.TaskName, attempt: int
@@ -472,9 +503,7 @@
                     result.append(self._stop(name, run, now_s))
             elif is_fenced and not run.start_pending:
                 del self._runs[name]
-                result.append(
-                    holds.RunEnded(run.key, False, True, REASON_REBORN)
-                )
+                result.append(run.end_stopped(REASON_REBORN))
         if not self._runs:
             return result + self._end_incarnation(REASON_REBORN)
         return result + self._mark_unhealthy()
@@ -494,9 +523,7 @@
             run.stop_answered = False
             if is_first and run.located:
                 del self._runs[name]
-                result.append(
-                    holds.RunEnded(run.key, False, True, REASON_REBORN)
-                )
+                result.append(run.end_stopped(REASON_REBORN))
         return result
 
     def _apply_ends(
@@ -517,7 +544,9 @@
             stopped = not end.succeeded and not end.failed
             reason = REASON_STALLED if stopped and run.stalled else end.reason
             result.append(
-                holds.RunEnded(run.key, end.succeeded, stopped, reason)
+                holds.RunEnded(
+                    run.key, end.succeeded, stopped, reason, run.evidence
+                )
             )
         return result
 
@@ -675,10 +704,7 @@
     def _end_runs(self, reason: str) -> list[holds.HeldEffect]:
         """Report every run as stopped: its lease or its target has ended."""
         runs, self._runs = self._runs, {}
-        return [
-            holds.RunEnded(run.key, False, True, reason)
-            for run in runs.values()
-        ]
+        return [run.end_stopped(reason) for run in runs.values()]
 
     def _end_lapsed_runs(self, now_s: float) -> list[holds.HeldEffect]:
         """Report the runs whose lease has ended at a target without contact.
@@ -696,7 +722,7 @@
             if now_s - end_s <= LAPSE_MARGIN_S:
                 continue
             del self._runs[name]
-            result.append(holds.RunEnded(run.key, False, True, 'lapsed'))
+            result.append(run.end_stopped('lapsed'))
         if not result:
             return []
         self.counters['lapses'] += 1
@@ -718,5 +744,5 @@
 
 def _report_missing(run: Run) -> holds.HeldEffect:
     if run.confirmed:
-        return holds.RunEnded(run.key, False, True, 'vanished')
-    return holds.RunRejected(run.key, 'unanswered')
+        return run.end_stopped('vanished')
+    return run.reject('unanswered')
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -230,6 +230,22 @@
 # Outcomes reported to the agent.
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What the target had shown of an attempt when it was settled, for logs.
+
+    ``confirmed`` is set if the target had shown that the attempt started, and
+    ``located`` if its current incarnation had.  The start was sent at
+    ``sent_s`` with the fence ``start_fence``.
+    """
+
+    attempt: int
+    confirmed: bool
+    located: bool
+    sent_s: float
+    start_fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
     """An attempt has ended and its room is free."""
@@ -238,6 +254,7 @@
     succeeded: bool
     stopped: bool
     reason: str
+    evidence: Evidence | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,6 +263,7 @@
 
     key: contracts.TaskKey
     reason: str
+    evidence: Evidence | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -562,6 +562,31 @@
                 effects = target.handle(event, at_s)
         self.assertEqual([describe(each) for each in effects], expected)
 
+    # Guards against a log in which a lease that ended cannot be told from a
+    # start that never got a response.
+    @ddt.data(
+        ((UNANSWERED, HOLD), False, False),
+        ((ACCEPTED,), True, False),
+        ((ACCEPTED_HERE,), True, True),
+    )
+    @ddt.unpack
+    def test_report_tells_what_the_target_has_shown(
+        self, script: tuple[object, ...], confirmed: bool, located: bool
+    ) -> None:
+        target = make_target()
+        fence = target.fence
+        target.handle(START, 0.0)
+        for event in script:
+            if event == HOLD:
+                target.begin_hold(0.1)
+            else:
+                target.handle(event, 0.1)
+        reports = target.handle(list_runs(2, clock_ms=CLOCK_MS + 200), 0.2)
+        self.assertEqual(
+            [each.evidence for each in reports],
+            [holds.Evidence(1, confirmed, located, 0.0, fence)],
+        )
+
     def test_lease_is_requested_only_while_the_target_responds(self) -> None:
         target = make_target()
         target.handle(START, 0.0)
