A start that is under way is not given up by time

Callers saw, or could see, two runs of one task: an attempt whose start got no response was reported as lapsed 1.2 s after the last request for a lease, its entry started the task elsewhere, and the target carried the first start out afterwards, under a lease that counted from then. The deadline of the start, which also settled it, moves with a start whose lease counts from its arrival.

Cause: a time limit stood for the end of a message that is still under way. A lease bounds what a target has begun; only a fence that was answered, or the end of the incarnation, bounds what it has not. An attempt that no incarnation has shown is now kept until one of these settles it. Its stops are not repeated to a target that is unresponsive: the hold that restores the contact settles it, and each stop would open a connection.

Evidence: the worlds of the simulated target in which nothing passes for longer than the shortest delay of a late call.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -3,9 +3,10 @@
 Each run at such a target has a lease, measured on the target's clock, and
 the target stops the run when the lease expires.  The agent renews the leases
 with hold requests; the response lists the current runs and the ended ones.
-A start that got no response may still be carried out, so the attempt counts
-as not started only after a stop or after its own deadline.  Responses may
-arrive out of order.
+A start that got no response may still be carried out, at any later time and
+under a lease that counts from then.  So the attempt counts as not started
+only when the target has answered a stop, or a hold with a higher fence, and
+does not list it.  Responses may arrive out of order.
 
 ``HeldTarget`` takes events and the monotonic time and returns effects; a
 ``TargetLink`` makes the calls.
@@ -82,7 +83,6 @@
 
     key: contracts.TaskKey
     attempt: int
-    deadline_ms: int
     sent_s: float
     start_fence: int
     estimate_s: float = 0.0
@@ -357,12 +357,7 @@
             return [holds.RunRejected(key, 'twin')]
         deadline_ms = self._extend_lease(now_s)
         self._runs[name] = Run(
-            key,
-            attempt,
-            deadline_ms,
-            now_s,
-            self.fence,
-            request.estimate_s,
+            key, attempt, now_s, self.fence, request.estimate_s
         )
         return [
             holds.StartCall(
@@ -655,9 +650,7 @@
         if run.start_pending:
             return False
         after = run.settled_after_hold
-        if after is not None and response.number > after:
-            return True
-        return not run.confirmed and response.clock_ms > run.deadline_ms
+        return after is not None and response.number > after
 
     def _handle_unanswered_hold(
         self, refused: bool, now_s: float
@@ -698,6 +691,9 @@
             stopped_s = run.stopped_s
             if stopped_s is None or now_s - stopped_s < STOP_TIMEOUT_S:
                 continue
+            if not run.confirmed and not self._is_responsive(now_s):
+                # The hold that restores the contact settles it.
+                continue
             result.append(self._stop(name, run, now_s))
         return result
 
@@ -709,6 +705,9 @@
     def _end_lapsed_runs(self, now_s: float) -> list[holds.HeldEffect]:
         """Report the runs whose lease has ended at a target without contact.
 
+        A lease bounds a run, not a start that is still under way: an attempt
+        that no incarnation has shown is settled behind a fence only.
+
         A later incarnation may have carried out a start that this one has not
         shown.  Its clock began anew, so that only the longest lease that a
         target grants bounds that run.
@@ -718,6 +717,8 @@
         elsewhere_s = received_s + self._max_lease_s / MIN_CLOCK_RATE
         result: list[holds.HeldEffect] = []
         for name, run in list(self._runs.items()):
+            if not run.confirmed:
+                continue
             end_s = lapsed_s if run.located else max(lapsed_s, elsewhere_s)
             if now_s - end_s <= LAPSE_MARGIN_S:
                 continue
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -16,6 +16,9 @@
 STARTS_PER_S = 3.0
 END_S = 30.0
 CRASHES_S = (4.0, 7.0, 10.0, 13.0, 16.0, 19.0, 22.0, 25.0)
+# Times at which the target becomes unreachable for a while.
+SILENCES_S = (4.0, 10.0, 16.0, 22.0)
+LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +37,17 @@
     stopped: float = 0.0
 
 
+def interrupt(
+    length_s: float,
+    kinds: tuple[str, ...] = ('lost',),
+    calls: tuple[type, ...] = (),
+) -> tuple[Fault, ...]:
+    """Return the faults of a target that is unreachable at times."""
+    return tuple(
+        Fault(each, each + length_s, kinds, 1.0, calls) for each in SILENCES_S
+    )
+
+
 SCENARIOS: dict[str, Scenario] = {
     'target refuses connections and works on': Scenario(
         faults=(
@@ -73,6 +87,35 @@
             *(Fault(each, each + 1.2, ('lost',)) for each in CRASHES_S),
         ),
     ),
+    'starts are carried out late by a target that is silent for 2.2 s': (
+        Scenario(faults=(*interrupt(2.2), LATE_STARTS))
+    ),
+    'starts are carried out late by a target that is silent for 4 s': Scenario(
+        faults=(*interrupt(4.0), LATE_STARTS)
+    ),
+    'starts are carried out late by a target that refuses for 4 s': Scenario(
+        faults=(*interrupt(4.0, ('refused',)), LATE_STARTS)
+    ),
+    'starts are carried out late while holds and stops are lost': Scenario(
+        faults=(
+            *interrupt(4.0, calls=(holds.HoldCall, holds.StopCall)),
+            LATE_STARTS,
+        )
+    ),
+    'late starts keep their deadlines while holds and stops are lost': (
+        Scenario(
+            faults=(
+                *interrupt(4.0, calls=(holds.HoldCall, holds.StopCall)),
+                dataclasses.replace(LATE_STARTS, kinds=('late',)),
+            )
+        )
+    ),
+    'almost all calls are carried out late': Scenario(
+        faults=(Fault(3.0, 25.0, ('granted_late',), 0.97),)
+    ),
+    'all calls are carried out late at times': Scenario(
+        faults=interrupt(3.0, ('granted_late',))
+    ),
     'most calls are lost and runs stopped': Scenario(
         faults=(Fault(3.0, 25.0, ('lost',), 0.8),), stopped=0.5
     ),
@@ -139,6 +182,13 @@
         faults=(Fault(3.0, 25.0, ('late_anyone', 'slow'), 0.6),),
         crashes=tuple((5.0 + 1.7 * each, 0.02) for each in range(12)),
     ),
+    'next incarnation is silent and carries out late starts': Scenario(
+        faults=(
+            dataclasses.replace(LATE_STARTS, kinds=('late_anyone',)),
+            *interrupt(2.5),
+        ),
+        crashes=tuple((each, 0.5) for each in SILENCES_S),
+    ),
 }
 
 
