An entry that loses an agent does not restart what may still start

Callers could see two runs of one task: an entry without contact to an agent for 1.35 s started its tasks elsewhere, also those whose start the target had not answered. An agent that is frozen, killed or cut off in that moment raises no fence, so the target may carry the first start out seconds later.

The sum of the leases bounds a run, not a start. The entry could not tell the two apart.

An agent's renewals now name the attempts that its target has shown to run, each until the entry has confirmed such a renewal: no message more, about 40 bytes a task. An entry starts those elsewhere; any other start of a lost agent waits for the agent (which is asked by a fence), or for a later incarnation of it, which renews only after its target was fenced. Renewals with a smaller stamp settle nothing. The job's deadline bounds the wait.

Evidence: the virtual world carries starts out late now. With every start taken as shown, tests.test_transient has overlaps for an agent that freezes, is killed or restarts late (3 of 5 rows), and 7 rows of tests.test_lostagents fail; all pass with the change.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -60,6 +60,13 @@
     message: object
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStarted:
+    """The target has shown that the attempt of a task runs."""
+
+    key: contracts.TaskKey
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnded:
     """A task ended at the target; ``body`` is its result or the reason.
@@ -112,6 +119,7 @@
 
 AgentEvent = (
     Received
+    | TaskStarted
     | TaskEnded
     | TaskRejected
     | TargetChecked
@@ -189,6 +197,11 @@
         match event:
             case Received(peer, incarnation, message):
                 return self._receive(peer, incarnation, message, now_s)
+            case TaskStarted(key):
+                occupant = self.slots.occupants.get(key)
+                if occupant is not None:
+                    occupant.is_shown = True
+                return []
             case TaskEnded(key, succeeded, body, stopped):
                 return self._end_task(key, succeeded, body, stopped, now_s)
             case TaskRejected(key, reason):
@@ -741,6 +754,7 @@
         self._renewed_s.update(dict.fromkeys(names, now_s))
         target = self.options.target
         accepting = not self.stopping and self.healthy and not self.draining
+        shown = self._list_shown(names, now_s)
         return [
             effects.Send(
                 entry,
@@ -759,11 +773,36 @@
                     target.room,
                     self.slots.free_room,
                     self.speed,
+                    tuple(shown[entry]),
                 ),
             )
             for entry in names
         ]
 
+    def _list_shown(
+        self, names: Sequence[str], now_s: float
+    ) -> dict[str, list[messages.ShownAttempt]]:
+        """Return the running attempts that each entry may not know of."""
+        # As precise as the stamp that an entry returns.
+        stamp_s = int(now_s * 1000) / 1000
+        result: dict[str, list[messages.ShownAttempt]] = {
+            name: [] for name in names
+        }
+        for key, occupant in self.slots.occupants.items():
+            listed = result.get(occupant.entry)
+            if listed is None or not occupant.is_shown:
+                continue
+            view = self.entries[occupant.entry]
+            if view.confirmed_s >= occupant.reported_s:
+                continue
+            occupant.reported_s = min(occupant.reported_s, stamp_s)
+            listed.append(
+                messages.ShownAttempt(
+                    key.submission, key.index, occupant.attempt
+                )
+            )
+        return result
+
     def _count_starts(self, entry: str) -> int:
         view = self.entries.get(entry)
         return 0 if view is None else view.starts_seen
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -103,6 +103,8 @@
         self.shedding_policy = shedding_policy
         self.queue = queues.FairQueue()
         self.views: dict[str, machines.TargetView] = {}
+        # By the name and the incarnation of the agent.
+        self._lost: dict[tuple[str, int], machines.LostTarget] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.run_s: dict[str, float] = {}
         self._table = table
@@ -454,18 +456,47 @@
             self.views[peer] = view
         view.last_contact_s = now_s
         view.stamp_ms = max(view.stamp_ms, renewal.stamp_ms)
+        for each in renewal.shown:
+            key = contracts.TaskKey(each.submission, each.index)
+            view.record_shown(key, each.attempt)
         if renewal.accepting and not view.accepting:
             view.begin_ramp()
             view.decline_reason = ''
         view.accepting = renewal.accepting
         view.report(renewal.free, renewal.starts_seen, renewal.free_room)
         view.reported_speed = renewal.speed
+        outcomes += self._settle_lost(peer, view)
         result: effects.Effects = []
         if view.suspect:
             view.suspect = False
             result = self._send_fences(view, now_s, float('inf'))
         return DispatchResult(result, outcomes)
 
+    def _settle_lost(
+        self, peer: str, view: machines.TargetView
+    ) -> list[Outcome]:
+        """Settle the starts of an agent that has returned.
+
+        The same incarnation is asked for them.  A later one has renewed only
+        after its target was fenced, so that they have ended or never start;
+        a smaller stamp may be one of an earlier incarnation.
+        """
+        outcomes: list[Outcome] = []
+        for (name, incarnation), lost in list(self._lost.items()):
+            if name != peer:
+                continue
+            if incarnation == view.incarnation:
+                view.restore(lost.starts)
+                view.suspect = True
+            elif view.stamp_ms >= lost.stamp_ms:
+                for key, start in lost.starts.items():
+                    self.queue.record_end(start.team)
+                    outcomes += self._restart_lost(peer, key, start)
+            else:
+                continue
+            del self._lost[name, incarnation]
+        return outcomes
+
     def send_lease(
         self,
         peer: str,
@@ -646,6 +677,7 @@
             {
                 'target': view.target.name,
                 'silent_s': round(no_contact_s, 2),
+                'unshown': len(view.list_unshown()),
                 'ids': ','.join(key.submission for key in view.outstanding),
             },
         )
@@ -716,13 +748,14 @@
             )
             if no_contact_s > lost_timeout_s:
                 result.append(self._log_lost(view, no_contact_s))
-                outcomes += self._drop_target(peer)
+                outcomes += self._lose_target(peer)
             elif no_contact_s > SUSPECT_TIMEOUT_S:
                 view.suspect = True
             else:
                 view.ramp_by_time(now_s)
                 if view.outstanding:
                     result += self._send_fences(view, now_s, OVERDUE_MARGIN_S)
+        self._forget_lost()
         result += self._request_slots()
         return DispatchResult(result, outcomes)
 
@@ -747,8 +780,37 @@
         self.counters['fences_sent'] += len(result)
         return result
 
+    def _lose_target(self, peer: str) -> list[Outcome]:
+        """Remove the target of an unresponsive agent.
+
+        The lease of an attempt that its target has shown has ended.  Nothing
+        bounds a start that is still under way: its task starts nowhere else
+        until the agent has returned.
+        """
+        view = self.views[peer]
+        starts = {key: view.outstanding[key] for key in view.list_unshown()}
+        if starts:
+            self.counters['starts_unsettled'] += len(starts)
+            self._lost[peer, view.incarnation] = machines.LostTarget(
+                view.stamp_ms, starts
+            )
+        for key in starts:
+            view.settle(key)
+        return self._drop_target(peer)
+
+    def _forget_lost(self) -> None:
+        """Forget the lost starts of jobs that have ended."""
+        for name, lost in list(self._lost.items()):
+            for key, start in list(lost.starts.items()):
+                job = self._table.find(key.submission)
+                if job is None or job.state != jobs.JobState.ACTIVE:
+                    self.queue.record_end(start.team)
+                    del lost.starts[key]
+            if not lost.starts:
+                del self._lost[name]
+
     def _drop_target(self, peer: str) -> list[Outcome]:
-        """Remove a lost target; tasks that were sent to it may have run."""
+        """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
         self.counters['targets_lost'] += 1
         for breaker_key in [key for key in self._breakers if key[0] == peer]:
@@ -756,13 +818,21 @@
         outcomes: list[Outcome] = []
         for key in list(view.outstanding):
             start = self._settle(view, key)
-            job = self._table.find(key.submission)
-            if job is not None and start is not None:
-                job.attempts[key.index] = start.attempt
-            if not self._restart(job, key):
-                outcomes.append(TaskLost(key, view.target.name))
+            if start is not None:
+                outcomes += self._restart_lost(peer, key, start)
         return outcomes
 
+    def _restart_lost(
+        self, peer: str, key: contracts.TaskKey, start: machines.Outstanding
+    ) -> list[Outcome]:
+        """Queue the task of a lost start again, if it may run again."""
+        job = self._table.find(key.submission)
+        if job is not None:
+            job.attempts[key.index] = start.attempt
+        if self._restart(job, key):
+            return []
+        return [TaskLost(key, peer)]
+
     def _request_slots(self) -> effects.Effects:
         """Request slots from one target at a time, in rotation.
 
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -273,6 +273,8 @@
                 self._spawn(self._call_start(held, effect))
             case holds.StopCall():
                 self._spawn(self._call_stop(held, effect))
+            case holds.RunStarted(key):
+                self.dispatch(agent.TaskStarted(key))
             case holds.RunEnded(key, succeeded, stopped, reason, evidence):
                 if not succeeded:
                     _log_settled(held, key, reason, evidence)
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -29,10 +29,20 @@
 # Agent to entry.
 
 
+class ShownAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt that the agent's target has shown to run."""
+
+    submission: str
+    index: int
+    attempt: int
+
+
 class AgentRenewal(msgspec.Struct, frozen=True):
     """Registers a target and requests a lease for it.
 
-    ``stamp_ms`` is the agent's monotonic time at sending.
+    ``stamp_ms`` is the agent's monotonic time at sending.  ``shown`` names
+    the entry's attempts that run, until the entry has confirmed a renewal
+    that names them.  Any other start may still be under way to the target.
     """
 
     target: str
@@ -50,6 +60,7 @@
     free_room: contracts.Room = contracts.NO_ROOM
     # Declared work completed per second of run time; 0 until measured.
     speed: float = 0.0
+    shown: tuple[ShownAttempt, ...] = ()
 
 
 class TaskFinished(msgspec.Struct, frozen=True):
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -115,6 +115,13 @@
             self.start_fence,
         )
 
+    def locate(self) -> list[holds.HeldEffect]:
+        """Record that this incarnation has shown the attempt."""
+        if self.located:
+            return []
+        self.located = True
+        return [holds.RunStarted(self.key)]
+
     def end_stopped(self, reason: str) -> holds.RunEnded:
         """Return the report of an attempt that has ended unsuccessfully."""
         return holds.RunEnded(self.key, False, True, reason, self.evidence)
@@ -399,8 +406,9 @@
         run.start_pending = False
         if response.accepted:
             run.confirmed = True
-            run.located |= self._is_own_clock(response.clock_ms, now_s)
             run.settled_after_hold = self.hold_number
+            if self._is_own_clock(response.clock_ms, now_s):
+                return run.locate()
             return []
         if run.stopped_s is not None:
             # The listing after the stop settles the attempt; the target may
@@ -557,7 +565,8 @@
         for name, run in list(self._runs.items()):
             percent = listed.get((name, run.attempt))
             if percent is not None:
-                run.confirmed = run.located = True
+                run.confirmed = True
+                result += run.locate()
                 result += self._track_progress(
                     name, run, percent, response.clock_ms / 1000, now_s
                 )
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -246,6 +246,13 @@
     start_fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunStarted:
+    """The target has shown that an attempt runs; its lease now bounds it."""
+
+    key: contracts.TaskKey
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
     """An attempt has ended and its room is free."""
@@ -273,4 +280,6 @@
     healthy: bool
 
 
-HeldEffect = StartCall | StopCall | RunEnded | RunRejected | HealthChanged
+HeldEffect = (
+    StartCall | StopCall | RunStarted | RunEnded | RunRejected | HealthChanged
+)
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -32,14 +32,20 @@
         return self.room != contracts.NO_ROOM
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Occupant:
-    """A task that occupies a slot, since ``started_s`` (monotonic)."""
+    """A task that occupies a slot, since ``started_s`` (monotonic).
+
+    ``is_shown`` is set once the target has shown that the attempt runs, and
+    ``reported_s`` is the time of the first renewal that said so.
+    """
 
     entry: str
     started_s: float
     demand: contracts.Room = contracts.NO_ROOM
     attempt: int = 0
+    is_shown: bool = False
+    reported_s: float = float('inf')
 
 
 class Slots:
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -60,6 +60,8 @@
     demand: contracts.Room = contracts.NO_ROOM
     # An answer is expected within this time.
     expected_s: float = float('inf')
+    # Set once the agent has reported that the target runs the attempt.
+    is_shown: bool = False
 
     def is_overdue(self, now_s: float, margin_s: float) -> bool:
         """Tell whether the answer should have arrived by now."""
@@ -67,6 +69,19 @@
         return now_s - self.sent_s > timeout_s
 
 
+@dataclasses.dataclass(slots=True)
+class LostTarget:
+    """Starts sent to an agent that has become unresponsive.
+
+    Its target may still carry them out, at any later time.  They are settled
+    by that incarnation of the agent, or by a renewal of a later one, which
+    follows the fence at the target.
+    """
+
+    stamp_ms: int
+    starts: dict[contracts.TaskKey, Outstanding]
+
+
 @dataclasses.dataclass(slots=True)
 class TargetView:
     """One incarnation of a target and its agent.
@@ -191,6 +206,32 @@
         self._demands.append(start.demand)
         self._estimate_free()
 
+    def restore(self, starts: dict[contracts.TaskKey, Outstanding]) -> None:
+        """Take back starts of this incarnation of the agent."""
+        for key, start in starts.items():
+            self.outstanding[key] = start
+            self.outstanding_cpu_millis += start.demand.cpu_millis
+        self._estimate_free()
+
+    def record_shown(self, key: contracts.TaskKey, attempt: int) -> None:
+        """Record that the target runs an attempt."""
+        start = self.outstanding.get(key)
+        if start is not None and start.attempt == attempt:
+            start.is_shown = True
+
+    def list_unshown(self) -> list[contracts.TaskKey]:
+        """Return the starts that may still be under way to the target.
+
+        An agent whose target has no room starts its tasks itself.
+        """
+        if not self.target.has_room:
+            return []
+        return [
+            key
+            for key, start in self.outstanding.items()
+            if not start.is_shown
+        ]
+
     def cancel(self, key: contracts.TaskKey, now_s: float) -> None:
         """Record that the job of an outstanding task was aborted."""
         if key in self.outstanding:
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -181,6 +181,10 @@
         # How long the tasks of a killed agent go on running; to their end if
         # infinite.
         self.hold_lease_s = float('inf')
+        # Time until the target of an agent carries out a start.
+        self.start_delay_s: Callable[[str], float] = _no_delay
+        # Starts that are under way to a target, with the agent.
+        self._under_way: dict[int, tuple[Node, effects.StartTask]] = {}
 
     # Nodes.
 
@@ -324,6 +328,8 @@
         node.run += 1
         node.frozen = False
         node.held = []
+        # A new agent fences the starts of earlier ones before it renews.
+        self._fence_starts(node)
         node.contacts = set(node.seeds)
         if node.disk is not None:
             node.disk.in_flight = []
@@ -489,6 +495,9 @@
                     self._start_task(node, effect)
                 case effects.StopTask(key):
                     self._end_task(key, False, b'stopped', True)
+                    for each in self._fence_starts(node, key):
+                        rejected = agent.TaskRejected(each, 'unanswered')
+                        self._handle_event(node, node.run, rejected)
                 case effects.Write() | effects.SaveSnapshot():
                     self._write(node, effect)
                 case effects.Halt():
@@ -540,9 +549,36 @@
         self.at(delay_s, arrive)
 
     def _start_task(self, node: Node, start: effects.StartTask) -> None:
+        self.tally.starts[start.key] += 1
+        self.started_at.append((self.now_s, node.name, start.key))
+        delay_s = self.start_delay_s(node.name)
+        if not delay_s:
+            self._begin_run(node, start)
+            return
+        number = next(self._sequence_numbers)
+        self._under_way[number] = node, start
+
+        def carry_out() -> None:
+            if self._under_way.pop(number, None) is not None:
+                self._begin_run(node, start)
+
+        self.at(delay_s, carry_out)
+
+    def _fence_starts(
+        self, node: Node, only: contracts.TaskKey | None = None
+    ) -> list[contracts.TaskKey]:
+        """Keep starts from being carried out; return their keys."""
+        fenced = {
+            number: start.key
+            for number, (sender, start) in self._under_way.items()
+            if sender is node and only in (None, start.key)
+        }
+        for number in fenced:
+            del self._under_way[number]
+        return list(fenced.values())
+
+    def _begin_run(self, node: Node, start: effects.StartTask) -> None:
         key = start.key
-        self.tally.starts[key] += 1
-        self.started_at.append((self.now_s, node.name, key))
         run_s, succeeded = self.run_model(
             node.name, key, start.kind, start.payload
         )
@@ -557,11 +593,21 @@
         token = next(self._sequence_numbers)
         self._running[key] = (node, node.run, token)
         self._start_times_s[token] = self.now_s
+        if node.core is None and self.hold_lease_s != float('inf'):
+            self._schedule_lease_expiry(key, token)
+        self.at(0.0, lambda: self._show_task(key, token))
         self.at(
             run_s,
             lambda: self._end_task(key, succeeded, body, False, token),
         )
 
+    def _show_task(self, key: contracts.TaskKey, token: int) -> None:
+        """Tell the agent that its target runs the task."""
+        current = self._running.get(key)
+        if current is not None and current[2] == token:
+            node, run, _ = current
+            self._handle_event(node, run, agent.TaskStarted(key))
+
     def _end_task(
         self,
         key: contracts.TaskKey,
@@ -637,6 +683,10 @@
     return f'tcp://{name}'
 
 
+def _no_delay(_: str) -> float:
+    return 0.0
+
+
 def _constant_latency(_: str, __: str) -> float:
     return LATENCY_S
 
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -96,6 +96,30 @@
         ),
         [('RunEnded', 'done', False)],
     ),
+    (
+        'a response with the clock of the incarnation shows a run',
+        ((0.0, START), (0.1, ACCEPTED_HERE)),
+        ['RunStarted'],
+    ),
+    (
+        'a response with a younger clock shows none here',
+        ((0.0, START), (0.1, ACCEPTED_ELSEWHERE)),
+        [],
+    ),
+    (
+        'a listing shows a run once',
+        ((0.0, START), (0.1, list_runs(2, run()))),
+        ['RunStarted'],
+    ),
+    (
+        'a second listing does not report it again',
+        (
+            (0.0, START),
+            (0.1, ACCEPTED_HERE),
+            (0.2, list_runs(2, run())),
+        ),
+        [],
+    ),
     (
         'a failed run is not reported as stopped',
         (
@@ -557,6 +581,8 @@
     match effect:
         case holds.StartCall() | holds.StopCall():
             return type(effect).__name__, effect.attempt
+        case holds.RunStarted():
+            return 'RunStarted'
         case holds.RunEnded(_, _, stopped, reason):
             return 'RunEnded', reason, stopped
         case holds.RunRejected(_, reason):
--- /dev/null
+++ b/tests/test_lostagents.py
@@ -0,0 +1,305 @@
+"""What an entry knows of the starts at an agent that becomes unresponsive."""
+
+from typing import Final
+import unittest
+from unittest import mock
+
+import ddt
+
+from eelgrassworks import agent
+from eelgrassworks import contracts
+from eelgrassworks import dispatcher
+from eelgrassworks import effects
+from eelgrassworks import machines
+from eelgrassworks.contracts import jobs
+from eelgrassworks.links import messages
+from eelgrassworks.machines import placement
+
+SERVICE: Final = 'cover-check'
+DOMAIN: Final = 'tema-port'
+ROOM: Final = contracts.Room(8000, 8192)
+DEMAND: Final = contracts.Room(2000, 64)
+SUBMISSION: Final = 'aaaaaaaaaaaaaaaa/owner-1'
+KEY: Final = contracts.TaskKey(SUBMISSION, 0)
+SHOWN: Final = messages.ShownAttempt(SUBMISSION, 0, 1)
+KIND: Final = contracts.Kind(
+    'read', frozenset({DOMAIN}), True, 20.0, service=SERVICE, attempts=2
+)
+CONFIGURATION: Final = contracts.Configuration(
+    1,
+    contracts.Sheet(
+        {'read': KIND},
+        {'callers': contracts.Quota('callers', 1.0, 100_000, 0)},
+    ),
+    frozenset(),
+    frozenset(),
+)
+# The start is sent at START_S, and the agent is lost at LOST_S.
+START_S: Final = 1.0
+LOST_S: Final = START_S + 1.5
+
+# Title, renewals of the first agent by time, incarnation, stamp in seconds
+# and attempts that it names; and the end: whether the task is started at the
+# second agent, and whether the first one is asked for it.
+RENEWALS: tuple[
+    tuple[
+        str,
+        tuple[
+            tuple[float, int, float, tuple[messages.ShownAttempt, ...]], ...
+        ],
+        bool,
+        bool,
+    ],
+    ...,
+] = (
+    ('never shown', (), False, False),
+    ('shown', ((1.1, 1, 1.1, (SHOWN,)),), True, False),
+    (
+        'another attempt shown',
+        ((1.1, 1, 1.1, (messages.ShownAttempt(SUBMISSION, 0, 2),)),),
+        False,
+        False,
+    ),
+    (
+        'another task shown',
+        ((1.1, 1, 1.1, (messages.ShownAttempt(SUBMISSION, 1, 1),)),),
+        False,
+        False,
+    ),
+    (
+        'not shown after a renewal',
+        ((1.1, 1, 1.1, ()),),
+        False,
+        False,
+    ),
+    (
+        'returned',
+        ((LOST_S + 0.1, 1, LOST_S + 0.1, ()),),
+        False,
+        True,
+    ),
+    (
+        'restarted',
+        ((LOST_S + 0.1, 2, LOST_S + 0.1, ()),),
+        True,
+        False,
+    ),
+    (
+        'late renewal of an earlier incarnation',
+        ((LOST_S + 0.1, 3, START_S - 0.5, ()),),
+        False,
+        False,
+    ),
+)
+
+
+def make_renewal(
+    name: str,
+    stamp_s: float,
+    shown: tuple[messages.ShownAttempt, ...] = (),
+) -> messages.AgentRenewal:
+    """Return a renewal of an agent whose target has free room."""
+    return messages.AgentRenewal(
+        name,
+        f'worker-{name}',
+        DOMAIN,
+        (),
+        0,
+        1,
+        0,
+        int(stamp_s * 1000),
+        1,
+        True,
+        SERVICE,
+        ROOM,
+        ROOM,
+        shown=shown,
+    )
+
+
+class Placement:
+    """A dispatcher with one job of one task, placed at runner-1."""
+
+    def __init__(self) -> None:
+        self.table = jobs.JobTable()
+        self.dispatcher = dispatcher.Dispatcher(
+            placement.LateBinding(False), self.table
+        )
+        self.dispatcher.configure(CONFIGURATION)
+        submission = contracts.Submission(
+            SUBMISSION,
+            'digest',
+            'callers',
+            'read',
+            (b'spec',),
+            20.0,
+            False,
+            transient=True,
+            demand=DEMAND,
+            estimate_s=2.0,
+        )
+        self.job = jobs.Job(submission, START_S, START_S + 20.0)
+        self.job.activate()
+        self.table.add(self.job)
+        self.sent: list[tuple[str, object]] = []
+        self.renew('runner-1', 1, START_S)
+        self.dispatcher.add(self.job)
+        self.place(START_S)
+
+    def renew(
+        self,
+        name: str,
+        incarnation: int,
+        now_s: float,
+        stamp_s: float | None = None,
+        shown: tuple[messages.ShownAttempt, ...] = (),
+    ) -> None:
+        """Handle a renewal."""
+        renewal = make_renewal(name, stamp_s or now_s, shown)
+        result = self.dispatcher.handle_renewal(
+            name, incarnation, renewal, now_s
+        )
+        self._record(result.effects)
+
+    def place(self, now_s: float) -> None:
+        """Place the waiting tasks."""
+        self._record(self.dispatcher.place(now_s))
+
+    def tick(self, now_s: float) -> None:
+        """Handle the timer, while runner-2 stays in contact."""
+        self.renew('runner-2', 1, now_s)
+        self._record(self.dispatcher.tick(now_s).effects)
+        self.place(now_s)
+
+    def _record(self, result: effects.Effects) -> None:
+        self.sent += [
+            (each.peer, each.message)
+            for each in result
+            if isinstance(each, effects.Send)
+        ]
+
+    def list_starts(self) -> list[str]:
+        """Return the agents to which the task was sent."""
+        return [
+            peer
+            for peer, message in self.sent
+            if isinstance(message, messages.TaskStart)
+        ]
+
+
+@ddt.ddt
+class LostAgentTest(unittest.TestCase):
+    # Guards against two runs of a task: an entry starts the task of a lost
+    # agent elsewhere, and the target carries out the first start after that.
+    @ddt.data(*RENEWALS)
+    @ddt.unpack
+    def test_start_under_way_is_settled_by_its_agent(
+        self,
+        _: str,
+        renewals: tuple[
+            tuple[float, int, float, tuple[messages.ShownAttempt, ...]], ...
+        ],
+        starts_elsewhere: bool,
+        is_asked: bool,
+    ) -> None:
+        placed = Placement()
+        self.assertEqual(placed.list_starts(), ['runner-1'])
+        for now_s, incarnation, stamp_s, shown in renewals:
+            if now_s > LOST_S:
+                placed.tick(LOST_S)
+            placed.renew('runner-1', incarnation, now_s, stamp_s, shown)
+        for now_s in (LOST_S + 0.2, LOST_S + 0.4):
+            placed.tick(now_s)
+        elsewhere = placed.list_starts()[1:]
+        self.assertEqual(len(elsewhere), int(starts_elsewhere))
+        fences = [
+            peer
+            for peer, message in placed.sent
+            if isinstance(message, messages.TaskFence)
+        ]
+        self.assertEqual(fences, ['runner-1'] * is_asked)
+
+    # Guards against a quota that stays in use after the job has ended.
+    def test_starts_of_ended_jobs_are_forgotten(self) -> None:
+        placed = Placement()
+        placed.tick(LOST_S)
+        queue = placed.dispatcher.queue
+        with mock.patch.object(queue, 'record_end') as record_end:
+            placed.tick(LOST_S + 0.1)
+            record_end.assert_not_called()
+            placed.job.state = jobs.JobState.ENDED
+            placed.tick(LOST_S + 0.2)
+            record_end.assert_called_once_with('callers')
+
+
+# Title, whether the target has shown the run, time of the renewal that the
+# entry has confirmed last, and whether the renewal at 2.2 s names the run;
+# the renewal at 2.1 s did if the run was shown.
+SHOWN_RUNS: tuple[tuple[str, bool, float, bool], ...] = (
+    ('under way', False, 2.1, False),
+    ('not confirmed', True, 2.0, True),
+    ('confirmed', True, 2.1, False),
+)
+
+
+@ddt.ddt
+class RenewalTest(unittest.TestCase):
+    # Guards against an entry that takes a start under way for a run, or waits
+    # for an agent though it could know that the lease has ended.
+    @ddt.data(*SHOWN_RUNS)
+    @ddt.unpack
+    def test_renewals_name_shown_runs_until_confirmed(
+        self, _: str, is_shown: bool, confirmed_s: float, names: bool
+    ) -> None:
+        target = machines.Target(
+            'runner-1', 'worker-1', DOMAIN, 0, frozenset(), SERVICE, ROOM
+        )
+        core = agent.Agent(
+            agent.AgentOptions(target, 1, ('entry-1',), 8, 0.6, 0.05)
+        )
+
+        def lease(sent_s: float) -> agent.Received:
+            stamp_ms = int(sent_s * 1000)
+            terms = messages.AgentLease(
+                stamp_ms, 5_000, 1, True, False, (), True
+            )
+            return agent.Received('entry-1', 1, terms)
+
+        core.handle(lease(2.0), 2.0)
+        start = messages.TaskStart(
+            SUBMISSION,
+            0,
+            1,
+            1,
+            'read',
+            b'spec',
+            9_000,
+            2_000,
+            0,
+            True,
+            False,
+            DEMAND,
+            2_000,
+        )
+        core.handle(agent.Received('entry-1', 1, start), 2.01)
+        if is_shown:
+            core.handle(agent.TaskStarted(KEY), 2.02)
+        first = _list_named(core.handle(agent.Ticked(), 2.1))
+        self.assertEqual(first, [SHOWN] * is_shown)
+        core.handle(lease(confirmed_s), 2.15)
+        second = _list_named(core.handle(agent.Ticked(), 2.2))
+        self.assertEqual(second, [SHOWN] * names)
+
+
+def _list_named(result: effects.Effects) -> list[messages.ShownAttempt]:
+    return [
+        shown
+        for each in result
+        if isinstance(each, effects.Send)
+        and isinstance(each.message, messages.AgentRenewal)
+        for shown in each.message.shown
+    ]
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -41,8 +41,14 @@
             'room',
             'free_room',
             'speed',
+            'shown',
         ),
     ),
+    (
+        messages.ShownAttempt,
+        'ShownAttempt',
+        ('submission', 'index', 'attempt'),
+    ),
     (
         messages.TaskFinished,
         'TaskFinished',
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -22,6 +22,8 @@
 HOLD_LEASE_S = 0.62
 # Delay after which callers resubmit a job whose answer they lost.
 RESUBMIT_S = 1.3
+# Delay of a start that gets no response.
+LATE_START_S = 2.0
 TASK_S = 2.5
 STOP_LINGER_S = 2.0
 ROOM = contracts.Room(8000, 8192)
@@ -162,6 +164,48 @@
     (restart_agent, False, True),
 )
 
+
+def freeze_agent_for_long(world: virtual.World) -> None:
+    """Freeze an agent until its entry has lost it."""
+    world.freeze('runner-1')
+    world.at(4.0, lambda: world.thaw('runner-1'))
+
+
+def kill_agent(world: virtual.World) -> None:
+    """Kill an agent without a restart."""
+    world.kill('runner-1')
+
+
+def restart_agent_early(world: virtual.World) -> None:
+    """Restart an agent before its target carries out late starts."""
+    world.kill('runner-1')
+    world.at(LATE_START_S - 0.3, lambda: world.start('runner-1'))
+
+
+def restart_agent_late(world: virtual.World) -> None:
+    """Restart an agent after its target has carried out late starts."""
+    world.kill('runner-1')
+    lapsed_s = LATE_START_S + HOLD_LEASE_S
+    world.at(lapsed_s + 0.2, lambda: world.start('runner-1'))
+
+
+def cut_agent(world: virtual.World) -> None:
+    """Cut an agent off from the entries for some seconds."""
+    for name in worlds.ENTRIES:
+        cut_link(world, 'runner-1', name)
+    world.at(3.0, world.cut.clear)
+
+
+# What makes an agent unresponsive just after it has ordered starts that its
+# target carries out late, and whether the job must complete in its time.
+LATE_STARTS: tuple[tuple[Callable[[virtual.World], None], bool], ...] = (
+    (freeze_agent_for_long, True),
+    (kill_agent, False),
+    (restart_agent_early, True),
+    (restart_agent_late, True),
+    (cut_agent, True),
+)
+
 # When a job reaches a frozen entry, and when the entry is resumed, in seconds
 # after the begin of the freeze and after the arrival of the job; and whether
 # its caller has closed the connection when it resubmits.
@@ -214,6 +258,44 @@
             self.assertIsInstance(answer, expected)
             self.assertEqual(find_overlaps(world), [])
 
+    # Guards against two runs of a task: the entry loses an agent and starts
+    # its tasks elsewhere, and the target of that agent carries out the first
+    # starts after that.
+    @ddt.data(*LATE_STARTS)
+    @ddt.unpack
+    def test_start_under_way_at_a_lost_agent_does_not_run_twice(
+        self, fault: Callable[[virtual.World], None], completes: bool
+    ) -> None:
+        for seed in range(1, 6):
+            world = make_world(seed)
+            world.start_delay_s = lambda name: (
+                LATE_START_S if name == 'runner-1' else 0.0
+            )
+            request = submit(world, 'entry-1', limit_s=12.0)
+            world.run(0.1)
+            late = [each for each in world.started_at if 'runner-1' in each]
+            self.assertNotEqual(late, [])
+            fault(world)
+            world.start_delay_s = lambda _: 0.0
+            answer = worlds.await_answer(world, request)
+            world.run(2 * TASK_S)
+            self.assertEqual(find_overlaps(world), [])
+            if completes:
+                self.assertIsInstance(answer, contracts.Complete)
+                continue
+            self.assertIsInstance(answer, contracts.Failed)
+
+    # Guards against a task that waits for an agent that is lost for good,
+    # though its lease has ended.
+    def test_shown_run_of_a_lost_agent_starts_elsewhere(self) -> None:
+        world = make_world()
+        request = submit(world, 'entry-1')
+        world.run(0.7)
+        kill_agent(world)
+        answer = worlds.await_answer(world, request)
+        self.assertIsInstance(answer, contracts.Complete)
+        self.assertEqual(find_overlaps(world), [])
+
     # Guards against an entry that handles a job after a freeze in which it
     # waited in a socket, and in which its caller resubmitted it elsewhere.
     @ddt.data(*FROZEN_ENTRIES)
