A job whose start may be under way is not answered with 504

Callers submit a job again after a 504, 1.3 s later at any node, and it may then run from the start. A job that was ended while a start of it was under way got that answer, so that the late start could run beside the second submission.

Failed has may_start, set while the target has not shown a start that is outstanding, also at a lost agent; the platform's front answers such a job as failed, which ends it.

Evidence: three rows of tests.test_lostagents, one of test_platform and one of test_transient; with every start taken as shown two of the first fail.

--- a/eelgrassworks/contracts/submission.py
+++ b/eelgrassworks/contracts/submission.py
@@ -75,9 +75,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """The job failed; some of its tasks may have run."""
+    """The job failed; some of its tasks may have run.
+
+    ``may_start`` is set if a start of a task may still be under way, so that
+    the job must not be submitted again.
+    """
 
     refusal: errors.Refusal
+    may_start: bool = False
 
 
 Answer = Complete | NotRun | Failed
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -809,6 +809,20 @@
             if not lost.starts:
                 del self._lost[name]
 
+    def may_start(self, job: jobs.Job) -> bool:
+        """Tell whether a start of a job may still be under way to a target.
+
+        A caller that submits such a job again could have it run twice.
+        """
+        for index, target in job.targets_by_index.items():
+            key = contracts.TaskKey(job.submission.id, index)
+            view = self.views.get(target)
+            if view is not None and key in view.list_unshown():
+                return True
+            if any(key in lost.starts for lost in self._lost.values()):
+                return True
+        return False
+
     def _drop_target(self, peer: str) -> list[Outcome]:
         """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -652,11 +652,13 @@
         """
         values['submission'] = job.submission.id
         started = job.may_have_run()
+        may_start = self.dispatcher.may_start(job)
         self.dispatcher.remove(job, now_s)
         self.counters['jobs_failed' if started else 'jobs_not_run'] += 1
         if started:
             refusal = errors.refuse_started(code, **values)
-            return self._end_job(job, contracts.Failed(refusal), now_s)
+            failed = contracts.Failed(refusal, may_start)
+            return self._end_job(job, failed, now_s)
         refusal = errors.refuse(code, **values)
         return self._end_job(job, contracts.NotRun(refusal), now_s)
 
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -187,9 +187,10 @@
     match answer:
         case contracts.Complete():
             return web.json_response({'state': 'complete'})
-        case contracts.Failed(refusal) if (
-            refusal.code == errors.Code.TASK_FAILED
+        case contracts.Failed(refusal, may_start) if (
+            may_start or refusal.code == errors.Code.TASK_FAILED
         ):
+            # Callers submit a job again after any other response.
             return web.json_response({'state': 'failed'})
         case contracts.Failed():
             # The tasks may have run, so neither state can be reported.
--- a/tests/test_lostagents.py
+++ b/tests/test_lostagents.py
@@ -92,6 +92,13 @@
     ),
 )
 
+# Title, time of the end of the job, and whether a start may be under way.
+ENDED_JOBS: tuple[tuple[str, bool, float, bool], ...] = (
+    ('at work', True, START_S + 0.3, False),
+    ('under way', False, START_S + 0.3, True),
+    ('under way at a lost agent', False, LOST_S + 0.3, True),
+)
+
 
 def make_renewal(
     name: str,
@@ -219,6 +226,19 @@
         ]
         self.assertEqual(fences, ['runner-1'] * is_asked)
 
+    # Guards against a second submission beside a late start: the answer must
+    # not invite one.
+    @ddt.data(*ENDED_JOBS)
+    @ddt.unpack
+    def test_job_tells_whether_a_start_is_under_way(
+        self, _: str, is_shown: bool, ended_s: float, may_start: bool
+    ) -> None:
+        placed = Placement()
+        if is_shown:
+            placed.renew('runner-1', 1, START_S + 0.1, shown=(SHOWN,))
+        placed.tick(ended_s)
+        self.assertEqual(placed.dispatcher.may_start(placed.job), may_start)
+
     # Guards against a quota that stays in use after the job has ended.
     def test_starts_of_ended_jobs_are_forgotten(self) -> None:
         placed = Placement()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -110,6 +110,16 @@
         504,
         '',
     ),
+    (
+        contracts.Failed(
+            errors.refuse_started(
+                errors.Code.DEADLINE, submission='a', limit_s=1
+            ),
+            may_start=True,
+        ),
+        200,
+        'failed',
+    ),
     (
         contracts.NotRun(
             errors.refuse(errors.Code.OVERLOADED, queued=1, limit_s=1)
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -242,7 +242,7 @@
     (contracts.CloseDomain, 'CloseDomain', ('failure_domain',)),
     (contracts.Complete, 'Complete', ('results',)),
     (contracts.DrainTarget, 'DrainTarget', ('target',)),
-    (contracts.Failed, 'Failed', ('refusal',)),
+    (contracts.Failed, 'Failed', ('refusal', 'may_start')),
     (contracts.NotRun, 'NotRun', ('refusal',)),
     (contracts.OpenDomain, 'OpenDomain', ('failure_domain',)),
     (contracts.ReplaceSheet, 'ReplaceSheet', ('version', 'sheet', 'document')),
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -283,7 +283,9 @@
             if completes:
                 self.assertIsInstance(answer, contracts.Complete)
                 continue
+            # A second submission could run beside the late start.
             self.assertIsInstance(answer, contracts.Failed)
+            self.assertTrue(answer.may_start)
 
     # Guards against a task that waits for an agent that is lost for good,
     # though its lease has ended.
