A start whose connection was refused is rejected at once

A start to a target that is down was counted among these, though a connection that was refused carried nothing, and an idle target that had refused one went on to get tasks for up to a second.

The link reports such a start as not sent; it is rejected at once, and the target is asked for its runs at once. A connection that was reset may have carried the start and stays open.

Tests: rows of tests.test_platform with real sockets and of tests.test_heldtarget; on the code before they fail for want of the event.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -50,9 +50,7 @@
 class TargetLink(Protocol):
     """Calls to the target; a missing response is returned as an event too."""
 
-    async def start(
-        self, call: holds.StartCall
-    ) -> holds.StartResponse | holds.CallUnanswered:
+    async def start(self, call: holds.StartCall) -> holds.StartResult:
         """Ask the target to start a task."""
 
     async def stop(
@@ -293,7 +291,7 @@
     async def _call_start(
         self, held: heldtarget.HeldTarget, call: holds.StartCall
     ) -> None:
-        response: holds.StartResponse | holds.CallUnanswered
+        response: holds.StartResult
         try:
             response = await self._target_link.start(call)
         except Exception as error:
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -241,6 +241,8 @@
                 return self._handle_stop_response(name, attempt)
             case holds.CallUnanswered():
                 return self._handle_unanswered(event, now_s)
+            case holds.StartNotSent(name, attempt):
+                return self._handle_not_sent(name, attempt)
             case holds.HoldResponse():
                 return self._handle_hold_response(event, now_s)
             case holds.HoldFenced(clock_ms):
@@ -445,6 +447,18 @@
         # The stop also prevents the target from handling the start later.
         return [self._stop(call.name, run, now_s)]
 
+    def _handle_not_sent(
+        self, name: holds.TaskName, attempt: int
+    ) -> list[holds.HeldEffect]:
+        run = self._find(name, attempt)
+        if run is None:
+            return []
+        del self._runs[name]
+        self.counters['starts_not_sent'] += 1
+        # The next hold shows whether the target is down.
+        self._idle_hold_due = True
+        return [run.reject('unreachable')]
+
     def _find(self, name: holds.TaskName, attempt: int) -> Run | None:
         run = self._runs.get(name)
         if run is None or run.attempt != attempt:
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -122,6 +122,14 @@
     is_stop: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartNotSent:
+    """The connection for a start was refused, so that it never left."""
+
+    name: TaskName
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
     """The end of an attempt; ``number`` counts the ends of a target.
@@ -177,6 +185,7 @@
     refused: bool
 
 
+StartResult = StartResponse | StartNotSent | CallUnanswered
 HoldResult = HoldResponse | HoldFenced | HoldMisdirected | HoldUnanswered
 
 
@@ -218,6 +227,7 @@
     | StartResponse
     | StopResponse
     | CallUnanswered
+    | StartNotSent
     | HoldResponse
     | HoldFenced
     | HoldMisdirected
--- a/eelgrassworks/platform/targetlink.py
+++ b/eelgrassworks/platform/targetlink.py
@@ -35,9 +35,7 @@
         self._base_url = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
 
-    async def start(
-        self, call: holds.StartCall
-    ) -> holds.StartResponse | holds.CallUnanswered:
+    async def start(self, call: holds.StartCall) -> holds.StartResult:
         """Request the start of a task."""
         body = {
             'task': format_task(call.name),
@@ -47,6 +45,8 @@
             'fence': call.fence,
         }
         result = await self._post('/api/run-start', call.target, body, 0.0)
+        if result is True:
+            return holds.StartNotSent(call.name, call.attempt)
         if not isinstance(result, tuple):
             return holds.CallUnanswered(call.name, call.attempt)
         status, response = result
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -46,6 +46,7 @@
 ACCEPTED_HERE = dataclasses.replace(ACCEPTED, clock_ms=CLOCK_MS + 90)
 ACCEPTED_ELSEWHERE = dataclasses.replace(ACCEPTED, clock_ms=90)
 UNANSWERED = holds.CallUnanswered(NAME, 1)
+NOT_SENT = holds.StartNotSent(NAME, 1)
 STOPPED = holds.StopResponse(NAME, 1)
 HOLD_UNANSWERED = holds.HoldUnanswered(False)
 HOLD_REFUSED = holds.HoldUnanswered(True)
@@ -267,6 +268,21 @@
         ((0.0, START), (0.1, holds.StartResponse(NAME, 1, False, 'room'))),
         [('RunRejected', 'room')],
     ),
+    (
+        'a start that never left is rejected at once',
+        ((0.0, START), (0.1, NOT_SENT)),
+        [('RunRejected', 'unreachable')],
+    ),
+    (
+        'a target that is down after it gets no new tasks',
+        (
+            (0.0, START),
+            (0.1, NOT_SENT),
+            (0.1, HOLD_REFUSED),
+            (0.2, HOLD_REFUSED),
+        ),
+        [('HealthChanged', False)],
+    ),
     (
         'a start is rejected while another owner runs the same task',
         ((0.0, START), (0.1, holds.StartRequested(OTHER_KEY, 1, b'spec'))),
@@ -698,6 +714,15 @@
         granted_s = (call.deadline_ms - slowest_ms) / 1000
         self.assertLessEqual(granted_s, heldtarget.HOLD_LEASE_S + 1e-9)
 
+    # Guards against a target that is down and goes on to get tasks, since an
+    # idle target is asked once a second.
+    def test_target_that_refused_a_start_is_asked_at_once(self) -> None:
+        target = make_target()
+        target.handle(START, 0.0)
+        target.handle(NOT_SENT, 0.1)
+        self.assertEqual(target.counts['runs'], 0)
+        self.assertTrue(target.needs_hold)
+
     def test_idle_target_is_asked_for_its_clock(self) -> None:
         target = make_target()
         target.handle(holds.Ticked(), heldtarget.IDLE_HOLD_INTERVAL_S / 2)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,6 +461,30 @@
         self.assertEqual(await self.link.start(START_CALL), expected)
         self.assertEqual(self.target.starts, [])
 
+    # Guards against a job that waits for a target that is gone: a start whose
+    # connection was refused never left, one that was reset may have.
+    @ddt.data(
+        (False, holds.StartNotSent(START_CALL.name, START_CALL.attempt)),
+        (True, holds.CallUnanswered(START_CALL.name, START_CALL.attempt)),
+    )
+    @ddt.unpack
+    async def test_start_without_a_connection(
+        self, listens: bool, expected: Any
+    ) -> None:
+        port = deployment.find_ports(1)[0]
+        if listens:
+
+            def reset(
+                _: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                writer.transport.abort()
+
+            server = await asyncio.start_server(reset, '127.0.0.1', port)
+            self.addCleanup(server.close)
+        link = targetlink.HttpTargetLink(f'127.0.0.1:{port}')
+        self.addAsyncCleanup(link.close)
+        self.assertEqual(await link.start(START_CALL), expected)
+
     # Guards against an attempt that counts as ended though it was not stopped.
     @ddt.data(*STOP_RESPONSES)
     @ddt.unpack
