Tests: a start under way beside a second submission

A caller that got no answer submits its job again, 1.3 s later at any node. Nobody there knows of a start that is still under way at a lost agent, so that the task runs twice: two rows under the virtual clock, expected to fail and listed in KNOWN-RED.txt. A claim at homes chosen by the job's id would close it, as it would the entry above it in the list.

--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -206,6 +206,23 @@
     (cut_agent, True),
 )
 
+
+def disconnect_caller(world: virtual.World, request: int) -> None:
+    """Let the caller of a request leave without an answer."""
+    world.give('entry-1', entry.CallerDisconnected(request))
+
+
+def lose_entry(world: virtual.World, _: int) -> None:
+    """Kill the entry that has the job."""
+    world.kill('entry-1')
+
+
+# How a caller gets no answer (KNOWN-RED.txt).
+SECOND_SUBMISSIONS: tuple[Callable[[virtual.World, int], None], ...] = (
+    disconnect_caller,
+    lose_entry,
+)
+
 # When a job reaches a frozen entry, and when the entry is resumed, in seconds
 # after the begin of the freeze and after the arrival of the job; and whether
 # its caller has closed the connection when it resubmits.
@@ -287,6 +304,27 @@
             self.assertIsInstance(answer, contracts.Failed)
             self.assertTrue(answer.may_start)
 
+    # Guards against two runs of a task: a start is under way at a lost agent,
+    # and the caller, who got no answer, submits the job at another entry.
+    @ddt.data(*SECOND_SUBMISSIONS)
+    @unittest.expectedFailure
+    def test_start_under_way_does_not_run_beside_a_second_submission(
+        self, leaves: Callable[[virtual.World, int], None]
+    ) -> None:
+        world = make_world()
+        world.start_delay_s = lambda name: (
+            LATE_START_S if name == 'runner-1' else 0.0
+        )
+        request = submit(world, 'entry-1')
+        world.run(0.1)
+        freeze_agent_for_long(world)
+        world.start_delay_s = lambda _: 0.0
+        leaves(world, request)
+        world.run(RESUBMIT_S)
+        worlds.await_answer(world, submit(world, 'entry-2'))
+        world.run(2 * TASK_S)
+        self.assertEqual(find_overlaps(world), [])
+
     # Guards against a task that waits for an agent that is lost for good,
     # though its lease has ended.
     def test_shown_run_of_a_lost_agent_starts_elsewhere(self) -> None:
