The lease of a start that was carried out late counts from then

Found by the model of leases at a target once its starts may be late: a target that is unreachable for a while carries out a start with a lease that counts from then, answers one hold, which lists the run, and is unreachable again. The agent counted the lease from its own latest request, long before, and reported the run as lapsed 0.1 s after the listing while it had up to 0.6 s to go. Two runs of one task could follow.

The response to the first hold with a higher fence bounds the leases of the calls before it: they end at the latest one requested lease after it.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -172,6 +172,9 @@
         self._fence_step = 1
         # Set when a call got no response, until a hold with a higher fence.
         self._is_call_unanswered = False
+        # Number of the latest hold that raised the fence, until one from
+        # there on is answered.
+        self._fencing_hold: int | None = None
         self._last_end_number = 0
         self.hold_number = 0
         self._last_listing_number = 0
@@ -303,6 +306,7 @@
         """
         self._is_call_unanswered = False
         self.fence += 1
+        self._fencing_hold = self.hold_number + 1
         for run in self._runs.values():
             if run.settled_after_hold is None and not run.start_pending:
                 run.settled_after_hold = self.hold_number
@@ -486,6 +490,7 @@
         self._refusals_since_response = 0
         self._update_clock(response.clock_ms, now_s)
         self.confirmed = True
+        self._bound_late_leases(response.number, now_s)
         result = self._apply_ends(response.ended)
         if response.number > self._last_listing_number:
             self._last_listing_number = response.number
@@ -496,6 +501,18 @@
             result.append(holds.HealthChanged(True))
         return result
 
+    def _bound_late_leases(self, number: int, now_s: float) -> None:
+        """Bound the leases of the calls that a fence has ended.
+
+        Those that were carried out late may have been granted their leases
+        from then, up to the response to the hold with the fence.
+        """
+        if self._fencing_hold is None or number < self._fencing_hold:
+            return
+        self._fencing_hold = None
+        lease_end_s = now_s + HOLD_LEASE_S / MIN_CLOCK_RATE
+        self._lease_end_s = max(self._lease_end_s, lease_end_s)
+
     def _settle_with_successor(
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
--- a/models/targetleases.py
+++ b/models/targetleases.py
@@ -2,15 +2,16 @@
 
 A lease at a target is a deadline on the target's clock.  The agent computes
 the deadline from its latest reading of that clock, and counts on its own clock
-until the lease is over; then the task starts elsewhere.  A start or a renewal
-may be carried out late or never; an answer arrives at once or never.  The
+until the lease is over; then the task starts elsewhere.  A renewal is carried
+out within a tick or never, a start at any time or never, and its lease may
+count from then; an answer arrives at once or never.  The
 target may be silent at any time, refuse connections while it works, and begin
 again with a clock at zero under the same name; then it may carry out calls
 that were meant for the incarnation before.
 
 Bounds: 8 ticks of the agent's clock, a clock of the target that loses at most
 one of 3 ticks, 2 incarnations, one start, a lease of 2 ticks and a longest
-lease of 3; a call is carried out within a tick or never.
+lease of 3; a renewal is carried out within a tick or never.
 """
 
 from collections.abc import Iterator
@@ -35,14 +36,23 @@
 NEVER: Final = -99
 NO_CALL: Final = (NEVER, NEVER)
 
-FENCES: Final = ('rate', 'margin', 'cap', 'delay', 'refusal')
+FENCES: Final = (
+    'rate',
+    'margin',
+    'cap',
+    'delay',
+    'refusal',
+    'answer',
+    'arrival',
+)
 
 # ``clock`` is the target's, and ``kept`` the number of ticks since it lost
 # one.  ``reading`` is what the agent read at ``read_at``; ``asked_at`` is the
 # time of its latest call with a deadline.  ``start`` and ``renewal`` are a
-# (deadline, send time) in transit.  ``listed`` is whether the first
-# incarnation has listed the run, ``ended`` whether the agent has reported its
-# end.
+# (deadline, send time) in transit.  ``answered`` is whether the start was
+# answered, ``listed`` whether the first incarnation has listed the run, and
+# ``ended`` whether the agent has reported its end.  ``late_at`` is the time of
+# the listing that showed a start without an answer.
 SHAPE: Final = state.Shape(
     'now',
     'incarnation',
@@ -55,7 +65,9 @@
     'asked_at',
     'start',
     'renewal',
+    'answered',
     'listed',
+    'late_at',
     'ended',
 )
 State = state.State
@@ -100,6 +112,8 @@
             NO_CALL,
             False,
             False,
+            NEVER,
+            False,
         ),
         transitions=SHAPE.halt_when(has_two_runs, step),
         invariants={'one_run': lambda s: not has_two_runs(s)},
@@ -134,6 +148,8 @@
         lease = LONGEST_LEASE_TICKS
         if without != 'delay':
             passed -= LONGEST_DELAY_TICKS
+    if s['late_at'] != NEVER and without != 'arrival':
+        passed = min(passed, s['now'] - s['late_at'])
     advance = passed if without == 'margin' else count_sure_ticks(passed)
     return bool(advance >= lease)
 
@@ -142,12 +158,7 @@
     if s['now'] >= LAST_TICK:
         return
     now = s['now'] + 1
-    later = replace(
-        before,
-        now=now,
-        start=_drop_late(s['start'], now),
-        renewal=_drop_late(s['renewal'], now),
-    )
+    later = replace(before, now=now, renewal=_drop_late(s['renewal'], now))
     clock = s['clock'] + 1
     yield (
         'pass time',
@@ -187,6 +198,7 @@
     # means when a later one answers.
     if s['incarnation'] != 1 or s['ended']:
         return
+    is_late = s['running'] and not s['answered'] and not s['listed']
     yield (
         'target answers',
         replace(
@@ -194,6 +206,7 @@
             reading=s['clock'],
             read_at=s['now'],
             listed=s['listed'] or s['running'],
+            late_at=s['now'] if is_late else s['late_at'],
         ),
     )
 
@@ -220,21 +233,25 @@
 def _carry_out_start(before: State, s: dict[str, Any]) -> Iterator[Step]:
     if s['start'] == NO_CALL:
         return
-    deadline, _ = s['start']
+    deadline, sent_at = s['start']
     if s['clock'] >= deadline:
         yield 'target refuses the start', replace(before, start=NO_CALL)
+    # The lease of a late start may count from its arrival.
+    late = s['now'] - sent_at > LONGEST_DELAY_TICKS
+    until = s['clock'] + LEASE_TICKS if late else deadline
+    if s['clock'] >= until:
         return
-    # The answer tells nothing: the agent does not know which incarnation
-    # gave it.
-    yield (
-        'target runs the start',
-        replace(
-            before,
-            start=NO_CALL,
-            running=True,
-            lease_until=_extend_lease(s, deadline),
-        ),
+    run = replace(
+        before,
+        start=NO_CALL,
+        running=True,
+        lease_until=_extend_lease(s, until),
     )
+    yield 'target runs the start', run
+    if late:
+        return
+    # The answer does not tell which incarnation gave it.
+    yield 'target runs the start and answers', replace(run, answered=True)
 
 
 def _carry_out_renewal(before: State, s: dict[str, Any]) -> Iterator[Step]:
@@ -269,5 +286,9 @@
 ) -> Iterator[Step]:
     if s['asked_at'] == NEVER or s['ended']:
         return
+    is_shown = s['answered'] or s['listed']
+    if not is_shown and without != 'answer':
+        # The start may still be carried out.
+        return
     if is_lease_over(s, without):
         yield 'agent reports the end', replace(before, ended=True)
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -216,6 +216,32 @@
         ),
         [('RunRejected', 'unanswered'), ('HealthChanged', True)],
     ),
+    (
+        'the lease of a start that was carried out late counts from then',
+        (
+            (0.0, START),
+            (0.1, UNANSWERED),
+            (0.5, HOLD_UNANSWERED),
+            (20.0, HOLD),
+            (20.1, list_runs(2, run())),
+            (20.25, holds.Ticked()),
+            (20.75, holds.Ticked()),
+        ),
+        [('StopCall', 1)],
+    ),
+    (
+        'it ends with that lease',
+        (
+            (0.0, START),
+            (0.1, UNANSWERED),
+            (0.5, HOLD_UNANSWERED),
+            (20.0, HOLD),
+            (20.1, list_runs(2, run())),
+            (20.75, holds.Ticked()),
+            (20.85, holds.Ticked()),
+        ),
+        [('RunEnded', 'lapsed', True), ('HealthChanged', False)],
+    ),
     (
         'stops of an unresponsive target are not repeated for it',
         (
