Simulated target: the agent's process restarts and freezes

Nothing played an agent process that ends while its calls are under way, although its successor reports all of them as ended. The simulation kills and freezes the process now, lets it begin with a late report, and lets other agent processes use higher fences. A frozen process sends the call that it had prepared when it wakes. Attempts of a predecessor that are at work after the first HealthChanged(True) count as overlaps.

--- a/tests/simulatedtarget.py
+++ b/tests/simulatedtarget.py
@@ -1,8 +1,9 @@
 """A simulated target, and an agent's calls to it over a faulty path.
 
-Time is simulated.  The target follows the page on running tasks: leases on
-its own clock and capped, fences, attempts, and calls that are carried out
-late.  Its clock starts at zero in each incarnation and may be slow.
+Time is simulated.  The agent's process may be killed and frozen.  The target
+follows the page on running tasks: leases on its own clock and capped, fences,
+attempts, and calls that are carried out late.  Its clock starts at zero in
+each incarnation and may be slow.
 """
 
 from collections.abc import Callable
@@ -26,7 +27,9 @@
 TARGET: Final = 'i-1'
 # Shortest and longest delay of a call that is carried out late.
 LATE_S: Final = (2.0, 12.0)
+RESPONSE_TIMEOUT_S: Final = heldtarget.RESPONSE_TIMEOUT_S
 NEVER_S: Final = float('inf')
+PREDECESSOR: Final = 'predecessor'
 # An entry starts the task elsewhere HOLD_LOST_TIMEOUT_S after its last contact
 # with the agent, which tells the target to stop it after ENTRY_TTL_S.
 STOP_BOUND_S: Final = (
@@ -173,11 +176,22 @@
 Call = holds.StartCall | holds.StopCall | holds.HoldCall
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """A call and its sender; a later process does not see the response."""
+
+    call: Call
+    held: heldtarget.HeldTarget
+    process: int
+
+
 class Simulation:
     """An agent, its target and the path between them.
 
     ``overlaps`` has each attempt that was at work after the agent had
-    reported that it had ended or never starts, with the reported reason.
+    reported that it had ended or never starts, with the reported reason.  A
+    process that reports its target as healthy for the first time thereby
+    reports the ends of all attempts of its predecessor (``PREDECESSOR``).
     ``unstopped`` has each attempt that was at work ``STOP_BOUND_S`` after the
     agent was told to stop it.
     """
@@ -196,19 +210,33 @@
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence_numbers = itertools.count()
         self.target: Incarnation | None = Incarnation(-1.0, clock_rate)
-        self.held = self._make_held(self.target)
+        self.held = self._make_held(self.target, self.now_s)
         # Reason and time of the reported end of each attempt.
         self._settled: dict[Attempt, tuple[str, float]] = {}
         # Time at which the agent was told to stop each attempt.
         self._stopped: dict[Attempt, float] = {}
         self._attempts: dict[contracts.TaskKey, int] = {}
+        # Attempts of earlier processes that have not been reported to end.
+        self._inherited: set[Attempt] = set()
+        # Counts the ends of processes.
+        self._process = 0
+        self._is_killed = False
+        # Time until which the process is frozen, and for how long it freezes
+        # as soon as it has prepared its next call.
+        self._wakes_s = 0.0
+        self._next_freeze_s = 0.0
         self._holding = False
         self._tick()
-        self._hold()
+        self._wake()
 
-    def _make_held(self, target: Incarnation) -> heldtarget.HeldTarget:
-        clock_ms = int(target.read_clock(self.now_s) * 1000)
-        return heldtarget.HeldTarget(target.identity, clock_ms, self.now_s)
+    def _make_held(
+        self, target: Incarnation, reported_s: float, last_fence: int = 0
+    ) -> heldtarget.HeldTarget:
+        """Return what a process makes of a report from that time."""
+        clock_ms = int(target.read_clock(reported_s) * 1000)
+        return heldtarget.HeldTarget(
+            target.identity, clock_ms, self.now_s, last_fence
+        )
 
     # Time.
 
@@ -253,25 +281,73 @@
     def _report(self) -> None:
         """Announce the incarnation to the agent, as its process does."""
         target = self.target
-        if target is None:
+        if target is None or self._is_killed or self._defer(self._report):
             return
         if self.held.ended and self.held.incarnation != target.identity:
-            fence = self.held.fence
-            self.held = heldtarget.HeldTarget(
-                target.identity,
-                int(target.read_clock(self.now_s) * 1000),
-                self.now_s,
-                fence,
-            )
+            self.held = self._make_held(target, self.now_s, self.held.fence)
             self._wake()
         if self.held.incarnation != target.identity:
             self.at(self.now_s + REPORT_INTERVAL_S, self._report)
 
+    def outrun_fence(self, ahead: int) -> None:
+        """Let another agent process use a higher fence."""
+        if self.target is not None:
+            self.target.fence += ahead
+
+    # The agent's process.
+
+    def kill(self, down_s: float, report_age_s: float) -> None:
+        """End the process; the next one begins after ``down_s``.
+
+        It begins with a report that was up to ``report_age_s`` on its way.
+        """
+        self._is_killed = True
+        self._process += 1
+        self._holding = False
+        self._wakes_s = self._next_freeze_s = 0.0
+        self._inherited.update(
+            (heldtarget.make_task_name(key), attempt)
+            for key, attempt in self._attempts.items()
+        )
+        self._inherited.difference_update(self._settled)
+        age_s = self._random.uniform(0.0, report_age_s)
+        self.at(self.now_s + down_s, lambda: self._restart(age_s))
+
+    def _restart(self, report_age_s: float) -> None:
+        if self.target is None:
+            self.at(self.now_s + REPORT_INTERVAL_S, lambda: self._restart(0.0))
+            return
+        self._is_killed = False
+        # The latest report that has arrived; a short-lived predecessor may
+        # have begun with the same one.
+        sent_s = self.now_s - report_age_s
+        sent_s -= sent_s % REPORT_INTERVAL_S
+        self.held = self._make_held(
+            self.target, max(self.target.born_s, sent_s)
+        )
+        self._wake()
+
+    def freeze(self, length_s: float) -> None:
+        """Freeze the process once it has prepared its next call.
+
+        The call is sent when it wakes; what happens to it meanwhile waits.
+        """
+        self._next_freeze_s = length_s
+
+    def _defer(self, action: Callable[[], None]) -> bool:
+        """Postpone an action of a frozen process until it wakes."""
+        if self.now_s >= self._wakes_s:
+            return False
+        self.at(self._wakes_s, action)
+        return True
+
     # The agent.
 
     def start(self, key: contracts.TaskKey) -> None:
         """Start the next attempt of a task, unless the target is unhealthy."""
-        if not self.held.healthy:
+        if self._defer(lambda: self.start(key)):
+            return
+        if self._is_killed or not self.held.healthy:
             return
         attempt = self._attempts[key] = self._attempts.get(key, 0) + 1
         self.started += 1
@@ -279,6 +355,8 @@
 
     def stop(self, key: contracts.TaskKey) -> None:
         """Stop the latest attempt of a task."""
+        if self._is_killed or self._defer(lambda: self.stop(key)):
+            return
         name = heldtarget.make_task_name(key)
         if key in self._attempts:
             self._stopped[name, self._attempts[key]] = self.now_s
@@ -294,16 +372,24 @@
                     self._settle(key, reason)
                 case holds.RunRejected(key, reason):
                     self._settle(key, reason)
-                case holds.HealthChanged():
-                    pass
+                case holds.HealthChanged(True):
+                    self._settle_inherited()
         self._wake()
 
+    def _settle_inherited(self) -> None:
+        end = PREDECESSOR, self.now_s
+        self._settled.update(dict.fromkeys(self._inherited, end))
+        self._inherited = set()
+
     def _settle(self, key: contracts.TaskKey, reason: str) -> None:
         attempt = heldtarget.make_task_name(key), self._attempts[key]
         self._settled.setdefault(attempt, (reason, self.now_s))
 
     def _tick(self) -> None:
-        self.dispatch(holds.Ticked())
+        if self._defer(self._tick):
+            return
+        if not self._is_killed:
+            self.dispatch(holds.Ticked())
         self.at(
             self.now_s + heldagentprocess.TICK_INTERVAL_S,
             self._tick,
@@ -312,48 +398,72 @@
     def _wake(self) -> None:
         if not self._holding and self.held.needs_hold:
             self._holding = True
-            self.at(self.now_s, self._hold)
+            self._schedule_hold(0.0)
+
+    def _schedule_hold(self, delay_s: float) -> None:
+        process = self._process
 
-    def _hold(self) -> None:
-        self._holding = self.held.needs_hold
-        if self._holding:
-            self._send(self.held.begin_hold(self.now_s))
+        def begin() -> None:
+            if process != self._process or self._defer(begin):
+                return
+            self._holding = self.held.needs_hold
+            if self._holding:
+                self._send(self.held.begin_hold(self.now_s))
+
+        self.at(self.now_s + delay_s, begin)
 
     # The path.
 
     def _send(self, call: Call) -> None:
+        sent = Sent(call, self.held, self._process)
+        length_s, self._next_freeze_s = self._next_freeze_s, 0.0
+        if not length_s:
+            self._transmit(sent)
+            return
+        self._wakes_s = self.now_s + length_s
+        # The time for the response has passed when the process wakes.
+        self.at(self._wakes_s, lambda: self._transmit(sent, True))
+
+    def _transmit(self, sent: Sent, expired: bool = False) -> None:
+        if sent.process != self._process:
+            return
         self.calls += 1
+        call = sent.call
         kind = self._choose_fault(call)
-        is_late = kind in ('late', 'granted_late')
-        if is_late and self.target is None:
+        if kind in ('late', 'granted_late') and self.target is None:
             kind = 'lost'
-        timeout_s = self.now_s + heldtarget.RESPONSE_TIMEOUT_S
-        held = self.held
         if kind in ('refused', 'reset'):
             refused = kind == 'refused'
             self.at(
                 self.now_s + TRIP_S,
-                lambda: self._answer(held, call, None, refused),
+                lambda: self._answer(sent, None, refused),
             )
             return
         delay_s = TRIP_S
         receiver = None
-        if is_late:
-            delay_s = self._random.uniform(*LATE_S)
-            receiver = self.target
-        if kind == 'late_anyone':
-            delay_s = self._random.uniform(*LATE_S)
+        match kind:
+            case 'late' | 'granted_late':
+                delay_s = self._random.uniform(*LATE_S)
+                receiver = self.target
+            case 'late_anyone':
+                delay_s = self._random.uniform(*LATE_S)
+            case 'slow':
+                delay_s = self._random.uniform(0, RESPONSE_TIMEOUT_S)
         if kind == 'granted_late':
             call = _postpone_deadline(call, delay_s)
-        if kind == 'slow':
-            delay_s = self._random.uniform(0, heldtarget.RESPONSE_TIMEOUT_S)
+            sent = dataclasses.replace(sent, call=call)
+        answered = not kind and not expired
         if kind != 'lost':
             self.at(
                 self.now_s + delay_s,
-                lambda: self._carry_out(held, call, not kind, receiver),
+                lambda: self._carry_out(sent, answered, receiver),
+            )
+        if not answered:
+            timeout_s = 0.0 if expired else RESPONSE_TIMEOUT_S
+            self.at(
+                self.now_s + timeout_s,
+                lambda: self._answer(sent, None, False),
             )
-        if kind:
-            self.at(timeout_s, lambda: self._answer(held, call, None, False))
 
     def _choose_fault(self, call: Call) -> str:
         for fault in self._faults:
@@ -366,49 +476,45 @@
         return ''
 
     def _carry_out(
-        self,
-        held: heldtarget.HeldTarget,
-        call: Call,
-        answered: bool,
-        receiver: Incarnation | None,
+        self, sent: Sent, answered: bool, receiver: Incarnation | None
     ) -> None:
         if receiver is not None and receiver is not self.target:
             return
         if self.target is None:
             if answered:
-                self._answer(held, call, None, True)
+                self._answer(sent, None, True)
             return
         answer: holds.HeldEvent
-        match call:
-            case holds.StartCall():
+        match sent.call:
+            case holds.StartCall() as call:
                 answer = self.target.start(call, self.now_s)
-            case holds.StopCall():
+            case holds.StopCall() as call:
                 answer = self.target.stop(call, self.now_s)
-            case holds.HoldCall():
+            case holds.HoldCall() as call:
                 answer = self.target.hold(call, self.now_s)
         if answered:
             self.at(
                 self.now_s + TRIP_S,
-                lambda: self._answer(held, call, answer, False),
+                lambda: self._answer(sent, answer, False),
             )
 
     def _answer(
-        self,
-        held: heldtarget.HeldTarget,
-        call: Call,
-        answer: holds.HeldEvent | None,
-        refused: bool,
+        self, sent: Sent, answer: holds.HeldEvent | None, refused: bool
     ) -> None:
-        match call:
+        """Let the process handle a response, or that there is none."""
+        if sent.process != self._process:
+            return
+        if self._defer(lambda: self._answer(sent, answer, refused)):
+            return
+        match sent.call:
             case holds.HoldCall():
-                self.at(
-                    self.now_s + heldagentprocess.REFUSED_PAUSE_S, self._hold
-                )
+                self._schedule_hold(heldagentprocess.REFUSED_PAUSE_S)
                 failure: holds.HeldEvent = holds.HoldUnanswered(refused)
-            case holds.StartCall(name=name) | holds.StopCall(name=name):
-                is_stop = isinstance(call, holds.StopCall)
-                failure = holds.CallUnanswered(name, call.attempt, is_stop)
-        if held is self.held:
+            case holds.StartCall(name=name, attempt=attempt):
+                failure = holds.CallUnanswered(name, attempt)
+            case holds.StopCall(name=name, attempt=attempt):
+                failure = holds.CallUnanswered(name, attempt, True)
+        if sent.held is self.held:
             self.dispatch(failure if answer is None else answer)
 
 
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -18,6 +18,8 @@
 CRASHES_S = (4.0, 7.0, 10.0, 13.0, 16.0, 19.0, 22.0, 25.0)
 # Times at which the target becomes unreachable for a while.
 SILENCES_S = (4.0, 10.0, 16.0, 22.0)
+# Times at which the agent's process ends; the last ones follow at once.
+KILLS_S = (3.2, 5.2, 7.2, 9.2, 11.2, 13.2, 15.2, 17.2, 17.7, 18.2, 18.7)
 LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
 
 
@@ -26,17 +28,30 @@
     """Faults of a target, its crashes and the tasks that start there.
 
     The target's clock runs at ``clock_rate``.  A crash is a time and a
-    duration.  Tasks start from ``first_start_s`` on; of these the share
-    ``stopped`` is stopped again.
+    duration; so are a kill and a freeze of the agent's process.  A new process
+    begins with a report that was up to ``report_age_s`` on its way.  Another
+    agent process uses a fence that is higher by the second number of each of
+    ``fences``.  About ``starts_per_s`` tasks start from ``first_start_s`` on;
+    of these the share ``stopped`` is stopped again.
     """
 
     clock_rate: float = 1.0
     faults: tuple[Fault, ...] = ()
     crashes: tuple[tuple[float, float], ...] = ()
+    kills: tuple[tuple[float, float], ...] = ()
+    report_age_s: float = 0.0
+    freezes: tuple[tuple[float, float], ...] = ()
+    fences: tuple[tuple[float, int], ...] = ()
     first_start_s: float = 0.5
+    starts_per_s: float = STARTS_PER_S
     stopped: float = 0.0
 
 
+def kill_often(down_s: float) -> tuple[tuple[float, float], ...]:
+    """Return the ends of an agent's processes, each for ``down_s``."""
+    return tuple((each, down_s) for each in KILLS_S)
+
+
 def interrupt(
     length_s: float,
     kinds: tuple[str, ...] = ('lost',),
@@ -160,6 +175,46 @@
         ),
         crashes=tuple((each, 0.01) for each in CRASHES_S),
     ),
+    'agent restarts while starts are late': Scenario(
+        faults=(LATE_STARTS,), kills=kill_often(0.3), report_age_s=4.0
+    ),
+    'agent restarts at a target that is silent': Scenario(
+        faults=(*interrupt(2.5), LATE_STARTS),
+        kills=tuple((each + 1.0, 0.1) for each in SILENCES_S),
+        report_age_s=2.0,
+    ),
+    'agent restarts while most calls are late': Scenario(
+        faults=(Fault(3.0, 25.0, ('granted_late',), 0.7),),
+        kills=kill_often(0.05),
+        report_age_s=1.0,
+    ),
+    'agent restarts while runs are stopped and answers lost': Scenario(
+        clock_rate=0.98,
+        faults=(Fault(3.0, 25.0, ('answer', 'lost'), 0.6),),
+        kills=kill_often(0.3),
+        report_age_s=2.0,
+        stopped=0.5,
+    ),
+    'agent and its target restart while starts are late': Scenario(
+        faults=(LATE_STARTS,),
+        crashes=tuple((each, 0.3) for each in CRASHES_S),
+        kills=tuple((each + 0.5, 0.1) for each in CRASHES_S),
+        report_age_s=3.0,
+    ),
+    'agent freezes while starts are late': Scenario(
+        faults=(LATE_STARTS,), freezes=kill_often(1.0)
+    ),
+    'agent freezes and is killed while it sends a call': Scenario(
+        faults=(LATE_STARTS,),
+        freezes=tuple((each - 1.0, 0.9) for each in KILLS_S[:8]),
+        kills=kill_often(0.1),
+        report_age_s=3.0,
+    ),
+    'other agents use higher fences': Scenario(
+        faults=(LATE_STARTS,),
+        freezes=kill_often(0.5),
+        fences=tuple((each + 0.2, 3000) for each in KILLS_S),
+    ),
 }
 
 # Scenarios in which a limit does not hold (KNOWN-RED.txt).
@@ -205,9 +260,22 @@
         if source.random() < scenario.stopped:
             stop_s = start_s + source.random()
             simulation.at(stop_s, lambda key=key: simulation.stop(key))
-        start_s += source.expovariate(STARTS_PER_S)
+        start_s += source.expovariate(scenario.starts_per_s)
     for crash_s, down_s in scenario.crashes:
         simulation.at(crash_s, lambda down_s=down_s: simulation.crash(down_s))
+    age_s = scenario.report_age_s
+    for kill_s, down_s in scenario.kills:
+        simulation.at(
+            kill_s, lambda down_s=down_s: simulation.kill(down_s, age_s)
+        )
+    for freeze_s, length_s in scenario.freezes:
+        simulation.at(
+            freeze_s, lambda length_s=length_s: simulation.freeze(length_s)
+        )
+    for fence_s, ahead in scenario.fences:
+        simulation.at(
+            fence_s, lambda ahead=ahead: simulation.outrun_fence(ahead)
+        )
     simulation.run(END_S)
     return simulation
 
@@ -215,7 +283,8 @@
 @ddt.ddt
 class SimulationTest(unittest.TestCase):
     # Guards against two runs of a task: the agent reports an attempt as ended
-    # or never started, and its target works on it.
+    # or never started, or takes over from a process that ended, and its target
+    # works on the attempt.
     @ddt.data(*SCENARIOS, *LATE_STOPS)
     def test_settled_attempt_is_not_at_work(self, title: str) -> None:
         self._check_overlaps({**SCENARIOS, **LATE_STOPS}[title])
