A restarted agent fences by the target's own clock

Two runs of one task: an agent process that restarts reports the target as healthy, whereupon entries start the tasks of its predecessor again, while a start of the predecessor is still under way and is carried out afterwards.

The fence began with the clock in the target's report, which may have been on its way for a while. A predecessor that began with the same or a later report, and raised its fence for calls without a response, had sent starts with fences that the new one did not exceed; the target accepted both. Only a fence above all of the predecessor's bounds what it has under way.

The first listing that the process gets sets the fence to the clock that it shows; the target is reconciled by a listing behind that fence. Starts of the predecessor have lower ones, since the clock rises by more than the one that each hold adds. A process, or an incarnation, takes one more hold (a round trip and 50 ms) until the first task.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -135,9 +135,10 @@
     """State of one incarnation of an agent's target.
 
     ``confirmed`` is set once the target itself has named the incarnation,
-    ``reconciled`` once a listing shows no unknown run, and ``ended`` when the
-    incarnation is over.  Its fence is higher than ``last_fence``; a target
-    grants no lease longer than ``max_lease_s``.
+    ``reconciled`` once a listing behind a fence that no earlier agent process
+    has used shows no unknown run, and ``ended`` when the incarnation is over.
+    Its fence is higher than ``last_fence``; a target grants no
+    lease longer than ``max_lease_s``.
 
     When a later incarnation of the same name answers, it may have carried out
     starts that were meant for this one.  They are settled with the later
@@ -187,9 +188,10 @@
         self._lease_requested_s = now_s
         self._refusals_since_response = 0
         self.ended = False
-        # Start time of the later incarnation that answers, and the number of
-        # the last hold before it was fenced.
+        # Start time of the later incarnation that answers.
         self._successor_born_ms: int | None = None
+        # Number of the last hold before the target, or its later incarnation,
+        # was fenced.
         self._fenced_after_hold = 0
         # Set once the target has announced its end; it is not asked any more
         # when its runs have ended.
@@ -471,6 +473,8 @@
         self._hold_answered = True
         self._refusals_since_response = 0
         self._update_clock(response.clock_ms, now_s)
+        if not self.confirmed:
+            self._outrank_predecessors(response.clock_ms)
         self.confirmed = True
         result = self._apply_ends(response.ended)
         if response.number > self._last_listing_number:
@@ -482,6 +486,18 @@
             result.append(holds.HealthChanged(True))
         return result
 
+    def _outrank_predecessors(self, clock_ms: int) -> None:
+        """Let the next hold fence the calls of earlier agent processes.
+
+        Their fences began with an earlier reading of the clock, and increase
+        slower than it.  The report, with which this process began, may be
+        older than their readings.
+        """
+        fence = self.incarnation.born_ms + clock_ms
+        if fence > self.fence:
+            self.fence = fence
+            self._fenced_after_hold = self.hold_number
+
     def _settle_with_successor(
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
@@ -590,7 +606,8 @@
                         self.incarnation.name, name, attempt, self.fence
                     )
                 )
-        self.reconciled = not self._unknown_runs
+        is_fenced = response.number > self._fenced_after_hold
+        self.reconciled = is_fenced and not self._unknown_runs
         return result
 
     def _track_progress(
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -608,6 +608,30 @@
 )
 
 
+# Responses to the first holds of a process, and whether each makes the target
+# healthy.
+FIRST_RESPONSES: tuple[
+    tuple[str, tuple[tuple[holds.HeldEvent, bool], ...]], ...
+] = (
+    ('the report is recent', ((list_runs(1), True),)),
+    (
+        'the report is older than the fence of an earlier process may be',
+        (
+            (list_runs(1, clock_ms=CLOCK_MS + 1), False),
+            (list_runs(2, clock_ms=CLOCK_MS + 51), True),
+        ),
+    ),
+    (
+        'a run of the earlier process is listed behind the fence',
+        (
+            (list_runs(1, clock_ms=CLOCK_MS + 1), False),
+            (list_runs(2, run(), clock_ms=CLOCK_MS + 51), False),
+            (list_runs(3, clock_ms=CLOCK_MS + 101), True),
+        ),
+    ),
+)
+
+
 @ddt.ddt
 class HeldTargetTest(unittest.TestCase):
     @ddt.data(*SCRIPTS)
@@ -744,6 +768,28 @@
         ]
         self.assertEqual(fences, sorted(set(fences)))
 
+    # Guards against two runs of a task: a start of an earlier agent process is
+    # carried out after the next process has reported that all runs have ended.
+    @ddt.data(*FIRST_RESPONSES)
+    @ddt.unpack
+    def test_first_task_waits_for_a_fence(
+        self, _: str, responses: tuple[tuple[holds.HeldEvent, bool], ...]
+    ) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        for number, (event, is_healthy) in enumerate(responses):
+            fence = target.begin_hold(number / 20).fence
+            target.handle(event, number / 20)
+            self.assertEqual(target.healthy, is_healthy)
+            self.assertEqual(target.needs_hold, not is_healthy)
+            (effect,) = target.handle(START, number / 20)
+            self.assertEqual(isinstance(effect, holds.StartCall), is_healthy)
+        clocks_ms = [
+            event.clock_ms
+            for event, _ in responses
+            if isinstance(event, holds.HoldResponse)
+        ]
+        self.assertGreaterEqual(fence, INCARNATION.born_ms + clocks_ms[0])
+
     def test_fenced_process_takes_a_higher_fence(self) -> None:
         target = make_target()
         before = target.begin_hold(0.0).fence
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -20,6 +20,9 @@
 SILENCES_S = (4.0, 10.0, 16.0, 22.0)
 # Times at which the agent's process ends; the last ones follow at once.
 KILLS_S = (3.2, 5.2, 7.2, 9.2, 11.2, 13.2, 15.2, 17.2, 17.7, 18.2, 18.7)
+# Times after which the target sends no report for 0.8 s.
+TWICE_S = (3.7, 12.7, 21.7)
+NO_STARTS = (holds.HoldCall, holds.StopCall)
 LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
 
 
@@ -113,14 +116,14 @@
     ),
     'starts are carried out late while holds and stops are lost': Scenario(
         faults=(
-            *interrupt(4.0, calls=(holds.HoldCall, holds.StopCall)),
+            *interrupt(4.0, calls=NO_STARTS),
             LATE_STARTS,
         )
     ),
     'late starts keep their deadlines while holds and stops are lost': (
         Scenario(
             faults=(
-                *interrupt(4.0, calls=(holds.HoldCall, holds.StopCall)),
+                *interrupt(4.0, calls=NO_STARTS),
                 dataclasses.replace(LATE_STARTS, kinds=('late',)),
             )
         )
@@ -210,6 +213,21 @@
         kills=kill_often(0.1),
         report_age_s=3.0,
     ),
+    'agent restarts twice and begins with the same report': Scenario(
+        faults=tuple(
+            fault
+            for each in TWICE_S
+            for fault in (
+                Fault(each + 0.15, each + 0.5, ('lost',), 1.0, NO_STARTS),
+                dataclasses.replace(
+                    LATE_STARTS, begin_s=each, end_s=each + 0.6, share=1.0
+                ),
+            )
+        ),
+        kills=tuple(
+            (each + later_s, 0.05) for each in TWICE_S for later_s in (0, 0.5)
+        ),
+    ),
     'other agents use higher fences': Scenario(
         faults=(LATE_STARTS,),
         freezes=kill_often(0.5),
