A refused fence is raised above those that the target has not seen

A process sent starts with a fence that had just been refused and raised by a doubling step, before the target had seen it; and each hold without a response adds one. The next process was accepted with a fence between the two.

Nothing starts any more between a refusal and an answered hold, so that starts have a fence that the target has seen, and at most a few more. A fence that is accepted after a refusal is raised by FENCE_ROOM (1000, more than the holds that a process sends before it stops starting tasks), and the next listing counts. The doubling begins with that room, so that the next process needs few steps.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -61,6 +61,9 @@
 SLOW_RUN_SAMPLE_S: Final = 0.2
 # A fence is a time in milliseconds; this exceeds any other time.
 MAX_FENCE_STEP: Final = 2**42
+# Exceeds the number of holds that a process sends between an answered one and
+# its last start, each with a fence that is higher by one.
+FENCE_ROOM: Final = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,7 +173,9 @@
         self.fence = max(last_fence + 1, incarnation.born_ms + clock_ms)
         # Added to a refused fence.  It doubles each time, since the target
         # does not name the fence that it has seen.
-        self._fence_step = 1
+        self._fence_step = FENCE_ROOM
+        # Set when a fence was refused, until a hold is answered.
+        self._is_fence_refused = False
         # Set when a call got no response, until a hold with a higher fence.
         self._is_call_unanswered = False
         self._last_end_number = 0
@@ -246,12 +251,7 @@
             case holds.HoldResponse():
                 return self._handle_hold_response(event, now_s)
             case holds.HoldFenced(clock_ms):
-                self._update_clock(clock_ms, now_s)
-                fence = self.incarnation.born_ms + clock_ms
-                self.fence = max(self.fence + self._fence_step, fence)
-                self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
-                self.counters['fenced'] += 1
-                return []
+                return self._handle_refused_fence(clock_ms, now_s)
             case holds.HoldMisdirected():
                 # It has refused every start that was meant for this one.
                 return self._end_incarnation(REASON_REBORN)
@@ -473,8 +473,7 @@
         self._hold_answered = True
         self._refusals_since_response = 0
         self._update_clock(response.clock_ms, now_s)
-        if not self.confirmed:
-            self._outrank_predecessors(response.clock_ms)
+        self._outrank_others(response.clock_ms)
         self.confirmed = True
         result = self._apply_ends(response.ended)
         if response.number > self._last_listing_number:
@@ -486,18 +485,44 @@
             result.append(holds.HealthChanged(True))
         return result
 
-    def _outrank_predecessors(self, clock_ms: int) -> None:
-        """Let the next hold fence the calls of earlier agent processes.
+    def _outrank_others(self, clock_ms: int) -> None:
+        """Let the next hold fence the calls of other agent processes.
 
-        Their fences began with an earlier reading of the clock, and increase
-        slower than it.  The report, with which this process began, may be
-        older than their readings.
+        The fences of earlier processes began with an earlier reading of the
+        clock, and increase slower than it.  The report, with which this
+        process began, may be older than their readings.
+
+        After a refusal the target has seen a fence that is higher than the
+        clock may tell.  The process that used it may since have sent starts
+        with fences that the target has not seen.
         """
         fence = self.incarnation.born_ms + clock_ms
+        if self._is_fence_refused:
+            self._is_fence_refused = False
+            fence = max(fence, self.fence + FENCE_ROOM)
+        elif self.confirmed:
+            return
         if fence > self.fence:
             self.fence = fence
             self._fenced_after_hold = self.hold_number
 
+    def _handle_refused_fence(
+        self, clock_ms: int, now_s: float
+    ) -> list[holds.HeldEffect]:
+        """Raise the fence; nothing starts until a hold with it is answered.
+
+        A start with a fence that the target has not seen could not be fenced
+        by the next process.
+        """
+        self._update_clock(clock_ms, now_s)
+        fence = self.incarnation.born_ms + clock_ms
+        self.fence = max(self.fence + self._fence_step, fence)
+        self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
+        self._is_fence_refused = True
+        self.reconciled = False
+        self.counters['fenced'] += 1
+        return self._mark_unhealthy()
+
     def _settle_with_successor(
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -629,6 +629,23 @@
             (list_runs(3, clock_ms=CLOCK_MS + 101), True),
         ),
     ),
+    (
+        'an earlier process may have used higher fences than that',
+        (
+            (holds.HoldFenced(CLOCK_MS), False),
+            (list_runs(2), False),
+            (list_runs(3), True),
+        ),
+    ),
+    (
+        'a fence is refused after a listing',
+        (
+            (list_runs(1), True),
+            (holds.HoldFenced(CLOCK_MS), False),
+            (list_runs(3), False),
+            (list_runs(4), True),
+        ),
+    ),
 )
 
 
@@ -777,18 +794,47 @@
     ) -> None:
         target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
         for number, (event, is_healthy) in enumerate(responses):
-            fence = target.begin_hold(number / 20).fence
+            target.begin_hold(number / 20)
             target.handle(event, number / 20)
             self.assertEqual(target.healthy, is_healthy)
             self.assertEqual(target.needs_hold, not is_healthy)
-            (effect,) = target.handle(START, number / 20)
-            self.assertEqual(isinstance(effect, holds.StartCall), is_healthy)
-        clocks_ms = [
-            event.clock_ms
-            for event, _ in responses
-            if isinstance(event, holds.HoldResponse)
-        ]
-        self.assertGreaterEqual(fence, INCARNATION.born_ms + clocks_ms[0])
+            effects = target.handle(START, number / 20)
+            self.assertEqual(
+                [isinstance(each, holds.StartCall) for each in effects],
+                [is_healthy],
+            )
+            target.handle(holds.StartResponse(NAME, 1, False, 'room'), 1.0)
+
+    # Guards against the same, for starts with fences that the target has not
+    # seen: each hold without a response adds one.
+    @ddt.data(CLOCK_MS, CLOCK_MS + 1, CLOCK_MS + 2000)
+    def test_first_task_has_a_fence_above_unseen_ones(
+        self, clock_ms: int
+    ) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        target.begin_hold(0.0)
+        target.handle(holds.HoldFenced(clock_ms), 0.0)
+        accepted = target.begin_hold(0.1).fence
+        target.handle(list_runs(2, clock_ms=clock_ms), 0.1)
+        target.begin_hold(0.2)
+        target.handle(list_runs(3, clock_ms=clock_ms), 0.2)
+        (call,) = target.handle(START, 0.2)
+        assert isinstance(call, holds.StartCall)
+        self.assertGreaterEqual(call.fence, accepted + heldtarget.FENCE_ROOM)
+
+    # Guards against the same: the clock that a response shows is read after
+    # every fence of an earlier process.
+    def test_first_task_has_a_fence_of_the_first_response(self) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        for number in range(2):
+            call = target.begin_hold(number / 20)
+            target.handle(
+                list_runs(call.number, clock_ms=CLOCK_MS + 700), number / 20
+            )
+        self.assertTrue(target.healthy)
+        self.assertGreaterEqual(
+            call.fence, INCARNATION.born_ms + CLOCK_MS + 700
+        )
 
     def test_fenced_process_takes_a_higher_fence(self) -> None:
         target = make_target()
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -22,6 +22,8 @@
 KILLS_S = (3.2, 5.2, 7.2, 9.2, 11.2, 13.2, 15.2, 17.2, 17.7, 18.2, 18.7)
 # Times after which the target sends no report for 0.8 s.
 TWICE_S = (3.7, 12.7, 21.7)
+# Times of reports of the target.
+REPORTS_S = (4.5, 12.0, 19.5)
 NO_STARTS = (holds.HoldCall, holds.StopCall)
 LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
 
@@ -228,6 +230,44 @@
             (each + later_s, 0.05) for each in TWICE_S for later_s in (0, 0.5)
         ),
     ),
+    'agent restarts after its fence was refused': Scenario(
+        faults=tuple(
+            fault
+            for each in TWICE_S
+            for fault in (
+                Fault(each + 0.06, each + 0.5, ('lost',), 1.0, NO_STARTS),
+                dataclasses.replace(
+                    LATE_STARTS, begin_s=each, end_s=each + 0.6, share=1.0
+                ),
+            )
+        ),
+        kills=tuple((each + 0.3, 0.05) for each in TWICE_S),
+        fences=((1.0, 1_000_000), *((each, 5000) for each in TWICE_S)),
+        starts_per_s=8.0,
+    ),
+    'two processes with the same report have their fences refused': Scenario(
+        clock_rate=0.98,
+        faults=tuple(
+            fault
+            for each in REPORTS_S
+            for fault in (
+                Fault(each + 0.4, each + 0.75, ('lost',), 1.0, NO_STARTS),
+                dataclasses.replace(
+                    LATE_STARTS,
+                    begin_s=each + 0.4,
+                    end_s=each + 0.75,
+                    share=1.0,
+                ),
+            )
+        ),
+        kills=tuple(
+            kill
+            for each in REPORTS_S
+            for kill in ((each - 0.05, 0.05), (each + 0.75, 0.1))
+        ),
+        fences=tuple((each + 0.2, 1) for each in REPORTS_S),
+        starts_per_s=8.0,
+    ),
     'other agents use higher fences': Scenario(
         faults=(LATE_STARTS,),
         freezes=kill_often(0.5),
