--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -61,6 +61,9 @@
 SLOW_RUN_SAMPLE_S: Final = 0.2
 # A fence is a time in milliseconds; this exceeds any other time.
 MAX_FENCE_STEP: Final = 2**42
+# Exceeds the number of holds that a process sends between an answered one and
+# its last start, each with a fence that is higher by one.
+FENCE_ROOM: Final = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,9 +138,10 @@
     """State of one incarnation of an agent's target.
 
     ``confirmed`` is set once the target itself has named the incarnation,
-    ``reconciled`` once a listing shows no unknown run, and ``ended`` when the
-    incarnation is over.  Its fence is higher than ``last_fence``; a target
-    grants no lease longer than ``max_lease_s``.
+    ``reconciled`` once a listing behind a fence that no earlier agent process
+    has used shows no unknown run, and ``ended`` when the incarnation is over.
+    Its fence is higher than ``last_fence``; a target grants no
+    lease longer than ``max_lease_s``.
 
     When a later incarnation of the same name answers, it may have carried out
     starts that were meant for this one.  They are settled with the later
@@ -169,7 +173,9 @@
         self.fence = max(last_fence + 1, incarnation.born_ms + clock_ms)
         # Added to a refused fence.  It doubles each time, since the target
         # does not name the fence that it has seen.
-        self._fence_step = 1
+        self._fence_step = FENCE_ROOM
+        # Set when a fence was refused, until a hold is answered.
+        self._is_fence_refused = False
         # Set when a call got no response, until a hold with a higher fence.
         self._is_call_unanswered = False
         # Number of the latest hold that raised the fence, until one from
@@ -190,9 +196,10 @@
         self._lease_requested_s = now_s
         self._refusals_since_response = 0
         self.ended = False
-        # Start time of the later incarnation that answers, and the number of
-        # the last hold before it was fenced.
+        # Start time of the later incarnation that answers.
         self._successor_born_ms: int | None = None
+        # Number of the last hold before the target, or its later incarnation,
+        # was fenced.
         self._fenced_after_hold = 0
         # Set once the target has announced its end; it is not asked any more
         # when its runs have ended.
@@ -249,12 +256,7 @@
             case holds.HoldResponse():
                 return self._handle_hold_response(event, now_s)
             case holds.HoldFenced(clock_ms):
-                self._update_clock(clock_ms, now_s)
-                fence = self.incarnation.born_ms + clock_ms
-                self.fence = max(self.fence + self._fence_step, fence)
-                self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
-                self.counters['fenced'] += 1
-                return []
+                return self._handle_refused_fence(clock_ms, now_s)
             case holds.HoldMisdirected():
                 # It has refused every start that was meant for this one.
                 return self._end_incarnation(REASON_REBORN)
@@ -489,6 +491,7 @@
         self._hold_answered = True
         self._refusals_since_response = 0
         self._update_clock(response.clock_ms, now_s)
+        self._outrank_others(response.clock_ms)
         self.confirmed = True
         self._bound_late_leases(response.number, now_s)
         result = self._apply_ends(response.ended)
@@ -513,6 +516,44 @@
         lease_end_s = now_s + HOLD_LEASE_S / MIN_CLOCK_RATE
         self._lease_end_s = max(self._lease_end_s, lease_end_s)
 
+    def _outrank_others(self, clock_ms: int) -> None:
+        """Let the next hold fence the calls of other agent processes.
+
+        The fences of earlier processes began with an earlier reading of the
+        clock, and increase slower than it.  The report, with which this
+        process began, may be older than their readings.
+
+        After a refusal the target has seen a fence that is higher than the
+        clock may tell.  The process that used it may since have sent starts
+        with fences that the target has not seen.
+        """
+        fence = self.incarnation.born_ms + clock_ms
+        if self._is_fence_refused:
+            self._is_fence_refused = False
+            fence = max(fence, self.fence + FENCE_ROOM)
+        elif self.confirmed:
+            return
+        if fence > self.fence:
+            self.fence = fence
+            self._fenced_after_hold = self.hold_number
+
+    def _handle_refused_fence(
+        self, clock_ms: int, now_s: float
+    ) -> list[holds.HeldEffect]:
+        """Raise the fence; nothing starts until a hold with it is answered.
+
+        A start with a fence that the target has not seen could not be fenced
+        by the next process.
+        """
+        self._update_clock(clock_ms, now_s)
+        fence = self.incarnation.born_ms + clock_ms
+        self.fence = max(self.fence + self._fence_step, fence)
+        self._fence_step = min(2 * self._fence_step, MAX_FENCE_STEP)
+        self._is_fence_refused = True
+        self.reconciled = False
+        self.counters['fenced'] += 1
+        return self._mark_unhealthy()
+
     def _settle_with_successor(
         self, response: holds.HoldResponse, now_s: float
     ) -> list[holds.HeldEffect]:
@@ -621,7 +662,8 @@
                         self.incarnation.name, name, attempt, self.fence
                     )
                 )
-        self.reconciled = not self._unknown_runs
+        is_fenced = response.number > self._fenced_after_hold
+        self.reconciled = is_fenced and not self._unknown_runs
         return result
 
     def _track_progress(
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -650,6 +650,47 @@
 )
 
 
+# Responses to the first holds of a process, and whether each makes the target
+# healthy.
+FIRST_RESPONSES: tuple[
+    tuple[str, tuple[tuple[holds.HeldEvent, bool], ...]], ...
+] = (
+    ('the report is recent', ((list_runs(1), True),)),
+    (
+        'the report is older than the fence of an earlier process may be',
+        (
+            (list_runs(1, clock_ms=CLOCK_MS + 1), False),
+            (list_runs(2, clock_ms=CLOCK_MS + 51), True),
+        ),
+    ),
+    (
+        'a run of the earlier process is listed behind the fence',
+        (
+            (list_runs(1, clock_ms=CLOCK_MS + 1), False),
+            (list_runs(2, run(), clock_ms=CLOCK_MS + 51), False),
+            (list_runs(3, clock_ms=CLOCK_MS + 101), True),
+        ),
+    ),
+    (
+        'an earlier process may have used higher fences than that',
+        (
+            (holds.HoldFenced(CLOCK_MS), False),
+            (list_runs(2), False),
+            (list_runs(3), True),
+        ),
+    ),
+    (
+        'a fence is refused after a listing',
+        (
+            (list_runs(1), True),
+            (holds.HoldFenced(CLOCK_MS), False),
+            (list_runs(3), False),
+            (list_runs(4), True),
+        ),
+    ),
+)
+
+
 @ddt.ddt
 class HeldTargetTest(unittest.TestCase):
     @ddt.data(*SCRIPTS)
@@ -795,6 +836,57 @@
         ]
         self.assertEqual(fences, sorted(set(fences)))
 
+    # Guards against two runs of a task: a start of an earlier agent process is
+    # carried out after the next process has reported that all runs have ended.
+    @ddt.data(*FIRST_RESPONSES)
+    @ddt.unpack
+    def test_first_task_waits_for_a_fence(
+        self, _: str, responses: tuple[tuple[holds.HeldEvent, bool], ...]
+    ) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        for number, (event, is_healthy) in enumerate(responses):
+            target.begin_hold(number / 20)
+            target.handle(event, number / 20)
+            self.assertEqual(target.healthy, is_healthy)
+            self.assertEqual(target.needs_hold, not is_healthy)
+            effects = target.handle(START, number / 20)
+            self.assertEqual(
+                [isinstance(each, holds.StartCall) for each in effects],
+                [is_healthy],
+            )
+            target.handle(holds.StartResponse(NAME, 1, False, 'room'), 1.0)
+
+    # Guards against the same, for starts with fences that the target has not
+    # seen: each hold without a response adds one.
+    @ddt.data(CLOCK_MS, CLOCK_MS + 1, CLOCK_MS + 2000)
+    def test_first_task_has_a_fence_above_unseen_ones(
+        self, clock_ms: int
+    ) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        target.begin_hold(0.0)
+        target.handle(holds.HoldFenced(clock_ms), 0.0)
+        accepted = target.begin_hold(0.1).fence
+        target.handle(list_runs(2, clock_ms=clock_ms), 0.1)
+        target.begin_hold(0.2)
+        target.handle(list_runs(3, clock_ms=clock_ms), 0.2)
+        (call,) = target.handle(START, 0.2)
+        assert isinstance(call, holds.StartCall)
+        self.assertGreaterEqual(call.fence, accepted + heldtarget.FENCE_ROOM)
+
+    # Guards against the same: the clock that a response shows is read after
+    # every fence of an earlier process.
+    def test_first_task_has_a_fence_of_the_first_response(self) -> None:
+        target = heldtarget.HeldTarget(INCARNATION, CLOCK_MS, 0.0)
+        for number in range(2):
+            call = target.begin_hold(number / 20)
+            target.handle(
+                list_runs(call.number, clock_ms=CLOCK_MS + 700), number / 20
+            )
+        self.assertTrue(target.healthy)
+        self.assertGreaterEqual(
+            call.fence, INCARNATION.born_ms + CLOCK_MS + 700
+        )
+
     def test_fenced_process_takes_a_higher_fence(self) -> None:
         target = make_target()
         before = target.begin_hold(0.0).fence
