A job whose start may be under way is answered with 500, not as failed

500 is an answer of which the platform's page says nothing but that the job has none of the states; callers submit again only after no answer, a 502 or a 504. It tells the caller that the outcome is unknown.

--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -187,11 +187,15 @@
     match answer:
         case contracts.Complete():
             return web.json_response({'state': 'complete'})
-        case contracts.Failed(refusal, may_start) if (
-            may_start or refusal.code == errors.Code.TASK_FAILED
+        case contracts.Failed(refusal) if (
+            refusal.code == errors.Code.TASK_FAILED
         ):
-            # Callers submit a job again after any other response.
             return web.json_response({'state': 'failed'})
+        case contracts.Failed(refusal, may_start=True):
+            # Callers submit a job again after a 504, and a late start of it
+            # could run beside the second submission.
+            detail = errors.describe(refusal).detail
+            return web.json_response({'error': detail}, status=500)
         case contracts.Failed():
             # The tasks may have run, so neither state can be reported.
             return web.Response(status=504)
