A late start that a listing shows may have a lease of its own

Callers could see two runs of one task: an attempt whose start got no response was carried out seconds later, a listing showed it, and the target fell silent again while a stop had no response. The agent does not extend the lease then, and reported lapsed 0.15 s after the listing, by the lease that it had requested long before; the target worked on under a lease that counted from the start.

Once listed behind an answered hold, the attempt was carried out by then, so that the longest lease that a target grants, counted from the listing, bounds it.

The scenario is not checked for stops in time: its attempts begin after the order.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -73,6 +73,9 @@
     never started if it is not ``confirmed``.  It is ``located`` once this
     incarnation of the target has shown that it runs there.
 
+    ``found_s`` is the time of the listing that first showed an attempt whose
+    start got no response; its lease may count from just before then.
+
     ``must_end`` is set once the agent has ordered its stop, and
     ``stop_answered`` once the target has accepted a stop.
 
@@ -89,6 +92,7 @@
     start_pending: bool = True
     confirmed: bool = False
     located: bool = False
+    found_s: float = float('-inf')
     settled_after_hold: int | None = None
     stopped_s: float | None = None
     must_end: bool = False
@@ -565,6 +569,8 @@
         for name, run in list(self._runs.items()):
             percent = listed.get((name, run.attempt))
             if percent is not None:
+                if not run.confirmed and not run.start_pending:
+                    run.found_s = now_s
                 run.confirmed = True
                 result += run.locate()
                 result += self._track_progress(
@@ -719,16 +725,19 @@
 
         A later incarnation may have carried out a start that this one has not
         shown.  Its clock began anew, so that only the longest lease that a
-        target grants bounds that run.
+        target grants bounds that run.  The same holds for a start without a
+        response that a listing has shown: it was carried out by then, and may
+        have a lease that counts from that time.
         """
         lapsed_s = max(self._lease_end_s, self._last_contact_s)
         received_s = self._lease_requested_s + RESPONSE_TIMEOUT_S
-        elsewhere_s = received_s + self._max_lease_s / MIN_CLOCK_RATE
+        longest_s = self._max_lease_s / MIN_CLOCK_RATE
         result: list[holds.HeldEffect] = []
         for name, run in list(self._runs.items()):
             if not run.confirmed:
                 continue
-            end_s = lapsed_s if run.located else max(lapsed_s, elsewhere_s)
+            from_s = run.found_s if run.located else received_s
+            end_s = max(lapsed_s, from_s + longest_s)
             if now_s - end_s <= LAPSE_MARGIN_S:
                 continue
             del self._runs[name]
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -226,6 +226,30 @@
         ),
         [],
     ),
+    (
+        'a late start does not lapse before the lease that it may have',
+        (
+            (0.0, START),
+            (0.1, UNANSWERED),
+            (0.2, holds.StopRequested(KEY)),
+            (0.5, HOLD_UNANSWERED),
+            (2.0, list_runs(2, run())),
+            (2.5, holds.Ticked()),
+        ),
+        [('StopCall', 1)],
+    ),
+    (
+        'it lapses after the longest lease, counted from its listing',
+        (
+            (0.0, START),
+            (0.1, UNANSWERED),
+            (0.2, holds.StopRequested(KEY)),
+            (0.5, HOLD_UNANSWERED),
+            (2.0, list_runs(2, run())),
+            (3.2, holds.Ticked()),
+        ),
+        [('RunEnded', 'lapsed', True), ('HealthChanged', False)],
+    ),
     (
         'a stop without effect is repeated',
         (
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -18,6 +18,8 @@
 CRASHES_S = (4.0, 7.0, 10.0, 13.0, 16.0, 19.0, 22.0, 25.0)
 # Times at which the target becomes unreachable for a while.
 SILENCES_S = (4.0, 10.0, 16.0, 22.0)
+# Times after which the target answers no hold for most of the time.
+LISTINGS_S = tuple(3.0 + 2.6 * each for each in range(8))
 LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
 
 
@@ -162,6 +164,22 @@
     ),
 }
 
+# Scenarios whose attempts may begin after the order to stop them, so that only
+# their reported ends are checked.
+LATE_LISTINGS: dict[str, Scenario] = {
+    'a late start is listed once between silences': Scenario(
+        faults=(
+            *(
+                Fault(each, each + 2.5, ('lost',), 1.0, (holds.HoldCall,))
+                for each in LISTINGS_S
+            ),
+            Fault(3.0, 25.0, ('lost',), 1.0, (holds.StopCall,)),
+            LATE_STARTS,
+        ),
+        stopped=0.8,
+    ),
+}
+
 # Scenarios in which a limit does not hold (KNOWN-RED.txt).
 LATE_STOPS: dict[str, Scenario] = {
     'target crashes and is silent while runs are stopped': Scenario(
@@ -216,9 +234,10 @@
 class SimulationTest(unittest.TestCase):
     # Guards against two runs of a task: the agent reports an attempt as ended
     # or never started, and its target works on it.
-    @ddt.data(*SCENARIOS, *LATE_STOPS)
+    @ddt.data(*SCENARIOS, *LATE_LISTINGS, *LATE_STOPS)
     def test_settled_attempt_is_not_at_work(self, title: str) -> None:
-        self._check_overlaps({**SCENARIOS, **LATE_STOPS}[title])
+        scenarios = {**SCENARIOS, **LATE_LISTINGS, **LATE_STOPS}
+        self._check_overlaps(scenarios[title])
 
     # The same, for a call that reaches the next incarnation of its target.
     @ddt.data(*OVERLAPS)
