--- a/tests/test_lostagents.py
+++ b/tests/test_lostagents.py
@@ -244,7 +244,9 @@
         placed = Placement()
         placed.tick(LOST_S)
         queue = placed.dispatcher.queue
-        with mock.patch.object(queue, 'record_end') as record_end:
+        with mock.patch.object(
+            queue, 'record_end', autospec=True
+        ) as record_end:
             placed.tick(LOST_S + 0.1)
             record_end.assert_not_called()
             placed.job.state = jobs.JobState.ENDED
