--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -42,7 +42,8 @@
 THROUGHPUT_TIMEOUT_S: Final = 0.5
 # Sum of the entry's lease at an agent, the agent's lease at its target, the
 # time to stop a task and the message delays.  After this time without contact
-# no task of the entry runs at a target with room any more.
+# no task that the agent has reported as running runs at a target with room any
+# more; a start under way may still begin.
 HOLD_LOST_TIMEOUT_S: Final = 1.35
 SHEDDING_POLICY: Final = shedding.AtLatestStart()
 
