--- a/tests/test_lostagents.py
+++ b/tests/test_lostagents.py
@@ -1,5 +1,6 @@
 """What an entry knows of the starts at an agent that becomes unresponsive."""
 
+from collections.abc import Callable
 from typing import Final
 import unittest
 from unittest import mock
@@ -194,6 +195,33 @@
         ]
 
 
+def end_job(placed: Placement) -> None:
+    """End the job of the lost start."""
+    placed.job.state = jobs.JobState.ENDED
+
+
+def restart_agent(placed: Placement) -> None:
+    """Let a later incarnation of the lost agent renew."""
+    placed.renew('runner-1', 2, LOST_S + 0.15)
+
+
+def return_agent(placed: Placement) -> None:
+    """Let the lost agent return and decline the start."""
+    placed.renew('runner-1', 1, LOST_S + 0.15)
+    declined = messages.TaskDeclined(
+        SUBMISSION, 0, 1, 'unanswered', 0, 1, ROOM
+    )
+    placed.dispatcher.handle_message('runner-1', 1, declined, LOST_S + 0.16)
+
+
+# What settles the start of a lost agent.
+SETTLEMENTS: tuple[Callable[[Placement], None], ...] = (
+    end_job,
+    restart_agent,
+    return_agent,
+)
+
+
 @ddt.ddt
 class LostAgentTest(unittest.TestCase):
     # Guards against two runs of a task: an entry starts the task of a lost
@@ -239,8 +267,12 @@
         placed.tick(ended_s)
         self.assertEqual(placed.dispatcher.may_start(placed.job), may_start)
 
-    # Guards against a quota that stays in use after the job has ended.
-    def test_starts_of_ended_jobs_are_forgotten(self) -> None:
+    # Guards against a quota that stays in use after a lost start was settled,
+    # and against work that is counted as done by a start that is over.
+    @ddt.data(*SETTLEMENTS)
+    def test_lost_start_is_settled_once(
+        self, settle: Callable[[Placement], None]
+    ) -> None:
         placed = Placement()
         placed.tick(LOST_S)
         queue = placed.dispatcher.queue
@@ -249,9 +281,28 @@
         ) as record_end:
             placed.tick(LOST_S + 0.1)
             record_end.assert_not_called()
-            placed.job.state = jobs.JobState.ENDED
+            settle(placed)
             placed.tick(LOST_S + 0.2)
             record_end.assert_called_once_with('callers')
+        view = placed.dispatcher.views.get('runner-1')
+        if view is not None:
+            self.assertEqual(view.outstanding_cpu_millis, 0)
+
+    # Guards against a task that waits for an agent which starts its tasks
+    # itself, so that none of them starts after the agent is gone.
+    @ddt.data((ROOM, [KEY]), (contracts.NO_ROOM, []))
+    @ddt.unpack
+    def test_starts_without_a_target_are_not_under_way(
+        self, room: contracts.Room, expected: list[contracts.TaskKey]
+    ) -> None:
+        target = machines.Target(
+            'runner-1', 'worker-1', DOMAIN, 4, frozenset(), SERVICE, room
+        )
+        view = machines.TargetView(target, 1)
+        view.send(
+            KEY, machines.Outstanding('callers', 'read', 1, 0, 1.0, 0.0, 0.0)
+        )
+        self.assertEqual(view.list_unshown(), expected)
 
 
 # Title, whether the target has shown the run, time of the renewal that the
