--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -1120,6 +1120,25 @@
 
 @ddt.ddt
 class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against entries that never learn what the target has shown, so
+    # that the tasks of a lost agent wait though their leases have ended.
+    @ddt.data(False, True)
+    async def test_agent_learns_what_the_target_has_shown(
+        self, is_listed: bool
+    ) -> None:
+        running = make_process(ResettingLink())
+        running.handle_report(REPORT)
+        held: Any = running.held
+        held.begin_hold(0.0)
+        running.dispatch_held(list_runs(1))
+        core: Any = running.agent
+        core.slots.occupy(KEY, 'entry-1', 0.0)
+        running.dispatch_held(START)
+        held.begin_hold(0.1)
+        listed = (run(),) if is_listed else ()
+        running.dispatch_held(list_runs(2, *listed))
+        self.assertEqual(core.slots.occupants[KEY].is_shown, is_listed)
+
     # Guards against a second run of a task that still runs at a target which
     # announced its end, or whose earlier incarnation did.
     @ddt.data((False, False), (True, True), (True, False))
