A returned agent's first renewal counts for the starts taken back

The task of an agent that was lost, returned and was lost again waited for it to the job's deadline, though the renewal in between had named the attempt as shown.

Cause: the names were recorded before the starts were taken back, and the agent does not repeat them once the renewal is confirmed.

Seen failing before: test_returned_agent_names_its_runs (1 start, 2 expected).

--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -457,9 +457,6 @@
             self.views[peer] = view
         view.last_contact_s = now_s
         view.stamp_ms = max(view.stamp_ms, renewal.stamp_ms)
-        for each in renewal.shown:
-            key = contracts.TaskKey(each.submission, each.index)
-            view.record_shown(key, each.attempt)
         if renewal.accepting and not view.accepting:
             view.begin_ramp()
             view.decline_reason = ''
@@ -467,6 +464,10 @@
         view.report(renewal.free, renewal.starts_seen, renewal.free_room)
         view.reported_speed = renewal.speed
         outcomes += self._settle_lost(peer, view)
+        # Follows _settle_lost, which may take back the starts that are named.
+        for each in renewal.shown:
+            key = contracts.TaskKey(each.submission, each.index)
+            view.record_shown(key, each.attempt)
         result: effects.Effects = []
         if view.suspect:
             view.suspect = False
--- a/tests/test_lostagents.py
+++ b/tests/test_lostagents.py
@@ -288,6 +288,15 @@
         if view is not None:
             self.assertEqual(view.outstanding_cpu_millis, 0)
 
+    # Guards against a task that waits for an agent which is lost again, though
+    # its first renewal in between said that the target runs it.
+    def test_returned_agent_names_its_runs(self) -> None:
+        placed = Placement()
+        placed.tick(LOST_S)
+        placed.renew('runner-1', 1, LOST_S + 0.1, shown=(SHOWN,))
+        placed.tick(LOST_S + 1.6)
+        self.assertEqual(len(placed.list_starts()), 2)
+
     # Guards against a task that waits for an agent which starts its tasks
     # itself, so that none of them starts after the agent is gone.
     @ddt.data((ROOM, [KEY]), (contracts.NO_ROOM, []))
