--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -493,7 +493,10 @@
         self._update_clock(response.clock_ms, now_s)
         self._outrank_others(response.clock_ms)
         self.confirmed = True
-        self._bound_late_leases(response.number, now_s)
+        fencing_hold = self._fencing_hold
+        if fencing_hold is not None and response.number >= fencing_hold:
+            self._fencing_hold = None
+            self._bound_late_leases(now_s)
         result = self._apply_ends(response.ended)
         if response.number > self._last_listing_number:
             self._last_listing_number = response.number
@@ -504,16 +507,12 @@
             result.append(holds.HealthChanged(True))
         return result
 
-    def _bound_late_leases(self, number: int, now_s: float) -> None:
-        """Bound the leases of the calls that a fence has ended.
+    def _bound_late_leases(self, now_s: float) -> None:
+        """Bound the lease of a call that was carried out late, by now.
 
-        Those that were carried out late may have been granted their leases
-        from then, up to the response to the hold with the fence.
+        It may have been granted the longest lease, counted from then.
         """
-        if self._fencing_hold is None or number < self._fencing_hold:
-            return
-        self._fencing_hold = None
-        lease_end_s = now_s + HOLD_LEASE_S / MIN_CLOCK_RATE
+        lease_end_s = now_s + self._max_lease_s / MIN_CLOCK_RATE
         self._lease_end_s = max(self._lease_end_s, lease_end_s)
 
     def _outrank_others(self, clock_ms: int) -> None:
@@ -637,6 +636,8 @@
         for name, run in list(self._runs.items()):
             percent = listed.get((name, run.attempt))
             if percent is not None:
+                if not run.confirmed and not run.start_pending:
+                    self._bound_late_leases(now_s)
                 run.confirmed = True
                 result += run.locate()
                 result += self._track_progress(
