--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -702,14 +702,21 @@
             if not self._is_confirmed(name, now_s)
         }
         stops = self._stop_tasks(unresponsive) if unresponsive else []
-        if not stops:
-            return []
+        added = [
+            occupant
+            for occupant in self.slots.occupants.values()
+            if occupant.entry in unresponsive and not occupant.must_end
+        ]
+        if not added:
+            return stops
+        for occupant in added:
+            occupant.must_end = True
         ages = {
             name: round(now_s - self.entries[name].confirmed_s, 2)
             for name in unresponsive
         }
         logged = effects.Log(
-            'entry_silent', {'tasks': len(stops), 'ages_s': str(ages)}
+            'entry_silent', {'tasks': len(added), 'ages_s': str(ages)}
         )
         return [logged, *stops]
 
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -819,7 +819,7 @@
         for index, target in job.targets_by_index.items():
             key = contracts.TaskKey(job.submission.id, index)
             view = self.views.get(target)
-            if view is not None and key in view.list_unshown():
+            if view is not None and view.is_unshown(key):
                 return True
             if any(key in lost.starts for lost in self._lost.values()):
                 return True
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -38,6 +38,7 @@
 
     ``is_shown`` is set once the target has shown that the attempt runs, and
     ``reported_s`` is the time of the first renewal that said so.
+    ``must_end`` is set once its entry has become unresponsive.
     """
 
     entry: str
@@ -46,6 +47,7 @@
     attempt: int = 0
     is_shown: bool = False
     reported_s: float = float('inf')
+    must_end: bool = False
 
 
 class Slots:
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -219,18 +219,19 @@
         if start is not None and start.attempt == attempt:
             start.is_shown = True
 
-    def list_unshown(self) -> list[contracts.TaskKey]:
-        """Return the starts that may still be under way to the target.
+    def is_unshown(self, key: contracts.TaskKey) -> bool:
+        """Tell whether a start may still be under way to the target.
 
         An agent whose target has no room starts its tasks itself.
         """
-        if not self.target.has_room:
-            return []
-        return [
-            key
-            for key, start in self.outstanding.items()
-            if not start.is_shown
-        ]
+        start = self.outstanding.get(key)
+        if start is None or not self.target.has_room:
+            return False
+        return not start.is_shown
+
+    def list_unshown(self) -> list[contracts.TaskKey]:
+        """Return the starts that may still be under way to the target."""
+        return [key for key in self.outstanding if self.is_unshown(key)]
 
     def cancel(self, key: contracts.TaskKey, now_s: float) -> None:
         """Record that the job of an outstanding task was aborted."""
--- a/tests/test_lostagents.py
+++ b/tests/test_lostagents.py
@@ -324,6 +324,41 @@
 )
 
 
+def make_lease(sent_s: float) -> agent.Received:
+    """Return the entry's answer to a renewal that was sent at a time."""
+    stamp_ms = int(sent_s * 1000)
+    terms = messages.AgentLease(stamp_ms, 5_000, 1, True, False, (), True)
+    return agent.Received('entry-1', 1, terms)
+
+
+def make_agent() -> agent.Agent:
+    """Return an agent that has started a task of entry-1 at 2.01 s."""
+    target = machines.Target(
+        'runner-1', 'worker-1', DOMAIN, 0, frozenset(), SERVICE, ROOM
+    )
+    core = agent.Agent(
+        agent.AgentOptions(target, 1, ('entry-1',), 8, 0.6, 0.05)
+    )
+    core.handle(make_lease(2.0), 2.0)
+    start = messages.TaskStart(
+        SUBMISSION,
+        0,
+        1,
+        1,
+        'read',
+        b'spec',
+        9_000,
+        2_000,
+        0,
+        True,
+        False,
+        DEMAND,
+        2_000,
+    )
+    core.handle(agent.Received('entry-1', 1, start), 2.01)
+    return core
+
+
 @ddt.ddt
 class RenewalTest(unittest.TestCase):
     # Guards against an entry that takes a start under way for a run, or waits
@@ -333,46 +368,34 @@
     def test_renewals_name_shown_runs_until_confirmed(
         self, _: str, is_shown: bool, confirmed_s: float, names: bool
     ) -> None:
-        target = machines.Target(
-            'runner-1', 'worker-1', DOMAIN, 0, frozenset(), SERVICE, ROOM
-        )
-        core = agent.Agent(
-            agent.AgentOptions(target, 1, ('entry-1',), 8, 0.6, 0.05)
-        )
-
-        def lease(sent_s: float) -> agent.Received:
-            stamp_ms = int(sent_s * 1000)
-            terms = messages.AgentLease(
-                stamp_ms, 5_000, 1, True, False, (), True
-            )
-            return agent.Received('entry-1', 1, terms)
-
-        core.handle(lease(2.0), 2.0)
-        start = messages.TaskStart(
-            SUBMISSION,
-            0,
-            1,
-            1,
-            'read',
-            b'spec',
-            9_000,
-            2_000,
-            0,
-            True,
-            False,
-            DEMAND,
-            2_000,
-        )
-        core.handle(agent.Received('entry-1', 1, start), 2.01)
+        core = make_agent()
         if is_shown:
             core.handle(agent.TaskStarted(KEY), 2.02)
         first = _list_named(core.handle(agent.Ticked(), 2.1))
         self.assertEqual(first, [SHOWN] * is_shown)
-        core.handle(lease(confirmed_s), 2.15)
+        core.handle(make_lease(confirmed_s), 2.15)
         second = _list_named(core.handle(agent.Ticked(), 2.2))
         self.assertEqual(second, [SHOWN] * names)
 
 
+class SilentEntryTest(unittest.TestCase):
+    # Guards against a log line with each tick, for as long as a start of an
+    # unresponsive entry is under way.
+    def test_tasks_of_a_silent_entry_are_logged_once(self) -> None:
+        core = make_agent()
+        result: effects.Effects = []
+        for tick in range(100):
+            result += core.handle(agent.Ticked(), 3.0 + tick * 0.05)
+        stops = [each for each in result if each == effects.StopTask(KEY)]
+        self.assertEqual(len(stops), 100)
+        logged = [
+            each.fields['tasks']
+            for each in result
+            if isinstance(each, effects.Log) and each.event == 'entry_silent'
+        ]
+        self.assertEqual(logged, [1])
+
+
 def _list_named(result: effects.Effects) -> list[messages.ShownAttempt]:
     return [
         shown
