--- a/tests/simulatedtarget.py
+++ b/tests/simulatedtarget.py
@@ -63,10 +63,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Incarnation:
-    """One incarnation of the target."""
+    """One incarnation of the target.
+
+    The wall clock, which names its start time, was set back by ``set_back_s``.
+    """
 
     born_s: float
     clock_rate: float
+    set_back_s: float = 0.0
     # End of each run on the target's clock, in seconds.
     running: dict[Attempt, float] = dataclasses.field(default_factory=dict)
     highest_ended: dict[holds.TaskName, int] = dataclasses.field(
@@ -79,7 +83,8 @@
     @property
     def identity(self) -> holds.TargetIncarnation:
         """Return the name and the start time."""
-        return holds.TargetIncarnation(TARGET, round(self.born_s * 1000))
+        born_ms = round((self.born_s - self.set_back_s) * 1000)
+        return holds.TargetIncarnation(TARGET, born_ms)
 
     def read_clock(self, now_s: float) -> float:
         """Return the target's clock, in seconds."""
@@ -217,6 +222,7 @@
         self._stopped: dict[Attempt, float] = {}
         self._attempts: dict[contracts.TaskKey, int] = {}
         # Attempts of earlier processes that have not been reported to end.
+        self._set_back_s = 0.0
         self._inherited: set[Attempt] = set()
         # Counts the ends of processes.
         self._process = 0
@@ -268,12 +274,15 @@
 
     # The target.
 
-    def crash(self, down_s: float) -> None:
+    def crash(self, down_s: float, set_back_s: float = 0.0) -> None:
         """End the target; its next incarnation begins after ``down_s``."""
         self.target = None
+        self._set_back_s += set_back_s
 
         def restart() -> None:
-            self.target = Incarnation(self.now_s, self._clock_rate)
+            self.target = Incarnation(
+                self.now_s, self._clock_rate, self._set_back_s
+            )
             self.at(self.now_s + self._random.random(), self._report)
 
         self.at(self.now_s + down_s, restart)
@@ -368,10 +377,10 @@
             match effect:
                 case holds.StartCall() | holds.StopCall():
                     self._send(effect)
-                case holds.RunEnded(key, _, _, reason):
-                    self._settle(key, reason)
-                case holds.RunRejected(key, reason):
-                    self._settle(key, reason)
+                case holds.RunEnded(key, _, _, reason, evidence):
+                    self._settle(key, reason, evidence)
+                case holds.RunRejected(key, reason, evidence):
+                    self._settle(key, reason, evidence)
                 case holds.HealthChanged(True):
                     self._settle_inherited()
         self._wake()
@@ -381,8 +390,15 @@
         self._settled.update(dict.fromkeys(self._inherited, end))
         self._inherited = set()
 
-    def _settle(self, key: contracts.TaskKey, reason: str) -> None:
-        attempt = heldtarget.make_task_name(key), self._attempts[key]
+    def _settle(
+        self,
+        key: contracts.TaskKey,
+        reason: str,
+        evidence: holds.Evidence | None,
+    ) -> None:
+        # Without evidence, the attempt was rejected as soon as it was begun.
+        number = evidence.attempt if evidence else self._attempts[key]
+        attempt = heldtarget.make_task_name(key), number
         self._settled.setdefault(attempt, (reason, self.now_s))
 
     def _tick(self) -> None:
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -26,6 +26,7 @@
 REPORTS_S = (4.5, 12.0, 19.5)
 NO_STARTS = (holds.HoldCall, holds.StopCall)
 LATE_STARTS = Fault(3.0, 25.0, ('granted_late',), 0.4, (holds.StartCall,))
+LATE_STOP_CALLS = Fault(3.0, 25.0, ('granted_late',), 0.6, (holds.StopCall,))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,7 +38,9 @@
     begins with a report that was up to ``report_age_s`` on its way.  Another
     agent process uses a fence that is higher by the second number of each of
     ``fences``.  About ``starts_per_s`` tasks start from ``first_start_s`` on;
-    of these the share ``stopped`` is stopped again.
+    of these the share ``stopped`` is stopped again, and the share ``retried``
+    is started up to three times more, each time in a new attempt.  At each
+    crash the target's wall clock is set back by ``set_back_s``.
     """
 
     clock_rate: float = 1.0
@@ -50,6 +53,8 @@
     first_start_s: float = 0.5
     starts_per_s: float = STARTS_PER_S
     stopped: float = 0.0
+    retried: float = 0.0
+    set_back_s: float = 0.0
 
 
 def kill_often(down_s: float) -> tuple[tuple[float, float], ...]:
@@ -273,6 +278,37 @@
         freezes=kill_often(0.5),
         fences=tuple((each + 0.2, 3000) for each in KILLS_S),
     ),
+    'stopped tasks are retried while starts and stops are late': Scenario(
+        faults=(LATE_STOP_CALLS, LATE_STARTS), stopped=0.9, retried=1.0
+    ),
+    'tasks are retried by agents that restart while calls are late': Scenario(
+        faults=(LATE_STOP_CALLS, LATE_STARTS),
+        kills=kill_often(0.1),
+        report_age_s=3.0,
+        retried=0.7,
+    ),
+    'next incarnation carries out late stops of tasks that are retried': (
+        Scenario(
+            faults=(
+                dataclasses.replace(LATE_STOP_CALLS, kinds=('late_anyone',)),
+                Fault(3.0, 25.0, ('slow', 'answer'), 0.3),
+            ),
+            crashes=tuple((each, 0.05) for each in CRASHES_S),
+            stopped=0.8,
+            retried=0.7,
+        )
+    ),
+    'wall clock of the target is set back and the agent restarts': Scenario(
+        faults=(LATE_STARTS, Fault(3.0, 25.0, ('slow', 'answer'), 0.3)),
+        crashes=tuple((each, 0.05) for each in CRASHES_S),
+        kills=tuple((each + 0.5, 0.1) for each in CRASHES_S),
+        set_back_s=6.0,
+    ),
+    'target restarts while responses to the agent wait': Scenario(
+        faults=(LATE_STARTS, Fault(3.0, 25.0, ('slow', 'answer'), 0.3)),
+        crashes=tuple((each, 0.1) for each in CRASHES_S),
+        freezes=tuple((each - 0.2, 0.6) for each in CRASHES_S),
+    ),
 }
 
 # Scenarios in which a limit does not hold (KNOWN-RED.txt).
@@ -318,9 +354,18 @@
         if source.random() < scenario.stopped:
             stop_s = start_s + source.random()
             simulation.at(stop_s, lambda key=key: simulation.stop(key))
+        if scenario.retried and source.random() < scenario.retried:
+            for _ in range(3):
+                again_s = start_s + source.uniform(0.1, 4.0)
+                simulation.at(again_s, lambda key=key: simulation.start(key))
         start_s += source.expovariate(scenario.starts_per_s)
     for crash_s, down_s in scenario.crashes:
-        simulation.at(crash_s, lambda down_s=down_s: simulation.crash(down_s))
+        simulation.at(
+            crash_s,
+            lambda down_s=down_s: simulation.crash(
+                down_s, scenario.set_back_s
+            ),
+        )
     age_s = scenario.report_age_s
     for kill_s, down_s in scenario.kills:
         simulation.at(
