A lease that was requested before a freeze counts from the process's return

Two runs of one task: an agent freezes after it has prepared a hold and before it has sent it. On waking the hold goes out to the target, which has restarted under its name and shown nothing; it renews the lease of a start that this later incarnation carried out, for up to the longest lease. The agent reported that run as lapsed 1.2 s after it had prepared the hold.

A lease at the same incarnation has a deadline on its clock, which does not move; that of a later one does not bound it, since its clock began anew.

The process tells HeldTarget of a pause between two ticks (Resumed), and the longest lease counts from then if a call was prepared at its beginning. A pause of an overloaded machine does the same, and delays the report of such a run by as much.

--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -41,6 +41,9 @@
 TICK_INTERVAL_S: Final = 0.05
 # While nothing runs at the target, only renewals to idle entries are due.
 IDLE_TICK_INTERVAL_S: Final = 0.1
+# After a longer time between two ticks, a call may have been sent so late that
+# RESPONSE_TIMEOUT_S does not cover it.  IDLE_TICK_INTERVAL_S and some delay.
+MAX_TICK_GAP_S: Final = 0.12
 # Shortest time from an unanswered hold to the next one, and the pause between
 # holds that the target answers at once.
 REFUSED_PAUSE_S: Final = 0.05
@@ -113,6 +116,7 @@
         # Monotonic time at which the current incarnation was created.
         self._began_ms = -1
         self.leases_outdated = 0
+        self._ticked_s = float('inf')
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
@@ -396,6 +400,9 @@
         """Return the event for the passing of time."""
         now_s = clock.read_now()
         self.carry_out(self.discovery.tick(now_s))
+        if now_s - self._ticked_s > MAX_TICK_GAP_S:
+            self.dispatch_held(holds.Resumed(now_s - self._ticked_s))
+        self._ticked_s = now_s
         self.dispatch_held(holds.Ticked())
         busy = self.held is None or self.held.needs_hold
         self.tick_interval_s = (
--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -189,8 +189,10 @@
         self._lease_end_s = now_s
         # End of the requested lease on the target's clock.
         self._lease_end_ms = clock_ms
-        # Time of the latest call that requested a lease.
+        # Time of the latest call that requested a lease, and the time by which
+        # it was sent.
         self._lease_requested_s = now_s
+        self._lease_sent_s = now_s
         self._refusals_since_response = 0
         self.ended = False
         # Start time of the later incarnation that answers.
@@ -264,6 +266,11 @@
                 return self._end_incarnation('left')
             case holds.Ticked():
                 return self._tick(now_s)
+            case holds.Resumed(paused_s):
+                prepared_s = now_s - paused_s - RESPONSE_TIMEOUT_S
+                if self._lease_requested_s >= prepared_s:
+                    self._lease_sent_s = now_s
+                return []
 
     # Hold requests and clocks.
 
@@ -315,6 +322,7 @@
         starts the task elsewhere once the lease would have ended.
         """
         self._lease_requested_s = now_s
+        self._lease_sent_s = now_s
         if any(run.is_stop_pending for run in self._runs.values()):
             return self._lease_end_ms
         self._lease_end_s = now_s + HOLD_LEASE_S / MIN_CLOCK_RATE
@@ -764,7 +772,7 @@
         target grants bounds that run.
         """
         lapsed_s = max(self._lease_end_s, self._last_contact_s)
-        received_s = self._lease_requested_s + RESPONSE_TIMEOUT_S
+        received_s = self._lease_sent_s + RESPONSE_TIMEOUT_S
         elsewhere_s = received_s + self._max_lease_s / MIN_CLOCK_RATE
         result: list[holds.HeldEffect] = []
         for name, run in list(self._runs.items()):
--- a/eelgrassworks/machines/holds.py
+++ b/eelgrassworks/machines/holds.py
@@ -212,6 +212,16 @@
     """Time passed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumed:
+    """The process handled nothing for up to ``paused_s``.
+
+    A call that it had prepared may be sent only now.
+    """
+
+    paused_s: float
+
+
 HeldEvent = (
     StartRequested
     | StopRequested
@@ -225,6 +235,7 @@
     | DepartureAnnounced
     | TargetDeparted
     | Ticked
+    | Resumed
 )
 
 # Outcomes reported to the agent.
--- a/tests/simulatedtarget.py
+++ b/tests/simulatedtarget.py
@@ -231,6 +231,7 @@
         # as soon as it has prepared its next call.
         self._wakes_s = 0.0
         self._next_freeze_s = 0.0
+        self._ticked_s = 0.0
         self._holding = False
         self._tick()
         self._wake()
@@ -405,7 +406,11 @@
         if self._defer(self._tick):
             return
         if not self._is_killed:
+            paused_s = self.now_s - self._ticked_s
+            if paused_s > heldagentprocess.MAX_TICK_GAP_S:
+                self.dispatch(holds.Resumed(paused_s))
             self.dispatch(holds.Ticked())
+        self._ticked_s = self.now_s
         self.at(
             self.now_s + heldagentprocess.TICK_INTERVAL_S,
             self._tick,
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -464,6 +464,37 @@
         ),
         [('RunEnded', 'lapsed', True)],
     ),
+    (
+        'a call that was sent after a pause may have renewed the lease there',
+        (
+            (0.0, START),
+            (0.1, ACCEPTED),
+            (0.9, holds.Resumed(0.9)),
+            (2.05, holds.Ticked()),
+        ),
+        [],
+    ),
+    (
+        'the run ends with the longest lease after the pause',
+        (
+            (0.0, START),
+            (0.1, ACCEPTED),
+            (0.9, holds.Resumed(0.9)),
+            (2.05, holds.Ticked()),
+            (2.15, holds.Ticked()),
+        ),
+        [('RunEnded', 'lapsed', True), ('HealthChanged', False)],
+    ),
+    (
+        'a call that was sent before a pause renews no lease after it',
+        (
+            (0.0, START),
+            (0.1, ACCEPTED),
+            (0.9, holds.Resumed(0.8)),
+            (1.25, holds.Ticked()),
+        ),
+        [('RunEnded', 'lapsed', True), ('HealthChanged', False)],
+    ),
     (
         'runs do not end before the last requested lease expires',
         (
@@ -1127,6 +1158,45 @@
         self.assertEqual(max(deadlines_ms) > before_ms, is_extended)
 
 
+# Times between ticks of a process, in seconds, and the pauses that its target
+# is told of.
+TICKS: tuple[tuple[tuple[float, ...], list[float]], ...] = (
+    ((0.05, 0.05), []),
+    ((heldagentprocess.IDLE_TICK_INTERVAL_S, 0.11), []),
+    ((0.05, 0.5, 0.05, 0.3), [0.5, 0.3]),
+)
+
+
+@ddt.ddt
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a second run of a task whose lease was renewed by a call
+    # that a frozen process had prepared and sent when it went on.
+    @ddt.data(*TICKS)
+    @ddt.unpack
+    async def test_pause_is_reported(
+        self, intervals_s: tuple[float, ...], expected: list[float]
+    ) -> None:
+        with mock.patch.object(clock, 'read_now', autospec=True) as read_now:
+            read_now.return_value = 100.0
+            running = make_process(ResettingLink())
+            running.handle_report(REPORT)
+            running.make_tick()
+            with mock.patch.object(
+                running, 'dispatch_held', autospec=True
+            ) as dispatch:
+                for interval_s in intervals_s:
+                    read_now.return_value += interval_s
+                    running.make_tick()
+        events = [each.args[0] for each in dispatch.call_args_list]
+        pauses_s = [
+            round(each.paused_s, 6)
+            for each in events
+            if isinstance(each, holds.Resumed)
+        ]
+        self.assertEqual(pauses_s, expected)
+        self.assertEqual(events.count(holds.Ticked()), len(intervals_s))
+
+
 # Events of a target with a run, and the reason that is logged.
 SETTLEMENTS: tuple[tuple[tuple[holds.HeldEvent, ...], str], ...] = (
     ((ACCEPTED, list_runs(2, ended=end(1, 'failed'))), 'failed'),
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -304,6 +304,20 @@
         kills=tuple((each + 0.5, 0.1) for each in CRASHES_S),
         set_back_s=6.0,
     ),
+    'agent freezes before it sends a hold to the next incarnation': Scenario(
+        faults=tuple(
+            Fault(each - 0.02, each + 2.5, ('answer',), 1.0, NO_STARTS)
+            for each in SILENCES_S
+        ),
+        crashes=tuple((each, 0.01) for each in SILENCES_S),
+        freezes=tuple(
+            (each + 0.1, length_s)
+            for each, length_s in zip(
+                SILENCES_S, (0.15, 0.3, 0.6, 0.9), strict=True
+            )
+        ),
+        starts_per_s=8.0,
+    ),
     'target restarts while responses to the agent wait': Scenario(
         faults=(LATE_STARTS, Fault(3.0, 25.0, ('slow', 'answer'), 0.3)),
         crashes=tuple((each, 0.1) for each in CRASHES_S),
