--- a/tests/simulatedtarget.py
+++ b/tests/simulatedtarget.py
@@ -72,11 +72,12 @@
     ended: list[holds.Ended] = dataclasses.field(default_factory=list)
     fence: int = 0
     lease_end_s: float = 0.0
+    name: str = TARGET
 
     @property
     def identity(self) -> holds.TargetIncarnation:
         """Return the name and the start time."""
-        return holds.TargetIncarnation(TARGET, round(self.born_s * 1000))
+        return holds.TargetIncarnation(self.name, round(self.born_s * 1000))
 
     def read_clock(self, now_s: float) -> float:
         """Return the target's clock, in seconds."""
@@ -344,7 +345,7 @@
         if kind == 'late_anyone':
             delay_s = self._random.uniform(*LATE_S)
         if kind == 'granted_late':
-            call = _postpone_deadline(call, delay_s)
+            call = postpone_deadline(call, delay_s)
         if kind == 'slow':
             delay_s = self._random.uniform(0, heldtarget.RESPONSE_TIMEOUT_S)
         if kind != 'lost':
@@ -412,7 +413,8 @@
             self.dispatch(failure if answer is None else answer)
 
 
-def _postpone_deadline(call: Call, delay_s: float) -> Call:
+def postpone_deadline(call: Call, delay_s: float) -> Call:
+    """Return a call whose lease counts from its arrival."""
     match call:
         case holds.StartCall() | holds.HoldCall(deadline_ms=int()):
             deadline_ms = int((call.deadline_ms or 0) + delay_s * 1000)
