--- a/tests/heldworld.py
+++ b/tests/heldworld.py
@@ -1,8 +1,8 @@
 """A virtual world whose agents run tasks at simulated targets.
 
 The entries, control replicas, agents and ``HeldTarget`` are the decision
-classes of the product.  ``HeldAgent`` joins the last two as the agent process
-does; its calls reach the target over a faulty path.
+classes of the product.  The calls of an agent reach its target over a faulty
+path, and callers submit their jobs again.
 """
 
 import dataclasses
@@ -15,12 +15,11 @@
 from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import errors
-from eelgrassworks import heldagentprocess
 from eelgrassworks import machines
-from eelgrassworks.links import messages
 from eelgrassworks.machines import heldtarget
 from eelgrassworks.machines import holds
 from eelgrassworks.trials import virtual
+from tests import heldagent
 from tests import simulatedtarget
 from tests import test_transient
 from tests import worlds
@@ -29,8 +28,6 @@
 # The platform repeats the report of a target at this interval.
 REPORT_INTERVAL_S: Final = 0.5
 LONGEST_REPORT_DELAY_S: Final = 0.3
-# Each incarnation of a target has its own agent; a process has fewer.
-MAX_INCARNATIONS: Final = 1000
 MAX_SUBMISSIONS: Final = 3
 LIMIT_S: Final = 12.0
 TASKS: Final = 2
@@ -39,222 +36,6 @@
 LATE_S: Final = (2.0, 5.0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reported:
-    """A report of the target reached the agent process."""
-
-    report: holds.TargetReport
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """A call to the target, for ``owner`` if it starts a task."""
-
-    held: heldtarget.HeldTarget
-    request: simulatedtarget.Call
-    owner: contracts.TaskKey | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answered:
-    """A call got a response, or failed; the first outcome counts."""
-
-    call: Call
-    response: holds.HeldEvent
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pause:
-    """The next hold is due after a pause."""
-
-    length_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldDue:
-    """The pause between two holds is over."""
-
-
-class HeldAgent:
-    """One agent process: the agent, ``HeldTarget`` and the calls of both.
-
-    It follows ``heldagentprocess.HeldAgentProcess`` without its sockets.
-    """
-
-    def __init__(self, target: machines.Target, incarnation: int) -> None:
-        self.incarnation = incarnation
-        self.agent: agent.Agent | None = None
-        self.held: heldtarget.HeldTarget | None = None
-        self._target = target
-        self._began_ms = -1
-        self._candidate: holds.TargetReport | None = None
-        self._candidate_hold = 0
-        self._confirmed_born_ms = -1
-        self._holding = False
-        self._pending: set[int] = set()
-        self._owner: contracts.TaskKey | None = None
-        self._result: list[Any] = []
-        self._now_s = 0.0
-
-    def handle(self, event: object, now_s: float) -> list[Any]:
-        """Process one event and return the resulting effects in order."""
-        self._result = []
-        self._now_s = now_s
-        match event:
-            case Reported(report):
-                self._handle_report(report)
-            case Answered(call, response):
-                self._handle_answer(call, response)
-            case HoldDue():
-                self._holding = False
-            case agent.Ticked():
-                self._dispatch_held(holds.Ticked())
-                self._dispatch(event)
-            case agent.Received(message=messages.AgentLease(stamp_ms=stamp)):
-                if stamp > self._began_ms:
-                    self._dispatch(event)
-            case _:
-                self._dispatch(event)
-        self._begin_hold()
-        return self._result
-
-    def _dispatch(self, event: Any) -> None:
-        if self.agent is None:
-            return
-        for effect in self.agent.handle(event, self._now_s):
-            match effect:
-                case effects.StartTask(key=key):
-                    self._owner = key
-                    self._dispatch_held(
-                        holds.StartRequested(
-                            key,
-                            effect.attempt,
-                            effect.payload,
-                            effect.estimate_s,
-                        )
-                    )
-                case effects.StopTask(key):
-                    self._dispatch_held(holds.StopRequested(key))
-                case _:
-                    self._result.append(effect)
-
-    def _dispatch_held(self, event: holds.HeldEvent) -> None:
-        held = self.held
-        if held is None:
-            return
-        for effect in held.handle(event, self._now_s):
-            match effect:
-                case holds.StartCall():
-                    self._call(held, effect, self._owner)
-                case holds.StopCall():
-                    self._call(held, effect)
-                case holds.RunStarted(key):
-                    self._dispatch(agent.TaskStarted(key))
-                case holds.RunEnded(key, succeeded, stopped, reason):
-                    body = b'' if succeeded else reason.encode()
-                    self._dispatch(
-                        agent.TaskEnded(key, succeeded, body, stopped)
-                    )
-                case holds.RunRejected(key, reason):
-                    self._dispatch(agent.TaskRejected(key, reason))
-                case holds.HealthChanged(healthy):
-                    self._dispatch(agent.TargetChecked(healthy))
-
-    def _call(
-        self,
-        held: heldtarget.HeldTarget,
-        request: simulatedtarget.Call,
-        owner: contracts.TaskKey | None = None,
-    ) -> None:
-        call = Call(held, request, owner)
-        self._pending.add(id(request))
-        self._result.append(call)
-
-    def _begin_hold(self) -> None:
-        held = self.held
-        if held is None or self._holding:
-            return
-        if not (held.needs_hold or self._candidate):
-            return
-        self._holding = True
-        self._dispatch(agent.Ticked())
-        self._call(held, held.begin_hold(self._now_s))
-
-    def _handle_answer(self, call: Call, response: holds.HeldEvent) -> None:
-        if id(call.request) not in self._pending:
-            return
-        self._pending.remove(id(call.request))
-        is_hold = isinstance(call.request, holds.HoldCall)
-        if call.held is not self.held:
-            self._holding = self._holding and not is_hold
-            return
-        self._dispatch_held(response)
-        if not is_hold:
-            return
-        match response:
-            case holds.HoldResponse() | holds.HoldMisdirected():
-                self._choose_incarnation(call.held, response)
-        if isinstance(response, holds.HoldMisdirected):
-            self._holding = False
-            return
-        self._result.append(Pause(heldagentprocess.REFUSED_PAUSE_S))
-
-    def _handle_report(self, report: holds.TargetReport) -> None:
-        held = self.held
-        if held is not None and report.incarnation == held.incarnation:
-            return
-        if report.incarnation.born_ms <= self._confirmed_born_ms:
-            return
-        if held is not None and held.confirmed and not held.ended:
-            self._candidate = report
-            self._candidate_hold = held.hold_number
-            return
-        self._start_incarnation(report)
-
-    def _choose_incarnation(
-        self,
-        held: heldtarget.HeldTarget,
-        response: holds.HoldResponse | holds.HoldMisdirected,
-    ) -> None:
-        if held.confirmed:
-            self._confirmed_born_ms = held.incarnation.born_ms
-        candidate = self._candidate
-        if candidate is None:
-            return
-        if held.ended:
-            self._candidate = None
-            self._start_incarnation(candidate)
-        elif (
-            isinstance(response, holds.HoldResponse)
-            and response.incarnation.born_ms == held.incarnation.born_ms
-            and response.number > self._candidate_hold
-        ):
-            self._candidate = None
-
-    def _start_incarnation(self, report: holds.TargetReport) -> None:
-        last_fence = 0
-        if self.held is not None:
-            last_fence = self.held.fence
-            self._dispatch_held(holds.TargetDeparted())
-        self.held = heldtarget.HeldTarget(
-            report.incarnation, report.clock_ms, self._now_s, last_fence
-        )
-        self.incarnation += 1
-        self.agent = agent.Agent(
-            agent.AgentOptions(
-                self._target,
-                self.incarnation,
-                worlds.ENTRIES,
-                heldagentprocess.QUEUE_LIMIT,
-                heldagentprocess.ENTRY_TTL_S,
-                heldagentprocess.RENEWAL_INTERVAL_S,
-            )
-        )
-        self.agent.healthy = False
-        self.agent.announced = False
-        self._began_ms = int(self._now_s * 1000)
-
-
 @dataclasses.dataclass(slots=True)
 class Site:
     """The target of an agent, and the path to it."""
@@ -323,11 +104,12 @@
         )
         self.sites[target.name] = Site(born)
 
-        def make(node: virtual.Node) -> HeldAgent:
+        def make(node: virtual.Node) -> heldagent.HeldAgent:
             first = (
-                virtual.World._make_run(self, node) * MAX_INCARNATIONS
+                virtual.World._make_run(self, node)
+                * heldagent.MAX_INCARNATIONS
             )
-            return HeldAgent(target, first)
+            return heldagent.HeldAgent(target, first)
 
         node = virtual.Node(target.name, 'agent', seeds=worlds.ENTRIES)
         self._add(node, make)
@@ -335,7 +117,7 @@
 
     def _make_run(self, node: virtual.Node) -> int:
         match node.core:
-            case HeldAgent(incarnation=incarnation):
+            case heldagent.HeldAgent(incarnation=incarnation):
                 return incarnation
             case _:
                 return super()._make_run(node)
@@ -362,7 +144,7 @@
         node = self.nodes[name]
         if not node.frozen:
             return
-        if not isinstance(node.core, HeldAgent):
+        if not isinstance(node.core, heldagent.HeldAgent):
             super().thaw(name)
             return
         node.frozen = False
@@ -378,9 +160,7 @@
 
     # Callers.
 
-    def submit(
-        self, entry_name: str, job: str, submissions: int = 1
-    ) -> int:
+    def submit(self, entry_name: str, job: str, submissions: int = 1) -> int:
         """Submit a job; its caller may submit it again later."""
         submission = contracts.Submission(
             job,
@@ -479,7 +259,7 @@
         incarnation = self.sites[node.name].target
         if incarnation is not None:
             clock_s = incarnation.read_clock(self.now_s)
-            event = Reported(
+            event = heldagent.Reported(
                 holds.TargetReport(
                     incarnation.identity,
                     target.service,
@@ -506,12 +286,14 @@
         effect: Any
         for effect in result:
             match effect:
-                case Call():
+                case heldagent.Call():
                     self._call(node, effect)
-                case Pause(length_s):
+                case heldagent.Pause(length_s):
                     self.at(
                         length_s,
-                        lambda: self._handle_event(node, run, HoldDue()),
+                        lambda: self._handle_event(
+                            node, run, heldagent.HoldDue()
+                        ),
                     )
                 case _:
                     others.append(effect)
@@ -541,7 +323,7 @@
         )
         site.faults = (*site.faults, fault)
 
-    def _call(self, node: virtual.Node, call: Call) -> None:
+    def _call(self, node: virtual.Node, call: heldagent.Call) -> None:
         site = self.sites[node.name]
         run = node.run
         request = call.request
@@ -555,7 +337,9 @@
             wait_s += request.wait_s
 
         def fail(after_s: float, refused: bool = False) -> None:
-            failed = Answered(call, _make_failure(request, refused))
+            failed = heldagent.Answered(
+                call, heldagent.make_failure(request, refused)
+            )
             self.at(after_s, lambda: self._handle_event(node, run, failed))
 
         match kind:
@@ -575,7 +359,7 @@
             if is_bound and site.target is not receiver:
                 return
             if site.target is None:
-                response = _make_failure(request, True)
+                response = heldagent.make_failure(request, True)
             else:
                 response = self._carry_out(node.name, arriving, call.owner)
             if kind:
@@ -583,7 +367,7 @@
             self.at(
                 simulatedtarget.TRIP_S,
                 lambda: self._handle_event(
-                    node, run, Answered(call, response)
+                    node, run, heldagent.Answered(call, response)
                 ),
             )
 
@@ -609,7 +393,7 @@
     ) -> holds.HeldEvent:
         target = self.sites[name].target
         if target is None or request.target != target.name:
-            return _make_misdirection(request)
+            return heldagent.make_misdirection(request)
         match request:
             case holds.StartCall():
                 target.end_runs(self.now_s)
@@ -671,29 +455,7 @@
     match event:
         case agent.Received(peer=peer):
             return peer
-        case Answered():
+        case heldagent.Answered():
             return id(event)
         case _:
             return type(event)
-
-
-def _make_failure(
-    request: simulatedtarget.Call, refused: bool
-) -> holds.HeldEvent:
-    match request:
-        case holds.HoldCall():
-            return holds.HoldUnanswered(refused)
-        case holds.StartCall(name=name, attempt=attempt):
-            return holds.CallUnanswered(name, attempt)
-        case holds.StopCall(name=name, attempt=attempt):
-            return holds.CallUnanswered(name, attempt, True)
-
-
-def _make_misdirection(request: simulatedtarget.Call) -> holds.HeldEvent:
-    match request:
-        case holds.HoldCall():
-            return holds.HoldMisdirected()
-        case holds.StartCall(name=name, attempt=attempt):
-            return holds.StartResponse(name, attempt, False, 'status-421')
-        case holds.StopCall():
-            return _make_failure(request, False)
--- a/tests/test_heldworld.py
+++ b/tests/test_heldworld.py
@@ -16,7 +16,6 @@
 
 from eelgrassworks.links import messages
 from eelgrassworks.machines import holds
-from tests import heldworld
 from tests import worlds
 from tests.heldworld import HeldWorld
 
@@ -269,9 +268,7 @@
     for _ in range(10 if scenario.planned else 0):
         world.at(
             source.choice(SERIES_S) + source.uniform(0, 2.0),
-            functools.partial(
-                source.choice(scenario.actions), world, source
-            ),
+            functools.partial(source.choice(scenario.actions), world, source),
         )
     world.run(END_S)
     return world
