--- a/tests/simulatedtarget.py
+++ b/tests/simulatedtarget.py
@@ -79,12 +79,13 @@
     ended: list[holds.Ended] = dataclasses.field(default_factory=list)
     fence: int = 0
     lease_end_s: float = 0.0
+    name: str = TARGET
 
     @property
     def identity(self) -> holds.TargetIncarnation:
         """Return the name and the start time."""
         born_ms = round((self.born_s - self.set_back_s) * 1000)
-        return holds.TargetIncarnation(TARGET, born_ms)
+        return holds.TargetIncarnation(self.name, born_ms)
 
     def read_clock(self, now_s: float) -> float:
         """Return the target's clock, in seconds."""
@@ -471,7 +472,7 @@
             case 'slow':
                 delay_s = self._random.uniform(0, RESPONSE_TIMEOUT_S)
         if kind == 'granted_late':
-            call = _postpone_deadline(call, delay_s)
+            call = postpone_deadline(call, delay_s)
             sent = dataclasses.replace(sent, call=call)
         answered = not kind and not expired
         if kind != 'lost':
@@ -539,7 +540,8 @@
             self.dispatch(failure if answer is None else answer)
 
 
-def _postpone_deadline(call: Call, delay_s: float) -> Call:
+def postpone_deadline(call: Call, delay_s: float) -> Call:
+    """Return a call whose lease counts from its arrival."""
     match call:
         case holds.StartCall() | holds.HoldCall(deadline_ms=int()):
             deadline_ms = int((call.deadline_ms or 0) + delay_s * 1000)
