No lease is requested with a fence that the target has not seen

Two runs of one task: the agent reports a run as lapsed while a late hold of an earlier agent process renews its lease.

A process whose fence was refused sent holds with fences far above those that the target had seen, and with deadlines; it was killed, the next process took a lower fence, and the late hold was accepted beside it, in a time in which the agent had no contact.

A hold has no deadline between a refusal and the answered hold behind it.

--- a/eelgrassworks/machines/heldtarget.py
+++ b/eelgrassworks/machines/heldtarget.py
@@ -284,7 +284,7 @@
         # The lease of an unresponsive target must expire, so that its runs end
         # whether or not the holds reach it.
         is_superseded = self._successor_born_ms is not None
-        is_responsive = self._is_responsive(now_s)
+        is_responsive = self._is_responsive(now_s) and self._is_fence_seen
         if self._runs and is_responsive and not is_superseded:
             deadline_ms = self._extend_lease(now_s)
         may_wait = self._runs and self._hold_answered and not is_superseded
@@ -298,6 +298,17 @@
             HOLD_WAIT_S if may_wait else 0.0,
         )
 
+    @property
+    def _is_fence_seen(self) -> bool:
+        """Tell whether the target has seen the fence but for single raises.
+
+        Otherwise a hold could be carried out late beside the next process and
+        renew the leases of its runs.
+        """
+        if self._is_fence_refused:
+            return False
+        return self._last_listing_number > self._fenced_after_hold
+
     def _is_responsive(self, now_s: float) -> bool:
         return now_s - self._last_contact_s < UNRESPONSIVE_S
 
--- a/tests/test_heldtarget.py
+++ b/tests/test_heldtarget.py
@@ -867,6 +867,22 @@
             call.fence, INCARNATION.born_ms + CLOCK_MS + 700
         )
 
+    # Guards against a second run of a task whose lease is renewed late, by a
+    # hold of an earlier process with a fence that the target had not seen.
+    def test_lease_is_requested_with_a_seen_fence_only(self) -> None:
+        target = make_target()
+        target.handle(START, 0.0)
+        requests = []
+        for event in (
+            holds.HoldFenced(CLOCK_MS),
+            list_runs(3, run()),
+            list_runs(4, run()),
+        ):
+            requests.append(target.begin_hold(0.1).deadline_ms is not None)
+            target.handle(event, 0.1)
+        requests.append(target.begin_hold(0.1).deadline_ms is not None)
+        self.assertEqual(requests, [True, False, False, True])
+
     def test_fenced_process_takes_a_higher_fence(self) -> None:
         target = make_target()
         before = target.begin_hold(0.0).fence
--- a/tests/test_targetsimulation.py
+++ b/tests/test_targetsimulation.py
@@ -273,6 +273,28 @@
         fences=tuple((each + 0.2, 1) for each in REPORTS_S),
         starts_per_s=8.0,
     ),
+    'holds of an agent whose fence was refused are late': Scenario(
+        faults=(
+            *(
+                Fault(
+                    each + 0.06,
+                    each + 0.5,
+                    ('granted_late',),
+                    1.0,
+                    (holds.HoldCall,),
+                )
+                for each in TWICE_S
+            ),
+            *(
+                Fault(each + later_s, each + later_s + 1.0, ('lost',))
+                for each in TWICE_S
+                for later_s in (1.2, 2.8, 4.4, 6.0, 7.6)
+            ),
+        ),
+        kills=tuple((each + 0.2, 0.05) for each in TWICE_S),
+        fences=((1.0, 1_000_000), *((each, 5000) for each in TWICE_S)),
+        starts_per_s=8.0,
+    ),
     'other agents use higher fences': Scenario(
         faults=(LATE_STARTS,),
         freezes=kill_often(0.5),
