--- a/tests/heldagent.py
+++ b/tests/heldagent.py
@@ -63,7 +63,9 @@
 class HeldAgent:
     """One agent process: the agent, ``HeldTarget`` and the calls of both.
 
-    It follows ``heldagentprocess.HeldAgentProcess`` without its sockets.
+    It follows ``heldagentprocess.HeldAgentProcess`` without its sockets, but
+    does not tell ``HeldTarget`` of pauses (``holds.Resumed``), and takes a
+    refused connection of a start for a call without a response.
     """
 
     def __init__(self, target: machines.Target, incarnation: int) -> None:
--- a/tests/heldworld.py
+++ b/tests/heldworld.py
@@ -70,7 +70,7 @@
 class HeldWorld(virtual.World):
     """A world with held agents, their targets, and callers.
 
-    ``overlaps`` has each begin of a run beside another one of its task.
+    ``twice`` has each begin of a run beside another one of its task.
     """
 
     def __init__(self, seed: int, agents: int) -> None:
