Logs: why a further attempt starts, and the run of its entry

start_sent has the fields previous and previous_target: why the attempt before is taken to have ended, and the target that it was sent to. A job keeps one such record for each task that is queued again, of at most 64 characters of the reason, until it ends. task_started, task_ended and start_late have entry_run, the run of the entry that the agent knows; it is the number in the ids of transient jobs, in hexadecimal. No decision and no message changes.

The cost of the longer lines was not measured.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -294,7 +294,7 @@
             return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
-                _log_late_start(peer, start, now_s),
+                _log_late_start(peer, self._describe_run(peer), start, now_s),
                 *self._decline(peer, start, 'late', now_s),
             ]
         if self.slots.fits(start.demand):
@@ -430,11 +430,16 @@
                     'index': key.index,
                     'attempt': start.attempt,
                     'entry': peer,
+                    'entry_run': self._describe_run(peer),
                     'confirmed_age_s': round(now_s - confirmed_s, 3),
                 },
             ),
         ]
 
+    def _describe_run(self, peer: str) -> str:
+        """Return the known run of an entry as its job ids write it."""
+        return f'{self.entries[peer].incarnation:x}'
+
     def _end_task(
         self,
         key: contracts.TaskKey,
@@ -472,6 +477,7 @@
                     'index': key.index,
                     'attempt': occupant.attempt,
                     'entry': occupant.entry,
+                    'entry_run': self._describe_run(occupant.entry),
                     'succeeded': succeeded,
                     'stopped': finished.stopped,
                 },
@@ -906,7 +912,7 @@
 
 
 def _log_late_start(
-    peer: str, start: messages.TaskStart, now_s: float
+    peer: str, entry_run: str, start: messages.TaskStart, now_s: float
 ) -> effects.Log:
     return effects.Log(
         'start_late',
@@ -915,6 +921,7 @@
             'index': start.index,
             'attempt': start.attempt,
             'entry': peer,
+            'entry_run': entry_run,
             'stamp_age_s': round(now_s - start.stamp_ms / 1000, 3),
         },
     )
--- a/eelgrassworks/contracts/jobs.py
+++ b/eelgrassworks/contracts/jobs.py
@@ -12,6 +12,8 @@
 
 ANSWER_RETENTION_S: Final = 900.0
 MAX_RETAINED_ANSWERS_BYTES: Final = 64 * 1024 * 1024
+# A target words some of the reasons.
+MAX_REASON_CHARS: Final = 64
 
 
 class JobState(enum.Enum):
@@ -30,6 +32,14 @@
     DONE = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """Why an attempt is taken to have ended, and its target."""
+
+    reason: str = ''
+    target: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """A job and the outcomes collected so far.
@@ -39,7 +49,8 @@
     ``targets_by_index`` maps the index of a sent task to its target.  By task
     index, ``attempts`` counts fenced starts, ``rejections`` the starts that a
     target rejected for another reason than a lack of slots, and ``failures``
-    the runs that failed.
+    the runs that failed; ``previous`` has the latest attempt that ended
+    without a result.
 
     ``due_s`` is the latest start that still meets the objective, and
     ``priority`` the urgency of the kind, with 0 first.  An answer after
@@ -68,6 +79,7 @@
     latest_end_s: float = float('inf')
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
     has_run: bool = False
+    previous: dict[int, EndedAttempt] = dataclasses.field(default_factory=dict)
 
     def activate(self) -> None:
         """Start to collect outcomes."""
@@ -82,15 +94,16 @@
         self.tasks[index] = TaskState.SENT
         self.targets_by_index[index] = target
 
-    def record_restart(self, index: int) -> None:
+    def record_restart(self, index: int, reason: str) -> None:
         """Record that a run has ended without a result."""
         self.has_run = True
-        self.record_fenced(index)
+        self.record_fenced(index, reason)
 
-    def record_fenced(self, index: int) -> None:
+    def record_fenced(self, index: int, reason: str) -> None:
         """Record that the sent start was fenced and did not take place."""
         self.tasks[index] = TaskState.WAITING
-        self.targets_by_index.pop(index, None)
+        target = self.targets_by_index.pop(index, '')
+        self.previous[index] = EndedAttempt(reason[:MAX_REASON_CHARS], target)
 
     def record_result(self, index: int, result: bytes) -> bool:
         """Record a result; return whether it was the last one."""
@@ -121,6 +134,7 @@
         self.attempts = {}
         self.rejections = {}
         self.targets_by_index = {}
+        self.previous = {}
         self.submission = dataclasses.replace(self.submission, payloads=())
 
 
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -404,6 +404,7 @@
             submission.demand,
             round(submission.estimate_s * 1000),
         )
+        previous = job.previous.get(key.index, jobs.EndedAttempt())
         log_entry = effects.Log(
             'start_sent',
             {
@@ -412,6 +413,8 @@
                 'attempt': attempt,
                 'target': view.target.name,
                 'contact_age_s': round(now_s - view.last_contact_s, 3),
+                'previous': previous.reason,
+                'previous_target': previous.target,
             },
         )
         return [log_entry, effects.Send(view.target.name, start)]
@@ -439,7 +442,7 @@
             self.counters['renewals_outdated'] += 1
             return DispatchResult([], [])
         if view is not None and view.incarnation != incarnation:
-            outcomes = self._drop_target(peer)
+            outcomes = self._drop_target(peer, 'restarted')
             view = None
         if view is None:
             view = machines.TargetView(
@@ -493,7 +496,9 @@
             elif view.stamp_ms >= lost.stamp_ms:
                 for key, start in lost.starts.items():
                     self.queue.record_end(start.team)
-                    outcomes += self._restart_lost(peer, key, start)
+                    outcomes += self._restart_lost(
+                        peer, key, start, 'restarted'
+                    )
             else:
                 continue
             del self._lost[name, incarnation]
@@ -605,11 +610,14 @@
         job = self._table.find(key.submission)
         if job is not None:
             job.attempts[key.index] = start.attempt
-        if finished.stopped and self._restart(job, key):
-            reason = finished.body.decode('utf-8', 'replace')
+        reason = (
+            ''
+            if finished.succeeded
+            else finished.body.decode('utf-8', 'replace')
+        )
+        if finished.stopped and self._restart(job, key, reason or 'stopped'):
             return DispatchResult([self._log_restart(view, key, reason)], [])
         if not finished.succeeded:
-            reason = finished.body.decode('utf-8', 'replace')
             return DispatchResult(
                 [], [TaskFailed(key, view.target.name, reason)]
             )
@@ -643,7 +651,7 @@
         job = self._table.find(key.submission)
         if job is None or job.state != jobs.JobState.ACTIVE:
             return DispatchResult([], [])
-        job.record_fenced(key.index)
+        job.record_fenced(key.index, declined.reason)
         job.attempts[key.index] = start.attempt
         # A busy target does not count as a rejection of the task.
         if (
@@ -684,7 +692,9 @@
             },
         )
 
-    def _restart(self, job: jobs.Job | None, key: contracts.TaskKey) -> bool:
+    def _restart(
+        self, job: jobs.Job | None, key: contracts.TaskKey, reason: str
+    ) -> bool:
         """Queue a transient task again whose last attempt no longer runs.
 
         Return whether it was queued.
@@ -694,7 +704,7 @@
         if not job.submission.transient:
             return False
         self.counters['tasks_restarted'] += 1
-        job.record_restart(key.index)
+        job.record_restart(key.index, reason)
         self.requeue(job, key.index)
         return True
 
@@ -798,7 +808,7 @@
             )
         for key in starts:
             view.settle(key)
-        return self._drop_target(peer)
+        return self._drop_target(peer, 'lost')
 
     def _forget_lost(self) -> None:
         """Forget the lost starts of jobs that have ended."""
@@ -825,7 +835,7 @@
                 return True
         return False
 
-    def _drop_target(self, peer: str) -> list[Outcome]:
+    def _drop_target(self, peer: str, reason: str) -> list[Outcome]:
         """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
         self.counters['targets_lost'] += 1
@@ -835,17 +845,21 @@
         for key in list(view.outstanding):
             start = self._settle(view, key)
             if start is not None:
-                outcomes += self._restart_lost(peer, key, start)
+                outcomes += self._restart_lost(peer, key, start, reason)
         return outcomes
 
     def _restart_lost(
-        self, peer: str, key: contracts.TaskKey, start: machines.Outstanding
+        self,
+        peer: str,
+        key: contracts.TaskKey,
+        start: machines.Outstanding,
+        reason: str,
     ) -> list[Outcome]:
         """Queue the task of a lost start again, if it may run again."""
         job = self._table.find(key.submission)
         if job is not None:
             job.attempts[key.index] = start.attempt
-        if self._restart(job, key):
+        if self._restart(job, key, reason):
             return []
         return [TaskLost(key, peer)]
 
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -545,7 +545,7 @@
         kind = self.session.configuration.sheet.kinds.get(job.submission.kind)
         if kind is None or failures >= kind.attempts:
             return False
-        job.record_restart(index)
+        job.record_restart(index, 'failed')
         self.dispatcher.requeue(job, index)
         return True
 
