Soak: disturb the ways between callers and entries

The plan of the soak disturbed no way between callers and entries, and a caller waited beyond the limit of its job, so no job was submitted a second time while its first entry went on with it.

Callers of transient jobs now reach each entry over a way of its own, which is cut, held in one or both directions or reset, at several entries in turn and beside the other faults. Requests that a disturbed way may have lost need no answer; all other checks stay. The faults come from a generator of their own, so that the other faults of a seed stay the same.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -9,6 +9,7 @@
 from soak import plan
 from soak import proxy
 from soak import reroute
+from soak import ways
 from soak import witness
 from tests import deployment
 
@@ -26,6 +27,8 @@
         self._watcher = watcher
         self._targets: dict[str, Any] = {}
         self.proxies: dict[tuple[str, str], proxy.LinkProxy] = {}
+        # From the callers to each entry, where a fault may affect them.
+        self.ways: dict[str, ways.Way] = {}
         # Processes that a fault has ended; all others must run.
         self.ended: set[str] = set()
         for number, name in enumerate(self.names, 1):
@@ -40,6 +43,7 @@
             tuple(self.agents),
             tuple(self._list_links()),
             deployment.DOMAINS,
+            tuple(self.ways),
         )
 
     def find_domain(self, agent: str) -> str:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,13 @@
 # Longer than an entry waits for an agent before it starts a task elsewhere.
 MIN_PARTITION_S: Final = 1.5
 MAX_DELAY_S: Final = 0.4
+MEAN_WAY_INTERVAL_S: Final = 2.5
+# Longer than callers wait for an entry, and than the longest task runs.
+MAX_WAY_S: Final = 6.0
+# Callers that go on to the next entry find its way disturbed too.
+MAX_WAYS_IN_TURN: Final = 3
+MIN_TURN_S: Final = 1.3
+MAX_TURN_S: Final = 3.0
 # A replica counts again once it has restarted and caught up.
 CONTROL_RECOVERY_S: Final = 6.0
 
@@ -27,7 +34,18 @@
     """Jobs that are not stored; their tasks never run twice at a time."""
 
 
-Jobs = Claimed | Transient
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Transient jobs of one task each that reach the first entry at once.
+
+    They are sent ``WARM_UP_S`` after the start of the run.
+    """
+
+    jobs: int = 8
+    run_ms: int = 3000
+
+
+Jobs = Claimed | Transient | Batch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +148,38 @@
     duration_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutWay:
+    """Callers and an entry hear nothing of each other; nothing connects.
+
+    What they send meanwhile arrives afterwards.
+    """
+
+    entry: str
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldWay:
+    """Open connections of callers to an entry carry data late.
+
+    New connections work.
+    """
+
+    entry: str
+    requests: bool
+    answers: bool
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResetWay:
+    """The open connections of callers to an entry are reset."""
+
+    entry: str
+
+
+WayFault = CutWay | HoldWay | ResetWay
 Fault = (
     Kill
     | Wipe
@@ -142,6 +192,7 @@
     | Close
     | Hold
     | Isolate
+    | WayFault
 )
 
 
@@ -162,6 +213,8 @@
     agents: tuple[str, ...]
     links: tuple[tuple[str, str], ...]
     domains: tuple[str, ...]
+    # The entries whose ways to their callers may be disturbed.
+    ways: tuple[str, ...] = ()
 
 
 def draw_faults(
@@ -177,6 +230,9 @@
     faults += _draw_partitions(
         random.Random(f'partitions {seed}'), seconds, machines
     )
+    faults += _draw_way_faults(
+        random.Random(f'ways {seed}'), seconds, machines
+    )
     return sorted(faults, key=lambda each: each.at_s)
 
 
@@ -229,6 +285,38 @@
     return generator.choice(choices)
 
 
+def _draw_way_faults(
+    generator: random.Random, seconds: float, machines: Machines
+) -> list[TimedFault]:
+    """Return faults between callers and entries, some at several in turn."""
+    if not machines.ways:
+        return []
+    faults: list[TimedFault] = []
+    now_s = WARM_UP_S + generator.expovariate(1 / MEAN_WAY_INTERVAL_S)
+    while now_s < seconds - COOL_DOWN_S:
+        first = generator.randrange(len(machines.ways))
+        at_s = now_s
+        for turn in range(generator.randint(1, MAX_WAYS_IN_TURN)):
+            entry = machines.ways[(first + turn) % len(machines.ways)]
+            fault = _draw_way_fault(generator, entry)
+            faults.append(TimedFault(round(at_s, 2), fault))
+            at_s += generator.uniform(MIN_TURN_S, MAX_TURN_S)
+        now_s += generator.expovariate(1 / MEAN_WAY_INTERVAL_S)
+    return faults
+
+
+def _draw_way_fault(generator: random.Random, entry: str) -> WayFault:
+    duration_s = round(generator.uniform(MIN_PARTITION_S, MAX_WAY_S), 2)
+    choices: list[WayFault] = [
+        CutWay(entry, duration_s),
+        HoldWay(entry, True, True, duration_s),
+        HoldWay(entry, True, False, duration_s),
+        HoldWay(entry, False, True, duration_s),
+        ResetWay(entry),
+    ]
+    return generator.choice(choices)
+
+
 def _draw_fault(
     generator: random.Random, machines: Machines, with_controls: bool
 ) -> Fault:
@@ -267,3 +355,5 @@
             return sender in machines.controls
         case Close() | Hold() | Isolate():
             return False
+        case CutWay() | HoldWay() | ResetWay():
+            return False
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import socket
 import struct
 import time
@@ -27,13 +28,23 @@
     port: int
 
 
+class Direction(enum.Enum):
+    """Where the data of a connection goes, seen from who opened it."""
+
+    FORTH = 'forth'
+    BACK = 'back'
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class ProxiedConnection:
     """One connection through the proxy; a silent one carries no data."""
 
     writer: asyncio.StreamWriter
     silent: bool = False
-    held_until_s: float = float('-inf')
+    # The end of the latest hold of each direction.
+    held_until_s: dict[Direction, float] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(Direction, float('-inf'))
+    )
 
 
 class LinkProxy:
@@ -70,11 +81,17 @@
         for connection in self._connections:
             connection.silent = True
 
-    def hold(self, duration_s: float) -> None:
+    def hold(
+        self,
+        duration_s: float,
+        directions: tuple[Direction, ...] = tuple(Direction),
+    ) -> None:
         """Hold what the open connections carry; new ones work."""
         until_s = time.monotonic() + duration_s
         for connection in self._connections:
-            connection.held_until_s = max(connection.held_until_s, until_s)
+            held_until_s = connection.held_until_s
+            for each in directions:
+                held_until_s[each] = max(held_until_s[each], until_s)
 
     def cut(self, duration_s: float) -> None:
         """Hold what all connections carry; new ones open afterwards."""
@@ -96,7 +113,7 @@
         self.accepted += 1
         connection = ProxiedConnection(writer)
         try:
-            await self._await_passage(connection)
+            await self._await_passage(connection, Direction.FORTH)
             peer_reader, peer_writer = await asyncio.open_connection(
                 self._target.host, self._target.port
             )
@@ -104,9 +121,14 @@
             writer.transport.abort()
             return
         self._connections.add(connection)
-        for source, sink in ((reader, peer_writer), (peer_reader, writer)):
+        for source, sink, direction in (
+            (reader, peer_writer, Direction.FORTH),
+            (peer_reader, writer, Direction.BACK),
+        ):
             self._track(
-                asyncio.create_task(self._forward(source, sink, connection))
+                asyncio.create_task(
+                    self._forward(source, sink, connection, direction)
+                )
             )
 
     def _track(self, task: asyncio.Task[None] | None) -> None:
@@ -119,27 +141,31 @@
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
         connection: ProxiedConnection,
+        direction: Direction,
     ) -> None:
         try:
             while data := await source.read(CHUNK_BYTES):
-                await self._await_passage(connection)
+                await self._await_passage(connection, direction)
                 await asyncio.sleep(self.delay_s)
                 if connection.silent:
                     continue
                 sink.write(data)
                 await sink.drain()
-            await self._await_passage(connection)
+            await self._await_passage(connection, direction)
         except ConnectionError:
             pass
         finally:
             self._connections.discard(connection)
             sink.close()
 
-    async def _await_passage(self, connection: ProxiedConnection) -> None:
+    async def _await_passage(
+        self, connection: ProxiedConnection, direction: Direction
+    ) -> None:
         """Wait until the network carries what a connection has to send."""
         while True:
             now_s = time.monotonic()
-            until_s = max(connection.held_until_s, self._cut_until_s)
+            held_until_s = connection.held_until_s[direction]
+            until_s = max(held_until_s, self._cut_until_s)
             if now_s >= until_s:
                 return
             await asyncio.sleep(find_retransmission(until_s - now_s))
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -14,6 +14,7 @@
 from soak import callers
 from soak import cluster
 from soak import plan
+from soak import proxy
 from soak import reroute
 from soak import transientcluster
 from soak import witness
@@ -54,7 +55,7 @@
     match options.jobs:
         case plan.Claimed():
             return cluster.SoakedDeployment(options.size, options.seed, run)
-        case plan.Transient():
+        case plan.Transient() | plan.Batch():
             return transientcluster.TransientDeployment(
                 options.size, options.seed, run
             )
@@ -142,7 +143,7 @@
         match self.options.jobs:
             case plan.Claimed():
                 watchers.append(asyncio.create_task(self._read_revisions()))
-            case plan.Transient():
+            case plan.Transient() | plan.Batch():
                 # A transient job has no record that a revision could lose.
                 pass
         traffic = asyncio.create_task(self._callers.send())
@@ -194,6 +195,28 @@
                 self._cluster.proxies[sender, receiver].reset()
             case plan.Close(domain, duration_s):
                 await self._close_domain(domain, duration_s)
+            case plan.CutWay() | plan.HoldWay() | plan.ResetWay():
+                await self._disturb_way(timed.fault)
+
+    async def _disturb_way(self, fault: plan.WayFault) -> None:
+        way = self._cluster.ways[fault.entry]
+        self._callers.excuse_answers(fault.entry)
+        match fault:
+            case plan.CutWay(_, duration_s):
+                way.cut(duration_s)
+                await asyncio.sleep(duration_s)
+            case plan.HoldWay(_, requests, answers, duration_s):
+                directions = {
+                    proxy.Direction.FORTH: requests,
+                    proxy.Direction.BACK: answers,
+                }
+                held = tuple(
+                    each for each, is_held in directions.items() if is_held
+                )
+                way.hold(duration_s, held)
+                await asyncio.sleep(duration_s)
+            case plan.ResetWay():
+                way.reset()
 
     async def _restart_after(
         self, name: str, duration_s: float, wiped: bool
@@ -221,6 +244,8 @@
             return
         process = self._cluster.processes[name]
         process.send_signal(signal.SIGSTOP)
+        if name in self._cluster.ways:
+            self._cluster.ways[name].fall_silent(duration_s)
         await asyncio.sleep(duration_s)
         # A kill may have ended it meanwhile.
         if process.returncode is None:
--- a/soak/transientcluster.py
+++ b/soak/transientcluster.py
@@ -12,6 +12,8 @@
 from eelgrassworks.platform import nodefile
 from soak import cluster
 from soak import proxy
+from soak import reroute
+from soak import ways
 from tests import deployment
 from tests import platformstandins as standins
 
@@ -43,6 +45,18 @@
             self.http[name] = self.link[name] + nodefile.HTTP_OFFSET
             path = self.root / f'{name}.json'
             self.environment[name][earlylistener.PATH_VARIABLE] = str(path)
+        self.ways = {each: self._make_way(each) for each in self.entries}
+
+    def _make_way(self, entry: str) -> ways.Way:
+        """Return the way from the callers, who count as one more process."""
+        host = self.find_host(entry)
+        number = len(self.names) + 1
+        return ways.Way(
+            proxy.Address(
+                reroute.find_proxy_host(number, host), self._ports[0]
+            ),
+            proxy.Address(host, self._ports[0]),
+        )
 
     def _find_role(self, name: str) -> str:
         if name in self.controls:
@@ -58,8 +72,14 @@
         return proxy.Address(self.find_host(name), self.link[name])
 
     def find_front(self, entry: str) -> str:
-        """Return where an entry accepts the jobs of callers."""
-        return f'{self.find_host(entry)}:{self._ports[0]}'
+        """Return where the way of the callers to an entry begins."""
+        return self.ways[entry].address
+
+    async def open_proxies(self) -> None:
+        """Put a proxy on each link, and between callers and entries."""
+        await super().open_proxies()
+        for way in self.ways.values():
+            await way.open()
 
     def url(self, name: str) -> str:
         """Return the HTTP address of a process."""
@@ -155,6 +175,8 @@
             report.cancel()
         await asyncio.gather(*self._reports, return_exceptions=True)
         await super().close_all()
+        for way in self.ways.values():
+            await way.close()
 
     # HTTP.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import typing
 import unittest
 
@@ -23,6 +24,7 @@
         ('runner-1', 'entry-1'),
     ),
     ('accra-central', 'tema-port'),
+    ('entry-1', 'entry-2'),
 )
 SMALL = witness.Usage(20, 40_000)
 Observation = Callable[[witness.Witness], object]
@@ -146,6 +148,19 @@
     plan.TimedFault(8.0, plan.Isolate(('entry-3',), 2.5)),
     plan.TimedFault(11.0, plan.Isolate(('runner-4', 'runner-5'), 3.0)),
 ]
+# Callers go on to entries whose ways are disturbed before the first ones are
+# in order, beside other faults.
+WAY_FAULTS = [
+    plan.TimedFault(2.0, plan.CutWay('entry-1', 5.0)),
+    plan.TimedFault(3.5, plan.HoldWay('entry-2', True, True, 4.0)),
+    plan.TimedFault(5.0, plan.Hold('runner-1', 'entry-3', True, 3.0)),
+    plan.TimedFault(7.0, plan.HoldWay('entry-3', False, True, 3.0)),
+    plan.TimedFault(8.0, plan.Freeze('entry-1', 2.0)),
+    plan.TimedFault(8.5, plan.HoldWay('entry-2', True, False, 3.0)),
+    plan.TimedFault(11.0, plan.CutWay('entry-3', 3.0)),
+    plan.TimedFault(11.5, plan.Kill('entry-2', 1.0)),
+    plan.TimedFault(12.5, plan.ResetWay('entry-1')),
+]
 # Kinds of jobs, seeds that failed, their duration in seconds, and the promise
 # of which KNOWN-RED.txt lists one failure; empty for none.
 FAILED_SEEDS: tuple[tuple[plan.Jobs, int, float, str], ...] = (
@@ -189,6 +204,15 @@
         }
         self.assertEqual(kinds, set(typing.get_args(plan.Fault)))
 
+    def test_faults_of_ways_leave_the_others_as_they_are(self) -> None:
+        without_ways = dataclasses.replace(MACHINES, ways=())
+        others = [
+            each
+            for each in plan.draw_faults(3, 60.0, MACHINES)
+            if not isinstance(each.fault, plan.WayFault)
+        ]
+        self.assertEqual(others, plan.draw_faults(3, 60.0, without_ways))
+
     def test_one_replica_is_affected_at_a_time(self) -> None:
         for seed in range(50):
             free_s = 0.0
@@ -202,11 +226,15 @@
                 free_s = each.at_s + duration_s + plan.CONTROL_RECOVERY_S
 
 
+FORTH = proxy.Direction.FORTH
+BACK = proxy.Direction.BACK
 # What happens to a connection, whether its bytes arrive meanwhile, whether a
 # newer connection works meanwhile, and whether its bytes arrive afterwards.
 PASSAGES: tuple[tuple[Callable[[proxy.LinkProxy], None], list[bool]], ...] = (
     (lambda link: None, [True, True, True]),
     (lambda link: link.hold(0.5), [False, True, True]),
+    (lambda link: link.hold(0.5, (FORTH,)), [False, True, True]),
+    (lambda link: link.hold(0.5, (BACK,)), [True, True, True]),
     (lambda link: link.cut(0.5), [False, False, True]),
     (lambda link: link.silence(), [False, True, False]),
     (lambda link: link.reset(), [False, True, False]),
@@ -280,8 +308,11 @@
         return report.violations
 
     # The second row guards against starts that a partition holds up and that
-    # run beside their restarts elsewhere.
-    @ddt.data((CLAIMED, None), (TRANSIENT, PARTITIONS))
+    # run beside their restarts elsewhere, the third one against entries that
+    # go on with jobs whose callers have submitted them elsewhere.
+    @ddt.data(
+        (CLAIMED, None), (TRANSIENT, PARTITIONS), (TRANSIENT, WAY_FAULTS)
+    )
     @ddt.unpack
     def test_short_run_breaks_no_promise(
         self, jobs: plan.Jobs, faults: list[plan.TimedFault] | None
