--- a/soak/callers.py
+++ b/soak/callers.py
@@ -283,6 +283,7 @@
         leaves_open = self._random.randrange(LEFT_OPEN_RATIO) == 0
         if self._cluster.ways[entry].is_disturbed and not leaves_open:
             answer.cancel()
+            return 0
         self._left.add(answer)
         answer.add_done_callback(self._left.discard)
         return 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -260,6 +260,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.answers = writer
         while data := await reader.read(100):
             self.received += data
         writer.close()
@@ -270,6 +271,22 @@
         await asyncio.sleep(PASSAGE_S)
         return writer
 
+    @ddt.data(((FORTH,), True), ((BACK,), False))
+    @ddt.unpack
+    async def test_hold_of_one_direction(
+        self, held: tuple[proxy.Direction, ...], is_in_time: bool
+    ) -> None:
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(b'q')
+        await asyncio.sleep(PASSAGE_S)
+        self.link.hold(0.5, held)
+        self.answers.write(b'a')
+        answer = asyncio.create_task(reader.read(1))
+        await asyncio.sleep(PASSAGE_S)
+        self.assertEqual(answer.done(), is_in_time)
+        self.assertEqual(await answer, b'a')
+
     # Guards against a cut of the soak that loses what TCP would deliver
     # afterwards, also from a connection that its process has closed.
     @ddt.data(*PASSAGES)
