--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -102,9 +102,7 @@
     def reset(self) -> None:
         """Reset the open connections."""
         for connection in self._connections:
-            raw = connection.writer.get_extra_info('socket')
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            connection.writer.transport.abort()
+            reset_socket(connection.writer)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -171,6 +169,15 @@
             await asyncio.sleep(find_retransmission(until_s - now_s))
 
 
+def reset_socket(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, unless its peer has."""
+    raw = writer.get_extra_info('socket')
+    if raw.fileno() == -1:
+        return
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 def find_retransmission(held_s: float) -> float:
     """Return the first expiry of the timer after a hold, since its start."""
     interval_s = RETRANSMISSION_S
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -271,6 +271,20 @@
         await asyncio.sleep(PASSAGE_S)
         return writer
 
+    # Guards against a reset that ends the run, since a held connection whose
+    # peer has reset it has no socket any more.
+    async def test_reset_of_a_connection_without_its_peer(self) -> None:
+        writer = await self._connect(b'0')
+        self.link.hold(0.5)
+        writer.write(b'1')
+        await asyncio.sleep(PASSAGE_S)
+        proxy.reset_socket(writer)
+        await asyncio.sleep(PASSAGE_S)
+        self.link.reset()
+        newer = await self._connect(b'n')
+        newer.close()
+        self.assertIn(b'n', self.received)
+
     @ddt.data(((FORTH,), True), ((BACK,), False))
     @ddt.unpack
     async def test_hold_of_one_direction(
