Soak: a replica is taken only while the others vote

Cause: the plan leaves 6 s between two faults of replicas, which is a time and not the fact that the first replica votes again. What no longer happens is thus outside of what users are promised.

Change: a fault of a replica begins once the run has seen in the dumps of the two others that they vote with their disks, and the fault before it has ended; the report names faults that were put off. After 12 s it is left out, and that is a broken promise, "replicas vote again in time". At the end every replica must vote, which was not checked before.

The rows of DeferralTest fail without the change. tests.test_soak.RunTest: 5 passed.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,9 +1,13 @@
 """The deployments of a run, with proxies on their links."""
 
+import asyncio
 import pathlib
 import shutil
 import signal
 from typing import Any
+from typing import Final
+
+import aiohttp
 
 from eelgrassworks import standin
 from soak import plan
@@ -13,6 +17,9 @@
 from soak import witness
 from tests import deployment
 
+# A call of a run that does not get the processor takes seconds.
+STATE_TIMEOUT_S: Final = 10.0
+
 
 class SoakedDeployment(deployment.Deployment):
     """Processes whose links go through proxies, and watched targets."""
@@ -145,6 +152,17 @@
         await self.start(name)
         self.ended.discard(name)
 
+    async def votes(self, name: str) -> bool:
+        """Tell whether a replica votes with the disk that it has."""
+        try:
+            async with asyncio.timeout(STATE_TIMEOUT_S):
+                dump = await self.state(name)
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return False
+        replica = dump['state']['replica']
+        disk: str | None = replica['voters'].get(dump['name'])
+        return disk == replica['disk']
+
     def wipe(self, name: str) -> None:
         """Remove the data folder of an ended replica."""
         shutil.rmtree(self.root / name)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -223,8 +223,9 @@
     """Return the faults of a run in order.
 
     Faults overlap, but at most one replica is affected at a time, so that a
-    majority of the replicas is always in contact.  Partitions leave the
-    replicas in contact with each other.
+    majority of the replicas is always in contact; the run puts a fault off
+    until the other replicas vote.  Partitions leave the replicas in contact
+    with each other.
     """
     faults = _draw_single_faults(random.Random(seed), seconds, machines)
     faults += _draw_partitions(
@@ -245,7 +246,7 @@
     now_s = WARM_UP_S + generator.expovariate(1 / MEAN_INTERVAL_S)
     while now_s < seconds - COOL_DOWN_S:
         fault = _draw_fault(generator, machines, now_s >= control_free_s)
-        if _affects_control(fault, machines):
+        if find_replica(fault, machines) is not None:
             duration_s = getattr(fault, 'duration_s', 0.0)
             control_free_s = now_s + duration_s + CONTROL_RECOVERY_S
         faults.append(TimedFault(round(now_s, 2), fault))
@@ -347,13 +348,14 @@
     return generator.choice(choices)
 
 
-def _affects_control(fault: Fault, machines: Machines) -> bool:
+def find_replica(fault: Fault, machines: Machines) -> str | None:
+    """Return the replica that a fault takes from the others, if any."""
     match fault:
         case Kill(name) | Wipe(name) | Stop(name) | Freeze(name):
-            return name in machines.controls
+            return name if name in machines.controls else None
         case Cut(sender) | Silence(sender) | Reset(sender) | Delay(sender):
-            return sender in machines.controls
+            return sender if sender in machines.controls else None
         case Close() | Hold() | Isolate():
-            return False
+            return None
         case CutWay() | HoldWay() | ResetWay():
-            return False
+            return None
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -26,6 +26,8 @@
 CHANGE_TIMEOUT_S: Final = 20.0
 # After the last fault; the stated bound of the users is 12 s.
 RECOVERY_S: Final = 12.0
+# A fault that begins later than this after its time counts as put off.
+MAX_LATENESS_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,18 @@
     logs: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deferral:
+    """A fault that waited for other replicas to vote.
+
+    ``begun_s`` is when it began; None if it was left out.
+    """
+
+    at_s: float
+    fault: str
+    begun_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What a run did and found."""
@@ -48,6 +62,7 @@
     faults: dict[str, int]
     outcomes: dict[str, int]
     violations: list[witness.Violation]
+    deferrals: list[Deferral]
 
 
 def make_cluster(options: Options, run: 'Run') -> cluster.SoakedDeployment:
@@ -78,6 +93,7 @@
         self.options = options
         self._faults = faults
         self.witness = witness.Witness()
+        self.deferrals: list[Deferral] = []
         self._random = random.Random(options.seed)
         self._cluster = make_cluster(options, self)
         self._cluster.prelude = reroute.PRELUDE + prelude
@@ -91,6 +107,8 @@
         )
         self._revision = 1
         self._change_lock = asyncio.Lock()
+        # Held by the fault that affects a replica.
+        self._replica_lock = asyncio.Lock()
 
     def observe_start(self, key: str, domain: str) -> None:
         """Record a start that a target has seen."""
@@ -136,6 +154,7 @@
             ),
             dict(self.witness.outcomes),
             self.witness.violations,
+            self.deferrals,
         )
 
     async def _play(self, faults: list[plan.TimedFault]) -> None:
@@ -164,7 +183,54 @@
 
     async def _inject(self, timed: plan.TimedFault) -> None:
         await asyncio.sleep(max(0.0, timed.at_s - self.read_time()))
-        match timed.fault:
+        replica = plan.find_replica(timed.fault, self._cluster.machines)
+        if replica is None:
+            await self._apply(timed.fault)
+            return
+        async with self._replica_lock:
+            if await self._await_voters(timed, replica):
+                await self._apply(timed.fault)
+
+    async def _await_voters(
+        self, timed: plan.TimedFault, replica: str
+    ) -> bool:
+        """Wait until the replicas that a fault spares all vote.
+
+        Only then is its loss one that the replicas bear.  False if they do
+        not vote in time, which is a broken promise.
+        """
+        others = [each for each in self._cluster.controls if each != replica]
+        limit_s = self.read_time() + RECOVERY_S
+        fault = str(timed.fault)
+        while voteless := await self._find_voteless(others):
+            if self.read_time() > limit_s:
+                self.deferrals.append(Deferral(timed.at_s, fault, None))
+                self._report_voteless(voteless)
+                return False
+            await asyncio.sleep(RETRY_PAUSE_S)
+        begun_s = round(self.read_time(), 2)
+        if begun_s - timed.at_s > MAX_LATENESS_S:
+            self.deferrals.append(Deferral(timed.at_s, fault, begun_s))
+        return True
+
+    async def _find_voteless(self, replicas: list[str]) -> list[str]:
+        """Return the replicas that do not vote."""
+        voting = await asyncio.gather(*map(self._cluster.votes, replicas))
+        return [
+            name
+            for name, votes in zip(replicas, voting, strict=True)
+            if not votes
+        ]
+
+    def _report_voteless(self, replicas: list[str]) -> None:
+        self.witness.report(
+            self.read_time(),
+            'replicas vote again in time',
+            ', '.join(replicas),
+        )
+
+    async def _apply(self, fault: plan.Fault) -> None:
+        match fault:
             case plan.Kill(name, duration_s):
                 await self._restart_after(name, duration_s, False)
             case plan.Wipe(name, duration_s):
@@ -329,6 +395,16 @@
                     )
 
     async def _check_recovery(self, last_fault_s: float) -> None:
+        """Check that service and votes are back in time after the faults."""
+        await self._check_service(last_fault_s)
+        limit_s = last_fault_s + RECOVERY_S + callers.CALLER_TIMEOUT_S
+        while voteless := await self._find_voteless(self._cluster.controls):
+            if self.read_time() > limit_s:
+                self._report_voteless(voteless)
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _check_service(self, last_fault_s: float) -> None:
         """Each entry must serve a job within the bound after the faults."""
         for entry in self._cluster.entries:
             while not await self._callers.serves(entry):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 import unittest
+from unittest import mock
 
 import ddt
 
@@ -322,6 +323,98 @@
         self.assertEqual([*found, in_order], expected)
 
 
+class ReplicasOnly:
+    """A deployment in which only the replicas matter.
+
+    The disk of a replica counts again ``return_s`` after its restart.
+    """
+
+    def __init__(self, return_s: float) -> None:
+        self.machines = MACHINES
+        self.controls = list(MACHINES.controls)
+        self.ended: set[str] = set()
+        self.most_without_vote = 0
+        self.killed: list[str] = []
+        self._return_s = return_s
+        self._without_vote: set[str] = set()
+
+    async def votes(self, name: str) -> bool:
+        """Tell whether a replica votes."""
+        return name not in self._without_vote
+
+    async def kill(self, name: str) -> None:
+        """Take a replica from the others."""
+        self.ended.add(name)
+        self.killed.append(name)
+        self._without_vote.add(name)
+        self.most_without_vote = max(
+            self.most_without_vote, len(self._without_vote)
+        )
+
+    def wipe(self, name: str) -> None:
+        """Remove nothing: a replica that was killed does not vote."""
+
+    async def restart(self, name: str) -> None:
+        """Start a replica again."""
+        self.ended.discard(name)
+        asyncio.get_running_loop().call_later(
+            self._return_s, self._without_vote.discard, name
+        )
+
+
+WIPES = [
+    plan.TimedFault(0.0, plan.Wipe('control-2', 0.1)),
+    plan.TimedFault(0.05, plan.Wipe('control-3', 0.1)),
+]
+# Title, when a disk counts again, the lost disks, whether each deferred fault
+# has begun, and the promises that are broken.
+LOST_DISKS: tuple[tuple[str, float, list[str], list[bool], list[str]], ...] = (
+    ('returns at once', 0.0, ['control-2', 'control-3'], [], []),
+    ('returns late', 0.5, ['control-2', 'control-3'], [True], []),
+    (
+        'does not return',
+        60.0,
+        ['control-2'],
+        [False],
+        ['replicas vote again in time'],
+    ),
+)
+
+
+@ddt.ddt
+class DeferralTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a run that loses a second disk while the first does not
+    # count yet: more than the settings declare.
+    @ddt.data(*LOST_DISKS)
+    @ddt.unpack
+    async def test_second_disk_is_lost_once_the_first_counts(
+        self,
+        _: str,
+        return_s: float,
+        killed: list[str],
+        begun: list[bool],
+        promises: list[str],
+    ) -> None:
+        replicas = ReplicasOnly(return_s)
+        for name, value in (
+            ('RECOVERY_S', 2.0),
+            ('RETRY_PAUSE_S', 0.05),
+            ('MAX_LATENESS_S', 0.4),
+            ('make_cluster', lambda *_: replicas),
+        ):
+            patch = mock.patch.object(runner, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        played = runner.Run(runner.Options())
+        await asyncio.gather(*map(played._inject, WIPES))
+        self.assertEqual(replicas.killed, killed)
+        self.assertEqual(replicas.most_without_vote, 1)
+        found = [each.begun_s is not None for each in played.deferrals]
+        self.assertEqual(found, begun)
+        broken = [each.promise for each in played.witness.violations]
+        self.assertEqual(broken, promises)
+
+
 @ddt.ddt
 class RunTest(unittest.TestCase):
     def run_soak(
