Soak: the report tells how long the run stood still

Cause: all proxies, callers and stand-in targets are in the process of the run. On a busy machine it stood still for up to 3.4 s at a time, in which no link carries anything, and nothing in the report showed it.

Change: the report has longest_stall_s, the longest time for which the event loop of the run did not run. No check depends on it.

A test blocks the loop for 0.6 s.

--- a/soak/runner.py
+++ b/soak/runner.py
@@ -23,6 +23,7 @@
 RETRY_PAUSE_S: Final = 0.5
 READ_INTERVAL_S: Final = 0.5
 USAGE_INTERVAL_S: Final = 2.0
+STALL_INTERVAL_S: Final = 0.1
 CHANGE_TIMEOUT_S: Final = 20.0
 # After the last fault; the stated bound of the users is 12 s.
 RECOVERY_S: Final = 12.0
@@ -56,13 +57,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """What a run did and found."""
+    """What a run did and found.
+
+    Proxies and callers stood still for ``longest_stall_s`` at a time; links
+    carry nothing meanwhile, beside the faults.
+    """
 
     options: Options
     faults: dict[str, int]
     outcomes: dict[str, int]
     violations: list[witness.Violation]
     deferrals: list[Deferral]
+    longest_stall_s: float
 
 
 def make_cluster(options: Options, run: 'Run') -> cluster.SoakedDeployment:
@@ -94,6 +100,7 @@
         self._faults = faults
         self.witness = witness.Witness()
         self.deferrals: list[Deferral] = []
+        self.longest_stall_s = 0.0
         self._random = random.Random(options.seed)
         self._cluster = make_cluster(options, self)
         self._cluster.prelude = reroute.PRELUDE + prelude
@@ -155,10 +162,14 @@
             dict(self.witness.outcomes),
             self.witness.violations,
             self.deferrals,
+            round(self.longest_stall_s, 2),
         )
 
     async def _play(self, faults: list[plan.TimedFault]) -> None:
-        watchers = [asyncio.create_task(self._watch_processes())]
+        watchers = [
+            asyncio.create_task(self._watch_processes()),
+            asyncio.create_task(self._watch_stalls()),
+        ]
         match self.options.jobs:
             case plan.Claimed():
                 watchers.append(asyncio.create_task(self._read_revisions()))
@@ -378,6 +389,14 @@
                     entry, shown['revision'], expected, self.read_time()
                 )
 
+    async def _watch_stalls(self) -> None:
+        """Measure how long the event loop of this process stands still."""
+        while True:
+            due_s = time.monotonic() + STALL_INTERVAL_S
+            await asyncio.sleep(STALL_INTERVAL_S)
+            stall_s = time.monotonic() - due_s
+            self.longest_stall_s = max(self.longest_stall_s, stall_s)
+
     async def _watch_processes(self) -> None:
         reported: set[str] = set()
         while True:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import time
 import typing
 import unittest
 from unittest import mock
@@ -415,6 +416,18 @@
         self.assertEqual(broken, promises)
 
 
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against promises that proxies break which stand still unseen.
+    async def test_stall_of_the_run_is_measured(self) -> None:
+        played = runner.Run(runner.Options())
+        watcher = asyncio.create_task(played._watch_stalls())
+        await asyncio.sleep(0)
+        asyncio.get_running_loop().call_soon(time.sleep, 0.6)
+        await asyncio.sleep(0.1)
+        watcher.cancel()
+        self.assertGreaterEqual(played.longest_stall_s, 0.4)
+
+
 @ddt.ddt
 class RunTest(unittest.TestCase):
     def run_soak(
