--- a/soak/runner.py
+++ b/soak/runner.py
@@ -273,7 +273,7 @@
             case plan.Close(domain, duration_s):
                 await self._close_domain(domain, duration_s)
             case plan.CutWay() | plan.HoldWay() | plan.ResetWay():
-                await self._disturb_way(timed.fault)
+                await self._disturb_way(fault)
 
     async def _disturb_way(self, fault: plan.WayFault) -> None:
         way = self._cluster.ways[fault.entry]
