Homes of transient jobs: the set in the log, and the table of a home

A home keeps in memory which entry owns an id. The leader forms the set of homes in the log, from the entries, and with fewer than five of them from voters too, and changes it by one home at a time. A grant outlasts the owner's own count and its runs; a home without its table, or one that joins, grants nothing until all that it does not know has ended.

No entry asks a home yet. The messages and the command are in the table of tags.

--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -30,6 +30,8 @@
 from eelgrassworks.contracts.configuration import ReplaceSheet
 from eelgrassworks.contracts.configuration import Sheet
 from eelgrassworks.contracts.configuration import UndrainTarget
+from eelgrassworks.contracts.homeset import HomeSet
+from eelgrassworks.contracts.homeset import NO_HOMES
 from eelgrassworks.contracts.quota import Quota
 from eelgrassworks.contracts.room import NO_ROOM
 from eelgrassworks.contracts.room import Room
@@ -39,6 +41,7 @@
 from eelgrassworks.contracts.submission import MAX_TASKS
 from eelgrassworks.contracts.submission import NotRun
 from eelgrassworks.contracts.submission import read_caller_id
+from eelgrassworks.contracts.submission import read_run
 from eelgrassworks.contracts.submission import Submission
 from eelgrassworks.contracts.submission import TaskKey
 
@@ -66,8 +69,10 @@
     'Configuration',
     'DrainTarget',
     'Failed',
+    'HomeSet',
     'Kind',
     'MAX_TASKS',
+    'NO_HOMES',
     'NO_ROOM',
     'NotRun',
     'OpenDomain',
@@ -79,4 +84,5 @@
     'TaskKey',
     'UndrainTarget',
     'read_caller_id',
+    'read_run',
 ]
--- a/eelgrassworks/contracts/submission.py
+++ b/eelgrassworks/contracts/submission.py
@@ -59,6 +59,15 @@
     return submission.partition('/')[0]
 
 
+def read_run(submission: str) -> int | None:
+    """Return the run of the entry that gave a transient job its id."""
+    run = submission.partition('/')[2].partition('-')[0]
+    try:
+        return int(run, 16)
+    except ValueError:
+        return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Complete:
     """Every task ran once and succeeded; results are in task order."""
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -16,7 +16,10 @@
 from eelgrassworks import decisioninputs
 from eelgrassworks import effects
 from eelgrassworks import zones
+from eelgrassworks.contracts import home
+from eelgrassworks.contracts import homeset
 from eelgrassworks.links import codec
+from eelgrassworks.links import homes
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import ledger
@@ -41,6 +44,11 @@
 ROSTER_RESEND_S: Final = 1.0
 # Shorter than the time for which a relay relies on what it was told.
 ANNOUNCEMENT_INTERVAL_S: Final = 1.0
+# Entries that start together have registered by then.
+HOMES_FORMATION_DELAY_S: Final = 1.0
+# Longer than a new home waits before it grants jobs, so that at most one home
+# waits at a time; also the time that a lost home has to return.
+HOMES_INTERVAL_S: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +243,10 @@
         self._deferred_renewals: dict[str, DeferredRenewal] = {}
         # Names of the entries whose deferred renewal can be answered now.
         self._answerable_entries: set[str] = set()
+        self._home = home.Home(inputs.now_s)
+        if self.ledger.homes.joining == options.replica.name:
+            self._home.join(inputs.now_s)
+        self._homes_changed_s = inputs.now_s
 
     def handle(
         self, event: ControlEvent, inputs: decisioninputs.DecisionInputs
@@ -242,8 +254,10 @@
         """Process one event and return the resulting effects in order."""
         self._now_s = inputs.now_s
         match event:
-            case Received(peer, _, message):
-                result = self._handle_message(peer, message, inputs)
+            case Received(peer, incarnation, message):
+                result = self._handle_message(
+                    peer, incarnation, message, inputs
+                )
             case ChangeRequested(request, change):
                 result = self._handle_local_change(request, change, inputs)
             case ConfigurationRequested(request):
@@ -256,6 +270,8 @@
                 result += self._check_voters(inputs.now_s)
                 result += self._report_membership(inputs.now_s)
                 result += self._announce_leader(inputs.now_s)
+                result += self._revise_homes(inputs)
+                self._home.sweep(inputs.now_s)
                 result += self.replica.record_addresses(
                     self.options.addresses, inputs
                 )
@@ -284,9 +300,31 @@
     # Messages.
 
     def _handle_message(
-        self, peer: str, message: object, inputs: decisioninputs.DecisionInputs
+        self,
+        peer: str,
+        incarnation: int,
+        message: object,
+        inputs: decisioninputs.DecisionInputs,
     ) -> effects.Effects:
         match message:
+            case messages.OwnershipRequest():
+                response = homes.answer_request(
+                    self._home,
+                    peer,
+                    incarnation,
+                    message,
+                    inputs.now_s,
+                    self._is_home(inputs.now_s),
+                )
+                return [effects.Send(peer, response)]
+            case messages.OwnershipProtection():
+                homes.apply_protection(self._home, message, inputs.now_s)
+                return []
+            case messages.OwnershipRelease():
+                homes.apply_release(
+                    self._home, peer, incarnation, message, inputs.now_s
+                )
+                return []
             case messages.RosterRequest():
                 return [effects.Send(peer, self._make_roster())]
             case messages.EntryRenewal():
@@ -515,8 +553,59 @@
                 if record.alive
             },
             self.replica.find_leader(self._now_s),
+            self.ledger.homes,
         )
 
+    # Homes of transient jobs.
+
+    def _is_home(self, now_s: float) -> bool:
+        """Tell whether this replica is sure to be a home at present."""
+        is_listed = self.options.replica.name in self.ledger.homes.list_names()
+        return is_listed and bool(self.replica.find_leader(now_s))
+
+    def _revise_homes(
+        self, inputs: decisioninputs.DecisionInputs
+    ) -> effects.Effects:
+        """Form the homes, or replace one that was lost, if this one leads."""
+        if not self.options.replica.is_open or not self._leadership_started:
+            return []
+        entries = [
+            name
+            for name, record in self.ledger.entries.items()
+            if record.alive
+        ]
+        voters = list(self.replica.members.voters)
+        current = self.ledger.homes
+        elapsed_s = inputs.now_s - self._homes_changed_s
+        if not current.version:
+            if not entries or elapsed_s < HOMES_FORMATION_DELAY_S:
+                return []
+            revised: contracts.HomeSet | None = homeset.form(entries, voters)
+        elif elapsed_s < HOMES_INTERVAL_S:
+            return []
+        else:
+            revised = homeset.revise(current, entries, voters)
+        if revised is None:
+            return []
+        self._homes_changed_s = inputs.now_s
+        command = commands.SetHomes(revised)
+        return self.replica.propose([codec.pack(command)], inputs)[1]
+
+    def _apply_homes(self, version: int) -> effects.Effects:
+        """Log homes that differ from those of a version."""
+        current = self.ledger.homes
+        if current.version == version:
+            return []
+        self._homes_changed_s = self._now_s
+        if current.joining == self.options.replica.name:
+            self._home.join(self._now_s)
+        fields: dict[str, object] = {
+            'version': current.version,
+            'homes': ','.join(current.list_names()),
+            'joining': current.joining,
+        }
+        return [effects.Log('homes_changed', fields)]
+
     def _send_roster(
         self, peer: str, renewal: messages.EntryRenewal, now_s: float
     ) -> effects.Effects:
@@ -722,6 +811,7 @@
     def _apply_committed(
         self, inputs: decisioninputs.DecisionInputs
     ) -> effects.Effects:
+        homes_version = self.ledger.homes.version
         installed = self.replica.poll_installed_snapshot()
         if installed is not None:
             self.ledger.load(installed)
@@ -731,6 +821,8 @@
             command = codec.unpack(entry.command)
             if isinstance(command, commands.RegisterEntry):
                 self._registering.pop(command.name, None)
+                if not self.ledger.homes.version:
+                    self._homes_changed_s = inputs.now_s
                 self._answerable_entries |= self._deferred_renewals.keys() & {
                     command.name
                 }
@@ -747,6 +839,7 @@
             )
             result += self._push_configuration()
             result.append(self._log_commit())
+        result += self._apply_homes(homes_version)
         return result + self._compact()
 
     def _log_commit(self) -> effects.Log:
@@ -776,6 +869,7 @@
             self._leadership_started = True
             self._leadership_began_s = inputs.now_s
             self.voters_missing = 0
+            self._homes_changed_s = inputs.now_s
             self._registering = {}
             self._answerable_entries |= self._deferred_renewals.keys()
             self._sent_rosters = {}
@@ -978,6 +1072,11 @@
                 }
                 for name, record in self.ledger.entries.items()
             },
+            'homes': {
+                'version': self.ledger.homes.version,
+                'names': self.ledger.homes.list_names(),
+                'granted': len(self._home),
+            },
             'stopping': self.stopping,
             'counters': dict(self.counters),
         }
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -37,12 +37,23 @@
     attempt: int
 
 
+class OrphanedJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job with runs at a target, and its entry, which is unresponsive."""
+
+    entry: str
+    job: str
+
+
 class AgentRenewal(msgspec.Struct, frozen=True):
     """Registers a target and requests a lease for it.
 
     ``stamp_ms`` is the agent's monotonic time at sending.  ``shown`` names
     the entry's attempts that run, until the entry has confirmed a renewal
     that names them.  Any other start may still be under way to the target.
+    ``unended`` names all attempts of the entry that the agent has received
+    and that have not ended; it is None if the renewal lists none of them.
+    ``orphans`` names the jobs of which a run is left at the target, or may
+    still begin, and whose entry the agent has lost.
     """
 
     target: str
@@ -61,6 +72,8 @@
     # Declared work completed per second of run time; 0 until measured.
     speed: float = 0.0
     shown: tuple[ShownAttempt, ...] = ()
+    unended: tuple[ShownAttempt, ...] | None = None
+    orphans: tuple[OrphanedJob, ...] = ()
 
 
 class TaskFinished(msgspec.Struct, frozen=True):
@@ -297,10 +310,19 @@
     replicas: dict[str, str]
     entries: dict[str, str]
     leader: str = ''
+    homes: contracts.HomeSet = contracts.NO_HOMES
+
+    def hide_homes(self) -> 'RosterUpdate':
+        """Return the roster for a process that owns no jobs."""
+        return RosterUpdate(self.replicas, self.entries, self.leader)
 
     def digest(self) -> int:
-        """Return a checksum that differs when a name or address differs."""
-        rows = (sorted(self.replicas.items()), sorted(self.entries.items()))
+        """Return a checksum of the names, the addresses and the homes."""
+        rows = (
+            sorted(self.replicas.items()),
+            sorted(self.entries.items()),
+            self.homes,
+        )
         return zlib.crc32(msgspec.msgpack.encode(rows))
 
 
@@ -332,6 +354,13 @@
     submission: str = ''
 
 
+class AttachWithdrawal(msgspec.Struct, frozen=True):
+    """The request of another entry no longer waits for a job."""
+
+    request: int
+    submission: str
+
+
 class CancelRequest(msgspec.Struct, frozen=True):
     """Requests that the owner of a job cancels it."""
 
@@ -341,6 +370,89 @@
     team: str
 
 
+# Entry to home, and back.
+
+
+class JobOwnership(msgspec.Struct, frozen=True, array_like=True):
+    """A transient job, by the id of its caller and by that of the entry.
+
+    ``attempt`` rises over all claims of the entry; ``repeated`` is set once a
+    claim of the job was refused.  ``age_ms`` is the time since its caller
+    submitted it.
+    """
+
+    submission: str
+    job: str
+    attempt: int = 1
+    repeated: bool = False
+    age_ms: int = 0
+
+
+class OwnershipRequest(msgspec.Struct, frozen=True):
+    """Requests and extends grants of transient jobs.
+
+    The sender owns the jobs in ``renewals`` and claims those in ``claims``.
+    A request without jobs asks whether the home grants new ones.
+    """
+
+    request: int
+    claims: tuple[JobOwnership, ...] = ()
+    renewals: tuple[JobOwnership, ...] = ()
+
+
+class OwnershipRelease(msgspec.Struct, frozen=True):
+    """Gives back grants of transient jobs; there is no response."""
+
+    jobs: tuple[JobOwnership, ...]
+
+
+class OwnershipProtection(msgspec.Struct, frozen=True):
+    """Extends the grants of owners that are lost; there is no response."""
+
+    jobs: tuple[OrphanedJob, ...]
+
+
+class OwnershipReportRequest(msgspec.Struct, frozen=True):
+    """A home that has lost its grants requests the jobs of an entry.
+
+    ``run`` identifies the process of the home.
+    """
+
+    run: int
+
+
+class OwnershipReport(msgspec.Struct, frozen=True):
+    """All jobs that an entry owns, for one run of a home.
+
+    The process of the entry was started ``uptime_ms`` before.
+    """
+
+    run: int
+    uptime_ms: int
+    jobs: tuple[JobOwnership, ...]
+
+
+class OwnershipRefusal(msgspec.Struct, frozen=True, array_like=True):
+    """Another job owns an id; ``owner`` is its entry."""
+
+    submission: str
+    owner: str
+    job: str
+
+
+class OwnershipResponse(msgspec.Struct, frozen=True):
+    """Response of a home: all jobs are granted that it does not name.
+
+    ``undecided`` names the claims on ids whose owner the home may not know
+    while it is ``recovering``.
+    """
+
+    request: int
+    refused: tuple[OwnershipRefusal, ...] = ()
+    undecided: tuple[str, ...] = ()
+    recovering: bool = False
+
+
 # Any process to any process.
 
 
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -65,6 +65,8 @@
         # The replicas that the settings list.
         self._listed_replicas = options.replicas
         self.roster = messages.RosterUpdate({}, {})
+        # The live entries with their addresses, by a roster of a leader.
+        self.live_entries: dict[str, str] = {}
         self.leader = options.replicas[0]
         # A leader that a replica named and whose address is requested.
         self._unknown_leader = ''
@@ -186,6 +188,8 @@
         """
         if roster.entries:
             self.roster = roster
+            if roster.leader == peer:
+                self.live_entries = roster.entries
         if roster.replicas:
             names = (*roster.replicas, *self._listed_replicas)
             self.replicas = tuple(dict.fromkeys(names))
--- a/eelgrassworks/replication/commands.py
+++ b/eelgrassworks/replication/commands.py
@@ -67,6 +67,19 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetHomes:
+    """Replaces the homes of transient jobs, if the version is the next one."""
+
+    homes: contracts.HomeSet
+
+
 codec.register(
-    CommitChange, CommitClaims, EndEntry, NoOp, RegisterEntry, SetMembers
+    CommitChange,
+    CommitClaims,
+    EndEntry,
+    NoOp,
+    RegisterEntry,
+    SetHomes,
+    SetMembers,
 )
--- a/eelgrassworks/replication/ledger.py
+++ b/eelgrassworks/replication/ledger.py
@@ -51,6 +51,7 @@
     winners: list[tuple[int, str]]
     time_ms: int
     members: commands.SetMembers
+    homes: contracts.HomeSet = contracts.NO_HOMES
 
 
 class Ledger:
@@ -67,6 +68,7 @@
         )
         self.winners: dict[int, str] = {}
         self.time_ms = 0
+        self.homes = contracts.NO_HOMES
         self._buckets: dict[int, list[str]] = {}
 
     def apply(self, index: int, command: Any) -> list[Any]:
@@ -85,6 +87,11 @@
                 if record is not None and record.incarnation == incarnation:
                     record.alive = False
                 return []
+            case commands.SetHomes(homes):
+                # An earlier leader may have proposed it.
+                if homes.version == self.homes.version + 1:
+                    self.homes = homes
+                return []
             case _:
                 return []
 
@@ -248,6 +255,7 @@
                 list(self.winners.items()),
                 self.time_ms,
                 members,
+                self.homes,
             )
         )
 
@@ -261,6 +269,7 @@
         )
         self.winners = dict(model.winners)
         self.time_ms = model.time_ms
+        self.homes = model.homes
         self.claims = {}
         self._buckets = {}
         for submission, record in model.claims.items():
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -42,8 +42,11 @@
             'free_room',
             'speed',
             'shown',
+            'unended',
+            'orphans',
         ),
     ),
+    (messages.OrphanedJob, 'OrphanedJob', ('entry', 'job')),
     (
         messages.ShownAttempt,
         'ShownAttempt',
@@ -159,7 +162,11 @@
     (messages.ConfigurationChangeResponse, 'ChangeTold', ('verdict',)),
     (messages.NotLeader, 'NotLeader', ('leader',)),
     (messages.RosterRequest, 'RosterAsked', ()),
-    (messages.RosterUpdate, 'RosterTold', ('replicas', 'entries', 'leader')),
+    (
+        messages.RosterUpdate,
+        'RosterTold',
+        ('replicas', 'entries', 'leader', 'homes'),
+    ),
     (
         messages.AttachRequest,
         'AttachAsked',
@@ -170,7 +177,40 @@
         'AttachTold',
         ('request', 'answer', 'submission'),
     ),
+    (
+        messages.AttachWithdrawal,
+        'AttachWithdrawal',
+        ('request', 'submission'),
+    ),
     (messages.CancelRequest, 'CancelAsked', ('submission', 'team')),
+    (
+        messages.JobOwnership,
+        'JobOwnership',
+        ('submission', 'job', 'attempt', 'repeated', 'age_ms'),
+    ),
+    (
+        messages.OwnershipRequest,
+        'OwnershipRequest',
+        ('request', 'claims', 'renewals'),
+    ),
+    (messages.OwnershipRelease, 'OwnershipRelease', ('jobs',)),
+    (messages.OwnershipProtection, 'OwnershipProtection', ('jobs',)),
+    (messages.OwnershipReportRequest, 'OwnershipReportRequest', ('run',)),
+    (
+        messages.OwnershipReport,
+        'OwnershipReport',
+        ('run', 'uptime_ms', 'jobs'),
+    ),
+    (
+        messages.OwnershipRefusal,
+        'OwnershipRefusal',
+        ('submission', 'owner', 'job'),
+    ),
+    (
+        messages.OwnershipResponse,
+        'OwnershipResponse',
+        ('request', 'refused', 'undecided', 'recovering'),
+    ),
     (messages.Heartbeat, 'Heartbeat', ('sent_s', 'kept')),
     (messages.HeartbeatEcho, 'HeartbeatEcho', ('sent_s',)),
     (messages.LogEntry, 'LogEntry', ('index', 'term', 'command')),
@@ -256,6 +296,7 @@
     (commands.EndEntry, 'EndEntry', ('name', 'incarnation')),
     (commands.NoOp, 'NoOp', ()),
     (commands.RegisterEntry, 'RegisterEntry', ('name', 'address', 'nonce')),
+    (commands.SetHomes, 'SetHomes', ('homes',)),
     (commands.SetMembers, 'SetMembers', ('voters', 'learners', 'addresses')),
 )
 
