Agents tell which attempts have not ended, and which lost their entry

An entry that gives a job up must know when the last run of it has ended. Cancellations that do not reach an agent are never answered, and starts of an ended job at a lost agent were forgotten at once.

A renewal to an entry that confirms nothing lists its attempts that have not ended; a cancelled start that is not listed, and too old to be carried out, is settled. Starts of ended jobs at a lost agent are remembered for 10 s, without a share of the quota. Renewals name the jobs of which a run is left and whose entry is lost.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -30,6 +30,8 @@
 IDLE_AFTER_S: Final = 0.3
 # Slots offered to an entry stay reserved for this long: longer than a round
 # trip between the entry and the agent, shorter than a task.
+# An entry that answers confirms a renewal sooner.
+LISTING_DELAY_S: Final = 0.3
 OFFER_TTL_S: Final = 0.02
 
 
@@ -768,6 +770,7 @@
         target = self.options.target
         accepting = not self.stopping and self.healthy and not self.draining
         shown = self._list_shown(names, now_s)
+        orphans = self._list_orphans(now_s)
         return [
             effects.Send(
                 entry,
@@ -787,11 +790,60 @@
                     self.slots.free_room,
                     self.speed,
                     tuple(shown[entry]),
+                    self._list_unended(entry, now_s),
+                    orphans,
                 ),
             )
             for entry in names
         ]
 
+    def _list_orphans(self, now_s: float) -> tuple[messages.OrphanedJob, ...]:
+        """Return the jobs with runs here whose entry is lost.
+
+        It is unresponsive, or its run has ended.
+        """
+        if self.options.entry_ttl_s == float('inf'):
+            return ()
+        orphans: dict[messages.OrphanedJob, None] = {}
+        for key, occupant in self.slots.occupants.items():
+            view = self.entries[occupant.entry]
+            silent_s = now_s - view.confirmed_s
+            run = contracts.read_run(key.submission)
+            has_ended = run is not None and run != view.incarnation
+            if silent_s > self.options.entry_ttl_s or has_ended:
+                orphan = messages.OrphanedJob(occupant.entry, key.submission)
+                orphans[orphan] = None
+        return tuple(orphans)
+
+    def _list_unended(
+        self, entry: str, now_s: float
+    ) -> tuple[messages.ShownAttempt, ...] | None:
+        """Return the attempts of an entry whose answers do not arrive.
+
+        It may have cancelled any of them.  Returns None for other entries.
+        """
+        view = self.entries.get(entry)
+        if view is None or self.options.entry_ttl_s == float('inf'):
+            return None
+        if now_s - view.confirmed_s < LISTING_DELAY_S:
+            return None
+        running = [
+            messages.ShownAttempt(key.submission, key.index, occupant.attempt)
+            for key, occupant in self.slots.occupants.items()
+            if occupant.entry == entry
+        ]
+        for key in self._queue:
+            match self.records.find(key):
+                case keyrecords.KeyQueued(peer, start) if peer == entry:
+                    running.append(
+                        messages.ShownAttempt(
+                            key.submission, key.index, start.attempt
+                        )
+                    )
+                case _:
+                    pass
+        return tuple(running)
+
     def _list_shown(
         self, names: Sequence[str], now_s: float
     ) -> dict[str, list[messages.ShownAttempt]]:
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -45,6 +45,12 @@
 # no task that the agent has reported as running runs at a target with room any
 # more; a start under way may still begin.
 HOLD_LOST_TIMEOUT_S: Final = 1.35
+# An agent declines a start whose stamp is older, by its own clock: the lease
+# of an entry at the agent, and some rounding.
+START_TTL_S: Final = 0.65
+# Starts that may still be under way are remembered for this long after the
+# end of their job.
+LOST_START_TTL_S: Final = 10.0
 SHEDDING_POLICY: Final = shedding.AtLatestStart()
 
 
@@ -471,6 +477,7 @@
         for each in renewal.shown:
             key = contracts.TaskKey(each.submission, each.index)
             view.record_shown(key, each.attempt)
+        self._settle_unlisted(view, renewal)
         result: effects.Effects = []
         if view.suspect:
             view.suspect = False
@@ -491,8 +498,10 @@
             if name != peer:
                 continue
             if incarnation == view.incarnation:
-                view.restore(lost.starts)
+                view.restore({**lost.starts, **lost.ended})
                 view.suspect = True
+                for key in lost.ended:
+                    view.cancel(key, view.last_contact_s)
             elif view.stamp_ms >= lost.stamp_ms:
                 for key, start in lost.starts.items():
                     self.queue.record_end(start.team)
@@ -504,6 +513,28 @@
             del self._lost[name, incarnation]
         return outcomes
 
+    def _settle_unlisted(
+        self, view: machines.TargetView, renewal: messages.AgentRenewal
+    ) -> None:
+        """Settle the cancelled starts that the agent does not have.
+
+        They have ended there, or never arrived and would be declined now.
+        """
+        if renewal.unended is None:
+            return
+        listed = {(each.submission, each.index) for each in renewal.unended}
+        latest_stamp_ms = renewal.stamp_ms - START_TTL_S * 1000
+        for key in list(view.cancelled):
+            start = view.outstanding[key]
+            is_over = start.stamp_ms <= latest_stamp_ms
+            if is_over and (key.submission, key.index) not in listed:
+                self.counters['starts_unlisted'] += 1
+                self._settle(view, key)
+
+    def _is_active(self, key: contracts.TaskKey) -> bool:
+        job = self._table.find(key.submission)
+        return job is not None and job.state == jobs.JobState.ACTIVE
+
     def send_lease(
         self,
         peer: str,
@@ -720,7 +751,7 @@
         self, view: machines.TargetView, key: contracts.TaskKey
     ) -> machines.Outstanding | None:
         start = view.settle(key)
-        if start is not None:
+        if start is not None and start.is_counted:
             self.queue.record_end(start.team)
         return start
 
@@ -767,7 +798,7 @@
                 view.ramp_by_time(now_s)
                 if view.outstanding:
                     result += self._send_fences(view, now_s, OVERDUE_MARGIN_S)
-        self._forget_lost()
+        self._forget_lost(now_s)
         result += self._request_slots()
         return DispatchResult(result, outcomes)
 
@@ -810,15 +841,19 @@
             view.settle(key)
         return self._drop_target(peer, 'lost')
 
-    def _forget_lost(self) -> None:
-        """Forget the lost starts of jobs that have ended."""
+    def _forget_lost(self, now_s: float) -> None:
+        """Set the lost starts of ended jobs apart, and forget them later."""
         for name, lost in list(self._lost.items()):
             for key, start in list(lost.starts.items()):
-                job = self._table.find(key.submission)
-                if job is None or job.state != jobs.JobState.ACTIVE:
-                    self.queue.record_end(start.team)
-                    del lost.starts[key]
-            if not lost.starts:
+                if self._is_active(key):
+                    continue
+                self.queue.record_end(start.team)
+                start.is_counted = False
+                lost.ended[key] = lost.starts.pop(key)
+                lost.ended_s = now_s
+            if now_s - lost.ended_s > LOST_START_TTL_S:
+                lost.ended = {}
+            if not lost.starts and not lost.ended:
                 del self._lost[name]
 
     def may_start(self, job: jobs.Job) -> bool:
@@ -835,6 +870,32 @@
                 return True
         return False
 
+    def runs_all(self, job: jobs.Job, now_s: float) -> bool:
+        """Tell whether all unfinished tasks of a job run in contact."""
+        if job.has_waiting_tasks():
+            return False
+        for index, target in job.targets_by_index.items():
+            view = self.views.get(target)
+            key = contracts.TaskKey(job.submission.id, index)
+            if view is None or key not in view.outstanding:
+                return False
+            no_contact_s = now_s - view.last_contact_s
+            if view.is_unshown(key) or no_contact_s > THROUGHPUT_TIMEOUT_S:
+                return False
+        return True
+
+    def list_unsettled(self) -> set[str]:
+        """Return the jobs of which a run may be left, or may still begin."""
+        unsettled = {
+            key.submission
+            for view in self.views.values()
+            for key in view.outstanding
+        }
+        for lost in self._lost.values():
+            unsettled.update(key.submission for key in lost.starts)
+            unsettled.update(key.submission for key in lost.ended)
+        return unsettled
+
     def _drop_target(self, peer: str, reason: str) -> list[Outcome]:
         """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -62,6 +62,8 @@
     expected_s: float = float('inf')
     # Set once the agent has reported that the target runs the attempt.
     is_shown: bool = False
+    # Cleared once the quota of the team no longer counts the task.
+    is_counted: bool = True
 
     def is_overdue(self, now_s: float, margin_s: float) -> bool:
         """Tell whether the answer should have arrived by now."""
@@ -75,11 +77,16 @@
 
     Its target may still carry them out, at any later time.  They are settled
     by that incarnation of the agent, or by a renewal of a later one, which
-    follows the fence at the target.
+    follows the fence at the target.  ``ended`` has the starts whose job has
+    ended meanwhile, and ``ended_s`` when that was found.
     """
 
     stamp_ms: int
     starts: dict[contracts.TaskKey, Outstanding]
+    ended: dict[contracts.TaskKey, Outstanding] = dataclasses.field(
+        default_factory=dict
+    )
+    ended_s: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
