Model of the homes of transient jobs

Three homes, two entries and one id: grants that expire, a home that restarts, late and lost messages, a release, a claim that is given back and a restart of an entry.

--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -15,6 +15,7 @@
 from eelgrassworks.links import messages
 from models import attempts
 from models import claims
+from models import homes
 from models import leases
 from models import owners
 from models import renewals
@@ -27,6 +28,7 @@
 MODELS = (
     attempts,
     claims,
+    homes,
     leases,
     owners,
     renewals,
