Known failure: connections over slow paths are replaced for ever

Two causes together: the proxies of the soak stood still, since callers, proxies and targets share its process, and the transport replaces a connection that had no echo for its timeout, though opening one has to fit into the same time. The two rows with slow paths are expected failures. Descriptors return to their level after cuts, which a third test checks.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,10 +1,14 @@
 """Socket transport, and liveness of connections."""
 
 import asyncio
+import os
+import pathlib
 import random
 import unittest
+from unittest import mock
 
 import ddt
+import pynng
 
 from eelgrassworks import clock
 from eelgrassworks import links
@@ -12,6 +16,8 @@
 from eelgrassworks.links import connection
 from eelgrassworks.links import messages
 from eelgrassworks.links import transport
+from soak import proxy
+from soak import reroute
 from tests import deployment
 
 KEY = b'a key for tests'
@@ -35,15 +41,37 @@
     ),
 )
 
+# Shorter than the delays of the slow paths.
+SHORT_TIMEOUT_S = 0.5
+# Title, and the delay of a path in each direction, in s.
+SLOW_PATHS: tuple[tuple[str, float], ...] = (
+    ('echoes come late', 0.3),
+    ('connections open late', 0.7),
+)
+# For connections to open, and then for them to stay.
+SETTLING_S = 6.0
+STAYING_S = 3.0
+
+
+def count_descriptors() -> int:
+    """Return the number of open descriptors of this process."""
+    return len(list(pathlib.Path('/proc/self/fd').iterdir()))
+
 
 @ddt.ddt
 class SocketTest(unittest.IsolatedAsyncioTestCase):
     def open(
-        self, name: str, port: int, key: bytes = KEY
+        self,
+        name: str,
+        port: int,
+        key: bytes = KEY,
+        echo_timeout_s: float = connection.ECHO_TIMEOUT_S,
     ) -> tuple[transport.SocketTransport, list[links.Frame]]:
         """Start a transport; return it and the frames that it receives."""
         sender = links.Sender(name, 1, f'tcp://127.0.0.1:{port}')
-        opened = transport.SocketTransport(links.Codec(key), sender)
+        opened = transport.SocketTransport(
+            links.Codec(key), sender, echo_timeout_s=echo_timeout_s
+        )
         received: list[links.Frame] = []
         opened.start(received.append)
         self.addCleanup(opened.close)
@@ -194,6 +222,97 @@
         assert isinstance(peer, dict)
         self.assertEqual(peer['right']['address'], right.sender.address)
 
+    async def open_proxy(self, port: int) -> proxy.LinkProxy:
+        """Lead the connections to a port of 127.0.0.1 through a proxy."""
+        target = proxy.Address('127.0.0.1', port)
+        host = reroute.find_proxy_host(1, target.host)
+        opened = proxy.LinkProxy(proxy.Address(host, port), target)
+        await opened.open()
+        self.addAsyncCleanup(opened.close)
+        return opened
+
+    def lead_through_proxies(self) -> None:
+        """Lead all connections of this process through proxies."""
+        for patch in (
+            mock.patch.dict(os.environ, {reroute.NUMBER_VARIABLE: '1'}),
+            mock.patch.object(pynng.Push0, 'dial', pynng.Push0.dial),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+        reroute.install()
+
+    async def exchange(
+        self,
+        links_by_peer: dict[str, transport.SocketTransport],
+        seconds: float,
+    ) -> int:
+        """Let each link send to its peer; return the messages of each."""
+        end_s = clock.read_now() + seconds
+        number = 0
+        while clock.read_now() < end_s:
+            for peer, link in links_by_peer.items():
+                link.post(peer, messages.SlotsRequest(number))
+                link.tick(clock.read_now())
+            number += 1
+            await asyncio.sleep(0.05)
+        return number
+
+    # Guards against connections over a slow path that are replaced for ever,
+    # so that frames are lost, or none gets through (KNOWN-RED.txt).
+    @unittest.expectedFailure
+    @ddt.data(*SLOW_PATHS)
+    @ddt.unpack
+    async def test_slow_path_carries_frames(
+        self, _: str, delay_s: float
+    ) -> None:
+        self.lead_through_proxies()
+        ports = deployment.find_ports(2)
+        paths = [await self.open_proxy(port) for port in ports]
+        for path in paths:
+            path.delay_s = delay_s
+        left, heard = self.open('left', ports[0], KEY, SHORT_TIMEOUT_S)
+        right, received = self.open('right', ports[1], KEY, SHORT_TIMEOUT_S)
+        left.connect('right', right.sender.address)
+        right.connect('left', left.sender.address)
+        ends = {'right': left, 'left': right}
+        await self.exchange(ends, SETTLING_S)
+        replaced = [
+            each.counters['connections_replaced'] for each in ends.values()
+        ]
+        descriptors = count_descriptors()
+        before = len(received), len(heard)
+        sent = await self.exchange(ends, STAYING_S)
+        await asyncio.sleep(4 * delay_s)
+        self.assertGreaterEqual(len(received) - before[0], sent)
+        self.assertGreaterEqual(len(heard) - before[1], sent)
+        self.assertEqual(
+            replaced,
+            [each.counters['connections_replaced'] for each in ends.values()],
+        )
+        self.assertLessEqual(count_descriptors(), descriptors)
+
+    # Guards against descriptors that stay with connections that a halted
+    # path has let time out.
+    async def test_replaced_connections_free_their_descriptors(self) -> None:
+        self.lead_through_proxies()
+        ports = deployment.find_ports(2)
+        paths = [await self.open_proxy(port) for port in ports]
+        left, _ = self.open('left', ports[0], KEY, SHORT_TIMEOUT_S)
+        right, received = self.open('right', ports[1], KEY, SHORT_TIMEOUT_S)
+        left.connect('right', right.sender.address)
+        right.connect('left', left.sender.address)
+        ends = {'right': left, 'left': right}
+        await self.exchange(ends, 1.0)
+        descriptors = count_descriptors()
+        for path in paths:
+            path.cut(STAYING_S)
+        await self.exchange(ends, STAYING_S)
+        self.assertGreater(left.counters['connections_replaced'], 1)
+        received.clear()
+        await self.exchange(ends, SETTLING_S)
+        self.assertTrue(received)
+        self.assertLessEqual(count_descriptors(), descriptors)
+
     @ddt.data(*MOVED_PEERS)
     @ddt.unpack
     async def test_connection_that_failed_is_reopened(
