--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,8 +1,8 @@
 """Memory and time per item of state, and times of the control protocols.
 
 Usage: python -m benchmarks.slopes [NAME ...].  Each measurement prints one
-JSON line.  Names: claims, records, queue, commits, closing, leader.  The last
-three run under the virtual clock.
+JSON line.  Names: claims, records, queue, ownership, commits, closing,
+leader.  The last three run under the virtual clock.
 """
 
 import collections
@@ -14,9 +14,14 @@
 
 from benchmarks import measure
 from eelgrassworks import contracts
+from eelgrassworks import effects
 from eelgrassworks import keyrecords
+from eelgrassworks import links
+from eelgrassworks import ownership
+from eelgrassworks.contracts import homeset
 from eelgrassworks.contracts import ids
 from eelgrassworks.contracts import queues
+from eelgrassworks.links import codec
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import ledger
@@ -26,6 +31,9 @@
 CLAIM_COUNT = 200_000
 RECORD_COUNT = 100_000
 CLAIMS_PER_BATCH = 1000
+OWNED_JOBS = 2000
+# Entries of which one owns all jobs.
+OWNERSHIP_SIZES = (3, 7, 20, 90)
 START_MS = 1_700_000_000_000
 
 
@@ -89,6 +97,75 @@
     return {'memory_bytes': round(used_bytes / 1000 / contracts.MAX_TASKS, 1)}
 
 
+def measure_ownership() -> dict[str, Any]:
+    """Measure frames, bytes and times of a job at its homes, by entries."""
+    return {
+        f'{size}_entries': _measure_ownership(size) for size in OWNERSHIP_SIZES
+    }
+
+
+def _measure_ownership(size: int) -> dict[str, float]:
+    names = [f'10.{n % 3 + 1}.0.{n + 1}' for n in range(size)]
+    homes = homeset.form(names, worlds.CONTROLS)
+    cores = {name: _make_home(name, homes) for name in homes.list_names()}
+    owner = homes.list_names()[0]
+    frames: list[int] = []
+    now_s = 10.0
+    start_s = time.perf_counter()
+    for number in range(OWNED_JOBS):
+        now_s += 0.05
+        submission = f'{number:016x}'
+        job = f'{submission}/1-{number}'
+        cores[owner].claim(submission, job, now_s)
+        _exchange(cores, owner, now_s, frames)
+        cores[owner].end(submission, job, now_s + 0.02, False)
+        cores[owner].tick(now_s + 0.02)
+        _exchange(cores, owner, now_s + 0.02, frames)
+    elapsed_s = time.perf_counter() - start_s
+    return {
+        'homes': len(homes.find_group('')),
+        'frames': round(len(frames) / OWNED_JOBS, 2),
+        'bytes': round(sum(frames) / OWNED_JOBS),
+        'owner_and_homes_us': round(elapsed_s / OWNED_JOBS * 1e6),
+    }
+
+
+def _make_home(name: str, homes: contracts.HomeSet) -> ownership.Ownership:
+    core = ownership.Ownership(name, 1)
+    core.begin(0.0)
+    core.apply_homes(homes, 0.0)
+    core.set_authority(True)
+    return core
+
+
+def _exchange(
+    cores: dict[str, ownership.Ownership],
+    owner: str,
+    now_s: float,
+    frames: list[int],
+) -> None:
+    """Deliver the messages of an owner and the responses; record sizes."""
+    encoder = codec.Codec(b'key')
+    sender = links.Sender(owner, 1, f'tcp://{owner}:7722')
+    for effect in cores[owner].flush(now_s, True):
+        if not isinstance(effect, effects.Send):
+            continue
+        frames.append(len(encoder.encode_frame(sender, [effect.message])))
+        match effect.message:
+            case messages.OwnershipRequest() as request:
+                answers = cores[effect.peer].handle_request(
+                    owner, 1, request, now_s
+                )
+            case _:
+                answers = []
+        for each in answers:
+            if isinstance(each, effects.Send):
+                frames.append(
+                    len(encoder.encode_frame(sender, [each.message]))
+                )
+                cores[owner].handle_response(effect.peer, each.message, now_s)
+
+
 def measure_commits() -> dict[str, Any]:
     """Measure commits a second and latency, with and without group commit.
 
@@ -165,6 +242,7 @@
     'closing': measure_closing,
     'commits': measure_commits,
     'leader': measure_leader,
+    'ownership': measure_ownership,
     'queue': measure_queue,
     'records': measure_records,
 }
