A restarted home waits if a report contradicts what it has learned

A late renewal of a former owner hides the owner in a report, which was passed over: after the loss of a majority of homes the former owner's next claim could be granted beside runs of the owner.

--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -339,7 +339,10 @@
             return []
         for each in report.jobs:
             claim = homes.make_claim(peer, incarnation, each, now_s)
-            self.table.renew(claim, now_s)
+            if self.table.renew(claim, now_s) != claim.owner:
+                # A late renewal of a former owner came first; it hides this
+                # one until it expires.
+                return []
         self.table.record_report(peer, now_s - report.uptime_ms / 1000)
         return []
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -583,6 +583,27 @@
         ]
         self.assertEqual(outcomes, [])
 
+    # Guards against a home that ends its recovery without the owner in a
+    # report, since a late renewal of a former owner hides it.
+    @ddt.data((None, 0), ('entry-2', 1))
+    @ddt.unpack
+    def test_report_counts_if_its_jobs_are_known(
+        self, former: str | None, asked_again: int
+    ) -> None:
+        core = make_entry(1)
+        entries = ('entry-1', 'entry-3')
+        owned = messages.JobOwnership('job', 'job/3-1', 1)
+        if former:
+            renewal = messages.JobOwnership('job', 'job/2-1', 1)
+            core.handle_request(
+                former, 2, messages.OwnershipRequest(1, (), (renewal,)), 0.1
+            )
+        core.request_reports(entries, 0.1)
+        report = messages.OwnershipReport(1, 0, (owned,))
+        core.handle_report('entry-3', 3, report, 0.2)
+        requests = core.request_reports(entries, 0.4)
+        self.assertEqual(len(requests), asked_again)
+
     # Guards against two entries that own one id while runs of both may be at
     # work (incident TWICE of aqaba-pound).
     @ddt.data(*NETWORKS)
