--- a/eelgrassworks/contracts/home.py
+++ b/eelgrassworks/contracts/home.py
@@ -121,10 +121,12 @@
     def end_recovery(self, group: Sequence[str], now_s: float) -> None:
         """Grant some jobs early, if no majority of a group can.
 
-        All live entries have reported their jobs.
+        All live entries have reported their jobs.  Other homes, which do not
+        report, may have kept their tables.
         """
+        restarted_s = now_s - RETENTION_S
         settled = sum(
-            now_s - self._started_s.get(name, now_s) >= RETENTION_S
+            self._started_s.get(name, float('-inf')) <= restarted_s
             for name in group
         )
         if settled < homeset.count_majority(group):
