The leader forms no homes while a replica cannot apply the command

A replica of an earlier version raises at an unknown command and passes over the rest of its batch (review, probe), so that its log's state differs from then on.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -247,6 +247,8 @@
         if self.ledger.homes.joining == options.replica.name:
             self._home.join(inputs.now_s)
         self._homes_changed_s = inputs.now_s
+        # Replicas of an earlier version, which cannot apply SetHomes.
+        self._without_homes: set[str] = set()
 
     def handle(
         self, event: ControlEvent, inputs: decisioninputs.DecisionInputs
@@ -317,6 +319,12 @@
                     self._is_home(inputs.now_s),
                 )
                 return [effects.Send(peer, response)]
+            case messages.AppendResponse(knows_homes=False):
+                self._without_homes.add(peer)
+                return self.replica.handle_message(peer, message, inputs)
+            case messages.AppendResponse():
+                self._without_homes.discard(peer)
+                return self.replica.handle_message(peer, message, inputs)
             case messages.OwnershipProtection():
                 homes.apply_protection(self._home, message, inputs.now_s)
                 return []
@@ -569,12 +577,15 @@
         """Form the homes, or replace one that was lost, if this one leads."""
         if not self.options.replica.is_open or not self._leadership_started:
             return []
+        members = self.replica.members
+        if self._without_homes & {*members.voters, *members.learners}:
+            return []
         entries = [
             name
             for name, record in self.ledger.entries.items()
             if record.alive
         ]
-        voters = list(self.replica.members.voters)
+        voters = list(members.voters)
         current = self.ledger.homes
         elapsed_s = inputs.now_s - self._homes_changed_s
         if not current.version:
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -330,7 +330,11 @@
 
 
 class AttachRequest(msgspec.Struct, frozen=True):
-    """Requests the result of a job from its owner."""
+    """Requests the result of a job from its owner.
+
+    ``age_ms`` is the time since the submission that waits for a transient
+    job.
+    """
 
     TAG: ClassVar[str] = 'AttachAsked'
 
@@ -338,6 +342,7 @@
     submission: str
     digest: str
     team: str
+    age_ms: int = 0
 
 
 class AttachResponse(msgspec.Struct, frozen=True):
@@ -542,6 +547,8 @@
     sent_s: float
     disk: str
     failure_domain: str = ''
+    # Set by replicas that can apply SetHomes.
+    knows_homes: bool = False
 
 
 class SnapshotChunk(msgspec.Struct, frozen=True):
--- a/eelgrassworks/replication/replica.py
+++ b/eelgrassworks/replication/replica.py
@@ -984,6 +984,7 @@
             sent_s,
             self.options.disk,
             self.options.failure_domain,
+            knows_homes=True,
         )
 
     # Verification of this data folder.
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -170,7 +170,7 @@
     (
         messages.AttachRequest,
         'AttachAsked',
-        ('request', 'submission', 'digest', 'team'),
+        ('request', 'submission', 'digest', 'team', 'age_ms'),
     ),
     (
         messages.AttachResponse,
@@ -236,7 +236,15 @@
     (
         messages.AppendResponse,
         'AppendTold',
-        ('term', 'accepted', 'match', 'sent_s', 'disk', 'failure_domain'),
+        (
+            'term',
+            'accepted',
+            'match',
+            'sent_s',
+            'disk',
+            'failure_domain',
+            'knows_homes',
+        ),
     ),
     (
         messages.SnapshotChunk,
