Nine homes for an id, spread over the zones, and grants of 1 s

Groups have nine homes, evenly spread over the order of names, and an owner counts on a grant for 1.0 s.

--- a/eelgrassworks/contracts/home.py
+++ b/eelgrassworks/contracts/home.py
@@ -24,8 +24,8 @@
 from eelgrassworks.contracts import homeset
 
 # For how long an owner relies on a grant, from the time at which it sent the
-# request.  As long as an entry's lease at an agent.
-GRANT_TTL_S: Final = 0.6
+# request: four renewals may be lost.
+GRANT_TTL_S: Final = 1.0
 # After the owner's count has ended: the time until the owner notices, its
 # leases at agents and targets, and the time to stop a run.
 RUNS_TTL_S: Final = 1.5
--- a/eelgrassworks/contracts/homeset.py
+++ b/eelgrassworks/contracts/homeset.py
@@ -16,10 +16,11 @@
 
 import xxhash
 
-# Homes of one id if all of them form one group: bears three losses.
-MAX_SINGLE_GROUP_SIZE: Final = 7
-# Homes of one id in a large deployment: bears two losses.
-GROUP_SIZE: Final = 5
+# Homes of one id: bears four losses, and the cut of the core into halves where
+# the other entries reach both.
+GROUP_SIZE: Final = 9
+# With fewer entries, replicas are homes too.
+MIN_ENTRIES: Final = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,18 +64,17 @@
     """Return the first set of homes, for the given live processes.
 
     Replicas are homes only where there are too few entries to bear the loss
-    of one of them.  Neighbours in the order of names, which often share a
-    failure domain, are dealt out to different groups.
+    of one of them.  Neighbours in the order of names often share a failure
+    domain, so the homes of a group are far apart in this order.
     """
     names = sorted(entries)
-    if len(names) < GROUP_SIZE:
-        names += sorted(replicas)[: GROUP_SIZE - len(names)]
-    count = len(names) // GROUP_SIZE
-    if count < 2:
-        size = min(len(names), MAX_SINGLE_GROUP_SIZE)
-        return HomeSet(1, (tuple(names[: size - (size + 1) % 2]),))
-    names = names[: count * GROUP_SIZE]
-    return HomeSet(1, tuple(tuple(names[n::count]) for n in range(count)))
+    if len(names) < MIN_ENTRIES:
+        names += sorted(replicas)[: MIN_ENTRIES - len(names)]
+    count = max(1, len(names) // GROUP_SIZE)
+    size = min(len(names), GROUP_SIZE)
+    total = count * (size - (size + 1) % 2)
+    chosen = [names[n * len(names) // total] for n in range(total)]
+    return HomeSet(1, tuple(tuple(chosen[n::count]) for n in range(count)))
 
 
 def revise(
@@ -96,7 +96,7 @@
             tuple(joining if name == leaving else name for name in group)
             for group in current.groups
         )
-    elif len(homes) < MAX_SINGLE_GROUP_SIZE:
+    elif len(homes) < GROUP_SIZE:
         groups = ((*homes, joining),)
     else:
         return None
--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -21,7 +21,6 @@
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 
-# Two renewals may be lost before a grant has expired.
 RENEWAL_INTERVAL_S: Final = 0.2
 # A home that has not answered by then is slow or lost; the others are asked.
 HEDGE_DELAY_S: Final = 0.05
