Seven homes, and grants that are given back go with the next request

The release of a complete job goes with the next request to its home, after 0.5 s at the latest; one that another entry may wait for goes at the next tick, as before.

--- a/eelgrassworks/contracts/homeset.py
+++ b/eelgrassworks/contracts/homeset.py
@@ -16,9 +16,8 @@
 
 import xxhash
 
-# Homes of one id: bears four losses, and the cut of the core into halves where
-# the other entries reach both.
-GROUP_SIZE: Final = 9
+# Homes of one id: bears three losses.
+GROUP_SIZE: Final = 7
 # With fewer entries, replicas are homes too.
 MIN_ENTRIES: Final = 5
 
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -555,14 +555,18 @@
         ]
 
     def _end_ownership(
-        self, job: jobs.Job, may_run: bool, now_s: float
+        self,
+        job: jobs.Job,
+        may_run: bool,
+        now_s: float,
+        is_awaited: bool = True,
     ) -> effects.Effects:
         """Release a job, unless runs of it may be left."""
         submission = job.submission
         if not self._must_claim(submission):
             return []
         outcomes = self.ownership.end(
-            submission.caller_id, submission.id, now_s, may_run
+            submission.caller_id, submission.id, now_s, may_run, is_awaited
         )
         result = self._attachments.detach(submission.id)
         return result + self._handle_ownership(outcomes, now_s)
@@ -833,7 +837,9 @@
         self._record_latency(job, answer, now_s)
         self._transient_ids.close(job.submission)
         self.table.end(job, answer, now_s)
-        return result + self._end_ownership(job, may_run, now_s)
+        is_awaited = not isinstance(answer, contracts.Complete)
+        ended = self._end_ownership(job, may_run, now_s, is_awaited)
+        return result + ended
 
     def _record_latency(
         self, job: jobs.Job, answer: contracts.Answer, now_s: float
--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -32,6 +32,9 @@
 PROBE_INTERVAL_S: Final = 0.25
 REPORT_INTERVAL_S: Final = 0.1
 PROTECTION_INTERVAL_S: Final = 0.5
+# Grants that are given back go with the next request to their home, and by
+# themselves only after this time.
+RELEASE_INTERVAL_S: Final = 0.5
 # Two entries that claim one id at the same time wait for different times.
 RETRY_INTERVAL_S: Final = 0.2
 RETRY_SPREAD_S: Final = 0.1
@@ -150,6 +153,8 @@
         default_factory=list
     )
     probes: bool = False
+    # Set if another entry may wait for a release.
+    is_awaited: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -189,6 +194,7 @@
         self._has_authority = False
         self._reports_requested_s = float('-inf')
         self._started_s = float('inf')
+        self._released_s = float('-inf')
         # When the homes of a job that lost its entry were told last.
         self._protected_s: dict[str, float] = {}
 
@@ -390,9 +396,17 @@
         return self._ask(registration, now_s)
 
     def end(
-        self, submission: str, job: str, now_s: float, may_run: bool
+        self,
+        submission: str,
+        job: str,
+        now_s: float,
+        may_run: bool,
+        is_awaited: bool = True,
     ) -> list[Outcome]:
-        """End a job; ``may_run`` if a run of it may be left."""
+        """End a job; ``may_run`` if a run of it may be left.
+
+        ``is_awaited`` if another entry may wait to run it.
+        """
         registration = self._registrations.get(submission)
         if registration is None:
             return []
@@ -406,7 +420,7 @@
         if may_run and registration.owned:
             registration.ended_s = min(registration.ended_s, now_s)
             return []
-        return self._release(registration, now_s)
+        return self._release(registration, now_s, is_awaited)
 
     def list_ended(self) -> list[str]:
         """Return the ended jobs of which a run may be left."""
@@ -472,11 +486,17 @@
     def flush(self, now_s: float, with_releases: bool) -> effects.Effects:
         """Return the messages that have collected, for each home.
 
-        Releases alone wait for the next request or until ``with_releases``.
+        Releases alone wait for the next request, or for a time.  Those that
+        another entry may wait for go ``with_releases``.
         """
         result: effects.Effects = []
+        elapsed_s = now_s - self._released_s
+        is_due = with_releases and elapsed_s >= RELEASE_INTERVAL_S
+        if is_due:
+            self._released_s = now_s
         for name, batch in list(self._batches.items()):
-            if not batch.is_urgent and not with_releases:
+            is_awaited = with_releases and batch.is_awaited
+            if not (batch.is_urgent or is_awaited or is_due):
                 continue
             del self._batches[name]
             if batch.releases:
@@ -734,10 +754,13 @@
             registration.granted_s[self._name] = now_s
 
     def _release(
-        self, registration: Registration, now_s: float
+        self,
+        registration: Registration,
+        now_s: float,
+        is_awaited: bool = True,
     ) -> list[Outcome]:
         del self._registrations[registration.submission]
-        self._give_back(registration, now_s)
+        self._give_back(registration, now_s, is_awaited)
         successor = registration.successor
         if successor is None:
             return []
@@ -745,7 +768,12 @@
         self._registrations[successor.submission] = successor
         return self._ask(successor, now_s)
 
-    def _give_back(self, registration: Registration, now_s: float) -> None:
+    def _give_back(
+        self,
+        registration: Registration,
+        now_s: float,
+        is_awaited: bool = True,
+    ) -> None:
         for name in registration.sent_s:
             if name == self._name and self.table is not None:
                 owner = home.Owner(name, self._incarnation, registration.job)
@@ -758,6 +786,7 @@
             elif name in self._contacts:
                 batch = self._batches.setdefault(name, Batch())
                 batch.releases.append(registration.describe(now_s))
+                batch.is_awaited |= is_awaited
 
     # Homes.
 
