--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -315,6 +315,7 @@
         self.name = f'{node["node"]}-{role}'
         self.is_wanted = False
         self.starts = 0
+        self._has_started = asyncio.Event()
         self.process: asyncio.subprocess.Process | None = None
         self._watch: asyncio.Task[None] | None = None
 
@@ -342,12 +343,19 @@
                     *words, stdout=log, stderr=log, env=environment, cwd=ROOT
                 )
             self.starts += 1
+            self._has_started.set()
             status = await self.process.wait()
             self.site.record.write(f'{self.name} ended with {status}')
             await asyncio.sleep(RESTART_DELAY_S)
             self.node['firstStart'] = False
             path.write_text(json.dumps(self.node))
 
+    async def await_start(self, count: int) -> None:
+        """Wait until the program has been started so many times."""
+        while self.starts < count:
+            self._has_started.clear()
+            await self._has_started.wait()
+
     def send(self, number: int) -> None:
         """Send a signal to the program."""
         if self.process is None or self.process.returncode is not None:
