--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -374,17 +374,6 @@
             pathlib.Path(folder).mkdir()
             self.site.record.write(f'{self.name} loses its disk')
 
-    def read_rss_mb(self) -> float:
-        """Return the resident memory of the program; 0 if it has ended."""
-        if self.process is None or self.process.returncode is not None:
-            return 0.0
-        try:
-            text = pathlib.Path(f'/proc/{self.process.pid}/statm').read_text()
-        except OSError:
-            return 0.0
-        pages = int(text.split()[1])
-        return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
-
     async def stop(self) -> None:
         """End the program for good."""
         self.is_wanted = False
@@ -570,14 +559,10 @@
         except (aiohttp.ClientError, TimeoutError):
             return 0, b''
 
-    async def replace_manifest(
-        self, manifest: dict[str, Any], limit_s: float = 20.0
-    ) -> int:
+    async def replace_manifest(self, manifest: dict[str, Any]) -> int:
         """Send a manifest until it is answered; return the status."""
         data = json.dumps(manifest).encode()
-        status, _ = await self.order(
-            'POST', '/api/config/replace', data, limit_s
-        )
+        status, _ = await self.order('POST', '/api/config/replace', data)
         self.record.write(
             f'operator: manifest {manifest["version"]} with '
             f'{len(manifest["routes"])} routes -> {status}'
@@ -616,11 +601,11 @@
             self.record.write(f'client: POST {job_id} -> {error!r}')
             return 0, b''
 
-    async def become_ready(self, runners: int | None = None) -> None:
+    async def become_ready(self) -> None:
         """Send a first manifest, and wait until each front serves jobs."""
         if await self.replace_manifest(make_manifest(1)) != 200:
             raise CannotRun('the first manifest has no acknowledgement')
-        wanted = len(self.runners) if runners is None else runners
+        wanted = len(self.runners)
         until_s = time.monotonic() + 30
         async with aiohttp.ClientSession() as session:
             for front in range(len(self.fronts)):
