Entries and agents take optional decisions from their settings

Cause: new decisions under load must take effect only where a deployment's settings ask for them, and several parts are built side by side. Change: features.Features has a data class for each way of each decision; Off is the default. Result: no decision changes; layout, tag and border tests pass.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -17,6 +17,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
+from eelgrassworks import features
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
 from eelgrassworks import zones
@@ -51,6 +52,7 @@
     queue_limit: int
     entry_ttl_s: float = float('inf')
     renewal_interval_s: float = RENEWAL_INTERVAL_S
+    features: features.Features = features.NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -14,6 +14,7 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
+from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import shedding
 from eelgrassworks import zones
@@ -105,8 +106,10 @@
         policy: placement.Policy,
         table: jobs.JobTable,
         shedding_policy: shedding.Policy = SHEDDING_POLICY,
+        optional: features.Features = features.NO_FEATURES,
     ) -> None:
         self.policy = policy
+        self.features = optional
         self.shedding_policy = shedding_policy
         self.queue = queues.FairQueue()
         self.views: dict[str, machines.TargetView] = {}
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -19,6 +19,7 @@
 from eelgrassworks import dispatcher
 from eelgrassworks import effects
 from eelgrassworks import errors
+from eelgrassworks import features
 from eelgrassworks import inquiries
 from eelgrassworks import joblog
 from eelgrassworks import ownership
@@ -53,6 +54,7 @@
     stop_linger_s: float = 0.0
     shedding_policy: shedding.Policy = dispatcher.SHEDDING_POLICY
     claims_transient: bool = False
+    features: features.Features = features.NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +142,10 @@
         self.session = session.Session(options.session)
         self.table = jobs.JobTable()
         self.dispatcher = dispatcher.Dispatcher(
-            options.policy, self.table, options.shedding_policy
+            options.policy,
+            self.table,
+            options.shedding_policy,
+            options.features,
         )
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
--- /dev/null
+++ b/eelgrassworks/features.py
@@ -0,0 +1,65 @@
+"""Optional decisions of entries and agents.
+
+Each decision has a data class for every way in which it can be made, and the
+code that decides branches on it with ``match``.  ``Off`` keeps the way of
+releases without the decision, and is the default everywhere.
+"""
+
+import dataclasses
+from typing import Final
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Off:
+    """The decision is not made."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedRoom:
+    """Entries report what waits; agents grant room to the most urgent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedShares:
+    """Kinds and callers' failure domains have shares in an overload."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeJobs:
+    """A job is admitted, ordered and placed by its last task."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearntSpeeds:
+    """The speed of a target is learnt for each kind, and aged."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearntRunTimes:
+    """Predictions use the learnt distribution of run times."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainSpill:
+    """Work stays in its callers' failure domain unless waiting costs more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Separation:
+    """Kinds that slow each other down are kept apart while there is room."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Features:
+    """The optional decisions of one process."""
+
+    room: Off | SharedRoom = Off()
+    shares: Off | WeightedShares = Off()
+    jobs: Off | WholeJobs = Off()
+    speeds: Off | LearntSpeeds = Off()
+    run_times: Off | LearntRunTimes = Off()
+    spill: Off | DomainSpill = Off()
+    separation: Off | Separation = Off()
+
+
+NO_FEATURES: Final = Features()
--- a/eelgrassworks/heldagentprocess.py
+++ b/eelgrassworks/heldagentprocess.py
@@ -80,6 +80,9 @@
     replicas: dict[str, str]
     http: settings.HttpModel
     max_lease_s: float = heldtarget.MAX_LEASE_S
+    features: settings.FeaturesModel = dataclasses.field(
+        default_factory=settings.FeaturesModel
+    )
 
 
 class HeldAgentProcess(process.Process):
@@ -218,6 +221,7 @@
                 QUEUE_LIMIT,
                 ENTRY_TTL_S,
                 RENEWAL_INTERVAL_S,
+                settings.make_features(self.options.features),
             )
         )
         self.agent.healthy = False
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -92,9 +92,15 @@
         key=LINK_KEY,
         replicas=list_replicas(node),
         stop_linger_s=STOP_LINGER_S,
+        features=make_features(node),
     )
 
 
+def make_features(_: wire.NodeFile) -> settings.FeaturesModel:
+    """Return the optional decisions that suit a deployment."""
+    return settings.FeaturesModel()
+
+
 def make_worker(node: wire.NodeFile) -> settings.WorkerModel:
     """Return the worker that an agent runs on."""
     return settings.WorkerModel(
--- a/eelgrassworks/platform/roles.py
+++ b/eelgrassworks/platform/roles.py
@@ -114,6 +114,7 @@
         nodefile.list_replicas(node),
         nodefile.make_agent_http(node),
         nodefile.read_max_target_lease_s(node, heldtarget.MAX_LEASE_S),
+        nodefile.make_features(node),
     )
     daemon = heldagentprocess.HeldAgentProcess(
         options,
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from eelgrassworks import errors
+from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import zones
 
@@ -81,6 +82,21 @@
     kinds: list[Name] = []
 
 
+class FeaturesModel(msgspec.Struct, forbid_unknown_fields=True):
+    """The optional decisions that a deployment asks for.
+
+    ``features`` describes each.
+    """
+
+    shared_room: bool = False
+    weighted_shares: bool = False
+    whole_jobs: bool = False
+    learnt_speeds: bool = False
+    learnt_run_times: bool = False
+    domain_spill: bool = False
+    separation: bool = False
+
+
 class ControlSettings(
     msgspec.Struct, forbid_unknown_fields=True, tag_field='role', tag='control'
 ):
@@ -124,6 +140,7 @@
     body_timeout_s: Seconds = 10.0
     # How long a stopping entry accepts jobs after it reports not ready.
     stop_linger_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    features: FeaturesModel = msgspec.field(default_factory=FeaturesModel)
 
 
 class AgentSettings(
@@ -141,6 +158,7 @@
     tokens: TokensModel = msgspec.field(default_factory=TokensModel)
     statsd: StatsdModel = msgspec.field(default_factory=StatsdModel)
     queue_limit: Annotated[int, msgspec.Meta(ge=0, le=4096)] = 10
+    features: FeaturesModel = msgspec.field(default_factory=FeaturesModel)
 
 
 Settings = ControlSettings | EntrySettings | AgentSettings
@@ -208,6 +226,22 @@
     )
 
 
+def make_features(model: FeaturesModel) -> features.Features:
+    """Return the optional decisions that the settings ask for."""
+    off = features.Off()
+    return features.Features(
+        room=features.SharedRoom() if model.shared_room else off,
+        shares=features.WeightedShares() if model.weighted_shares else off,
+        jobs=features.WholeJobs() if model.whole_jobs else off,
+        speeds=features.LearntSpeeds() if model.learnt_speeds else off,
+        run_times=(
+            features.LearntRunTimes() if model.learnt_run_times else off
+        ),
+        spill=features.DomainSpill() if model.domain_spill else off,
+        separation=features.Separation() if model.separation else off,
+    )
+
+
 def make_worker(model: WorkerModel) -> machines.Worker:
     """Return the worker that the settings describe."""
     return machines.Worker(
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -23,6 +23,7 @@
 from eelgrassworks import dispatcher
 from eelgrassworks import effects
 from eelgrassworks import entry
+from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import relay
 from eelgrassworks import shedding
@@ -258,6 +259,7 @@
         max_wait_s: float = 60.0,
         stop_linger_s: float = 0.0,
         shedding_policy: shedding.Policy = dispatcher.SHEDDING_POLICY,
+        optional: features.Features = features.NO_FEATURES,
     ) -> None:
         """Add an entry."""
 
@@ -273,6 +275,7 @@
                     stop_linger_s,
                     shedding_policy,
                     self.claims_transient,
+                    optional,
                 )
             )
 
@@ -285,6 +288,7 @@
         queue_limit: int = 10,
         entry_ttl_s: float = float('inf'),
         renewal_interval_s: float = agent.RENEWAL_INTERVAL_S,
+        optional: features.Features = features.NO_FEATURES,
     ) -> None:
         """Add an agent that manages one target."""
 
@@ -297,6 +301,7 @@
                     queue_limit,
                     entry_ttl_s,
                     renewal_interval_s,
+                    optional,
                 )
             )
 
