--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -52,7 +52,7 @@
     queue_limit: int
     entry_ttl_s: float = float('inf')
     renewal_interval_s: float = RENEWAL_INTERVAL_S
-    features: features.Features = features.NO_FEATURES
+    optional: features.Features = features.NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/agentprocess.py
+++ b/eelgrassworks/agentprocess.py
@@ -42,7 +42,7 @@
                 link.sender.incarnation,
                 tuple(model.entries),
                 model.queue_limit,
-                features=settings.make_features(model.features),
+                optional=settings.make_features(model.features),
             )
         )
         self.port = 0
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -54,7 +54,7 @@
     stop_linger_s: float = 0.0
     shedding_policy: shedding.Policy = dispatcher.SHEDDING_POLICY
     claims_transient: bool = False
-    features: features.Features = features.NO_FEATURES
+    optional: features.Features = features.NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +145,7 @@
             options.policy,
             self.table,
             options.shedding_policy,
-            options.features,
+            options.optional,
         )
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -49,7 +49,7 @@
                 model.max_wait_s,
                 model.stop_linger_s,
                 claims_transient=claims_transient,
-                features=settings.make_features(model.features),
+                optional=settings.make_features(model.features),
             )
         )
 
