--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -15,6 +15,8 @@
 import dataclasses
 from typing import Final
 
+import msgspec
+
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import features
@@ -22,16 +24,13 @@
 from eelgrassworks import machines
 from eelgrassworks import zones
 from eelgrassworks.links import messages
+from eelgrassworks.machines import entryview
+from eelgrassworks.machines import roomrequests
 
 RENEWAL_INTERVAL_S: Final = 0.5
 # Renewals to an entry without work here are rarer by this factor.  A start
 # of such an entry is still covered by the latest renewal that it confirmed.
 IDLE_RENEWAL_FACTOR: Final = 1.75
-# An entry whose last start is older than this and that runs nothing is idle.
-IDLE_AFTER_S: Final = 0.3
-# Slots offered to an entry stay reserved for this long: longer than a round
-# trip between the entry and the agent, shorter than a task.
-OFFER_TTL_S: Final = 0.02
 # An entry that answers confirms a renewal sooner.
 LISTING_DELAY_S: Final = 0.3
 
@@ -134,40 +133,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class EntryView:
-    """State of one entry, as seen by the agent.
-
-    ``waiting`` is the number of tasks that the entry last reported as waiting
-    for a slot, less the slots offered since; ``offered`` slots are reserved
-    for it until ``offered_until_s``.
-    """
-
-    incarnation: int = 0
-    waiting: int = 0
-    starts_seen: int = 0
-    running: int = 0
-    offered: int = 0
-    offered_until_s: float = 0.0
-    # Sending time of the latest renewal that the entry has confirmed.
-    confirmed_s: float = float('-inf')
-    last_start_s: float = float('-inf')
-
-    def is_idle(self, now_s: float) -> bool:
-        """Tell whether the entry has had no work here for a while."""
-        return not self.running and now_s - self.last_start_s > IDLE_AFTER_S
-
-    def count_offered(self, now_s: float) -> int:
-        """Return the number of slots reserved for the entry."""
-        return self.offered if now_s < self.offered_until_s else 0
-
-    def offer(self, count: int, now_s: float) -> None:
-        """Reserve slots for the entry for ``OFFER_TTL_S``."""
-        self.offered = self.count_offered(now_s) + count
-        self.offered_until_s = now_s + OFFER_TTL_S
-        self.waiting = max(0, self.waiting - count)
-
-
 class Agent:
     """Decides which tasks start at a target, and answers the entries."""
 
@@ -185,10 +150,11 @@
         # tasks of the earlier ones, so it must not precede that end.
         self.announced = True
         self.stopping = False
-        self.entries: dict[str, EntryView] = {}
+        self.entries: dict[str, entryview.EntryView] = {}
         self.records = keyrecords.KeyRecords()
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
+        self.grants = roomrequests.RoomGrants()
         self._queue: collections.deque[contracts.TaskKey] = collections.deque()
         # Time of the latest renewal to each entry.
         self._renewed_s: dict[str, float] = {}
@@ -229,7 +195,7 @@
     ) -> effects.Effects:
         view = self.entries.get(peer)
         if view is None:
-            view = self.entries[peer] = EntryView(incarnation)
+            view = self.entries[peer] = entryview.EntryView(incarnation)
         if incarnation != view.incarnation:
             if isinstance(message, messages.JobCancel):
                 # Only one run of an entry ever owns a job of these ids.
@@ -237,15 +203,20 @@
             if not _is_later(message, view):
                 self.counters['messages_outdated'] += 1
                 return []
-            view = EntryView(incarnation, running=view.running)
+            view = entryview.EntryView(incarnation, running=view.running)
             self.entries[peer] = view
+            self.grants.forget(peer)
             return self._stop_earlier_incarnation(peer) + self._handle_message(
                 peer, view, message, now_s
             )
         return self._handle_message(peer, view, message, now_s)
 
     def _handle_message(
-        self, peer: str, view: EntryView, message: object, now_s: float
+        self,
+        peer: str,
+        view: entryview.EntryView,
+        message: object,
+        now_s: float,
     ) -> effects.Effects:
         match message:
             case messages.TaskStart():
@@ -255,6 +226,7 @@
                 view.waiting = max(
                     0, message.waiting - view.count_offered(now_s)
                 )
+                self._record_demand(peer, message.first_waiting, now_s)
                 return self._handle_start(
                     peer, message, now_s
                 ) + self._confirm_busy_entry(peer, now_s)
@@ -267,9 +239,10 @@
                 return self._handle_fence(peer, message, now_s)
             case messages.JobCancel(submissions):
                 return self._cancel(submissions, now_s)
-            case messages.SlotsRequest(waiting):
+            case messages.SlotsRequest(waiting, first_waiting):
                 view.waiting = waiting
-                return self._offer_slots(now_s)
+                self._record_demand(peer, first_waiting, now_s)
+                return self._offer_slots(peer, now_s)
             case _:
                 self.counters['messages_unexpected'] += 1
                 return []
@@ -301,7 +274,9 @@
                 _log_late_start(peer, self._describe_run(peer), start, now_s),
                 *self._decline(peer, start, 'late', now_s),
             ]
-        if self.slots.fits(start.demand):
+        if self.slots.fits(start.demand) and self.grants.allows(
+            peer, start.demand, self.slots.free_room, now_s
+        ):
             return self._start_task(peer, start, now_s)
         if not start.patient or len(self._queue) >= self.options.queue_limit:
             return self._decline(peer, start, messages.REASON_BUSY, now_s)
@@ -414,11 +389,16 @@
         stops = self._stop_unconfirmed(now_s)
         self.slots.occupy(key, peer, now_s, start.demand, start.attempt)
         self.entries[peer].running += 1
+        self.grants.record_start(
+            peer, start.demand, self.entries[peer].running
+        )
+        withdrawn = self.grants.settle(self.slots.free_room, now_s)
         self.records.track(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
         confirmed_s = self.entries[peer].confirmed_s
         return [
             *stops,
+            *self._tell_room(withdrawn),
             effects.StartTask(
                 key,
                 start.kind,
@@ -458,6 +438,12 @@
         view = self.entries[occupant.entry]
         self.counters['tasks_ended'] += 1
         result = self._fill_slots(now_s)
+        if not self._is_paused():
+            result += self._tell_room(
+                self.grants.grant_freed(
+                    occupant.entry, self.slots.free_room, now_s
+                )
+            )
         chosen = self._choose_entry(occupant.entry, now_s)
         offers = self._offer(chosen, now_s) if chosen else []
         finished = messages.TaskFinished(
@@ -470,7 +456,7 @@
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
             occupant.attempt,
-            self.slots.free_room,
+            self._report_room(occupant.entry),
         )
         self.records.end(key, finished, now_s)
         result += [
@@ -588,7 +574,7 @@
             if self.options.target.has_room
             else -len(self._queue),
             self.entries[peer].starts_seen,
-            self.slots.free_room,
+            self._report_room(peer),
         )
         return effects.Send(peer, declined)
 
@@ -620,7 +606,9 @@
         if self._count_usable('', now_s) <= 0:
             return ''
         waiting = [
-            name for name, view in self.entries.items() if view.waiting > 0
+            name
+            for name, view in self.entries.items()
+            if view.waiting > 0 and name not in self.grants.holders
         ]
         if not waiting:
             return ''
@@ -645,21 +633,53 @@
         view = self.entries[peer]
         view.offer(min(self._count_usable('', now_s), view.waiting), now_s)
         self.counters['slots_offered'] += 1
-        offered = messages.SlotsOffered(
-            self._count_usable(peer, now_s),
-            view.starts_seen,
-            self.slots.free_room,
-        )
-        return [effects.Send(peer, offered)]
+        return self._tell_room([peer])
 
-    def _offer_slots(self, now_s: float) -> effects.Effects:
+    def _offer_slots(self, peer: str, now_s: float) -> effects.Effects:
         if not self.lease.is_valid(now_s):
             return []
+        if peer in self.grants.holders:
+            if self._is_paused():
+                return []
+            return self._tell_room(
+                self.grants.grant_requested(peer, self.slots.free_room, now_s)
+            )
         chosen = self._choose_entry('', now_s)
         if not chosen:
             return []
         return self._offer(chosen, now_s)
 
+    def _record_demand(
+        self,
+        peer: str,
+        demand: contracts.Demand | msgspec.UnsetType,
+        now_s: float,
+    ) -> None:
+        """Take note of a digest if room is shared by this agent too."""
+        match self.options.optional.room, demand:
+            case features.SharedRoom(), contracts.Demand():
+                if self.options.target.has_room:
+                    self.grants.record_demand(peer, demand, now_s)
+            case _:
+                pass
+
+    def _report_room(self, peer: str) -> contracts.Room:
+        return self.grants.report(peer, self.slots.free_room)
+
+    def _tell_room(self, names: Sequence[str]) -> effects.Effects:
+        """Tell entries the room that they may use."""
+        return [
+            effects.Send(
+                name,
+                messages.SlotsOffered(
+                    self._count_usable(name, self._now_s),
+                    self.entries[name].starts_seen,
+                    self._report_room(name),
+                ),
+            )
+            for name in names
+        ]
+
     # Time and stopping.
 
     def _tick(self, now_s: float) -> effects.Effects:
@@ -789,7 +809,7 @@
                     accepting and entry in self.live_entries,
                     target.service,
                     target.room,
-                    self.slots.free_room,
+                    self._report_room(entry),
                     self.speed,
                     tuple(shown[entry]),
                     self._list_unended(entry, now_s),
@@ -944,11 +964,12 @@
                 }
                 for name, view in self.entries.items()
             },
+            'room': self.grants.describe(now_s),
             'counters': dict(self.counters),
         }
 
 
-def _is_later(message: object, view: EntryView) -> bool:
+def _is_later(message: object, view: entryview.EntryView) -> bool:
     """Tell whether a message of another run shows that the entry restarted.
 
     A connection may deliver messages of an earlier run after those of the
--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -30,6 +30,7 @@
 from eelgrassworks.contracts.configuration import ReplaceSheet
 from eelgrassworks.contracts.configuration import Sheet
 from eelgrassworks.contracts.configuration import UndrainTarget
+from eelgrassworks.contracts.demand import Demand
 from eelgrassworks.contracts.homeset import HomeSet
 from eelgrassworks.contracts.homeset import NO_HOMES
 from eelgrassworks.contracts.quota import Quota
@@ -67,6 +68,7 @@
     'CloseDomain',
     'Complete',
     'Configuration',
+    'Demand',
     'DrainTarget',
     'Failed',
     'HomeSet',
--- a/eelgrassworks/contracts/room.py
+++ b/eelgrassworks/contracts/room.py
@@ -35,5 +35,23 @@
             self.memory_mib - other.memory_mib,
         )
 
+    def scale(self, count: int) -> 'Room':
+        """Return ``count`` times these amounts."""
+        return Room(self.cpu_millis * count, self.memory_mib * count)
+
+    def clamp(self) -> 'Room':
+        """Return these amounts with 0 for negative ones."""
+        return Room(max(0, self.cpu_millis), max(0, self.memory_mib))
+
+    def count(self, each: 'Room') -> int:
+        """Return how many demands of ``each`` fit within these amounts.
+
+        ``each`` has some processor.
+        """
+        count = self.cpu_millis // each.cpu_millis
+        if each.memory_mib > 0:
+            count = min(count, self.memory_mib // each.memory_mib)
+        return max(0, count)
+
 
 NO_ROOM = Room()
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -12,6 +12,8 @@
 import dataclasses
 from typing import Final
 
+import msgspec
+
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import features
@@ -23,6 +25,7 @@
 from eelgrassworks.links import messages
 from eelgrassworks.machines import health
 from eelgrassworks.machines import placement
+from eelgrassworks.machines import roomrequests
 
 SUSPECT_TIMEOUT_S: Final = 2.0
 LOST_TIMEOUT_S: Final = 5.0
@@ -124,6 +127,7 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._pending_cancels: dict[str, list[str]] = {}
         self._slot_requests = 0
+        self._requests = roomrequests.RoomRequests()
         self.completion_rate = shedding.CompletionRate()
         self._admitted_rate = shedding.AdmittedRate()
 
@@ -321,32 +325,88 @@
         """Start waiting tasks for which the policy finds a target."""
         result: effects.Effects = []
         blocked: set[str] = set()
+        requests: effects.Effects = []
         serving: dict[str, list[machines.TargetView]] = {}
         while self.queue.length:
             peeked = self.queue.peek(blocked, now_s)
             if peeked is None:
-                return result
+                break
             team, queued = peeked
             kind = queued.kind
             if kind not in serving:
                 serving[kind] = self._list_usable(kind, now_s)
             key = contracts.TaskKey(queued.submission, queued.indices[0])
-            view = placement.choose(
-                self.policy,
-                placement.list_fast_enough(
-                    serving[kind], queued.due_s - now_s, queued.estimate_s
-                ),
-                key,
-                queued.demand,
+            usable = placement.list_fast_enough(
+                serving[kind], queued.due_s - now_s, queued.estimate_s
             )
+            view = placement.choose(self.policy, usable, key, queued.demand)
             if view is None:
+                if not blocked:
+                    requests = self._request_room(usable, queued, now_s)
                 blocked.add(kind)
                 continue
             self.queue.pop(team, queued)
             result += self._start(view, team, kind, key, now_s)
             if not self._find_breaker(view, kind).allows(now_s):
                 serving[kind].remove(view)
-        return result
+        return result + requests
+
+    def _request_room(
+        self,
+        usable: list[machines.TargetView],
+        queued: queues.QueuedJob,
+        now_s: float,
+    ) -> effects.Effects:
+        """Ask targets for room for the first waiting work."""
+        match self.features.room:
+            case features.Off():
+                return []
+            case features.SharedRoom():
+                chosen = self._requests.choose(
+                    [view for view in usable if view.target.has_room],
+                    self.queue.length,
+                    now_s,
+                )
+        self.counters['room_requests'] += len(chosen)
+        share = self._compute_waiting_share()
+        return [
+            effects.Send(
+                view.target.name,
+                messages.SlotsRequest(
+                    share,
+                    self._make_demand(
+                        queued.kind,
+                        queued.priority,
+                        queued.due_s,
+                        queued.demand,
+                        now_s,
+                    ),
+                ),
+            )
+            for view in chosen
+        ]
+
+    def _make_demand(
+        self,
+        kind: str,
+        priority: int,
+        due_s: float,
+        room: contracts.Room,
+        now_s: float,
+    ) -> contracts.Demand | msgspec.UnsetType:
+        match self.features.room:
+            case features.Off():
+                return msgspec.UNSET
+            case features.SharedRoom():
+                return self._requests.make_demand(
+                    kind,
+                    priority,
+                    due_s,
+                    room,
+                    self._compute_waiting_share(),
+                    self.queue.length,
+                    now_s,
+                )
 
     def _list_usable(
         self, kind: str, now_s: float
@@ -412,6 +472,9 @@
             patient,
             submission.demand,
             round(submission.estimate_s * 1000),
+            self._make_demand(
+                kind, job.priority, job.due_s, submission.demand, now_s
+            ),
         )
         previous = job.previous.get(key.index, jobs.EndedAttempt())
         log_entry = effects.Log(
@@ -618,6 +681,7 @@
                 return DispatchResult([], [TaskLost(key, view.target.name)])
             case messages.SlotsOffered(free, starts_seen, free_room):
                 self.counters['offers_received'] += 1
+                self._requests.record_answer(peer)
                 view.report(free, starts_seen, free_room)
                 return DispatchResult([], [])
             case _:
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -154,6 +154,7 @@
     echoes the agent's last renewal; ``waiting`` is the number of tasks that
     the entry cannot place.  A ``transient`` task may start again after an
     earlier attempt has ended; it queues at the target only if ``patient``.
+    An entry that shares room adds the digest of its first waiting work.
     """
 
     submission: str
@@ -169,6 +170,7 @@
     patient: bool = True
     demand: contracts.Room = contracts.NO_ROOM
     estimate_ms: int = 0
+    first_waiting: contracts.Demand | msgspec.UnsetType = msgspec.UNSET
 
 
 class TaskFence(msgspec.Struct, frozen=True):
@@ -191,11 +193,15 @@
 
 
 class SlotsRequest(msgspec.Struct, frozen=True):
-    """Reports how many tasks of the entry wait for a slot."""
+    """Reports how many tasks of the entry wait for a slot.
+
+    An entry that shares room adds the digest of its first waiting work.
+    """
 
     TAG: ClassVar[str] = 'SlotsWanted'
 
     waiting: int
+    first_waiting: contracts.Demand | msgspec.UnsetType = msgspec.UNSET
 
 
 # Entry to control.
--- /dev/null
+++ b/eelgrassworks/machines/roomrequests.py
@@ -0,0 +1,321 @@
+"""Room of a target that several entries share.
+
+Entries that choose targets from reports collide: a report is as old as the
+last answer, and meanwhile others have used the room that it showed.  With
+``SharedRoom`` an agent therefore grants its free room: the room that it
+reports to an entry is granted to that entry, so that the room which all
+entries believe to be free is never more than there is.  When a task ends, the
+room goes to the entry whose first waiting work is the most urgent, otherwise
+to the entry of the task.  Room that an entry does not use is withdrawn as soon
+as another one asks for it, and the former is told.
+
+``RoomGrants`` decides at the agent, ``RoomRequests`` at the entry.
+"""
+
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks.machines import view as views
+
+# Room granted to a waiting entry stays reserved for this long: longer than a
+# round trip between the entry and the agent, shorter than a task.
+RESERVATION_S: Final = 0.02
+# A digest older than this is forgotten; an entry that still waits has sent
+# another one.
+DIGEST_TTL_S: Final = 1.0
+# An entry asks a target again after this time; until then the target keeps
+# the digest and grants room as soon as it is free.
+REQUEST_INTERVAL_S: Final = 0.25
+# Targets that an entry has asked and that have not answered, for each task
+# that waits.  With one, a single busy target delays the task.
+REQUESTS_PER_TASK: Final = 2
+# Bound on a due time, whatever the objective.
+MAX_DUE_S: Final = 3600.0
+# Bound on the tasks for which a digest asks, whatever it says.
+MAX_COUNT: Final = 64
+
+# Waiting work in time goes first, then by priority, due time, and the number
+# of tasks that the entry runs at the target.
+Rank = tuple[bool, int, float, int]
+MOST_URGENT: Final[Rank] = (False, -1, 0.0, 0)
+NOT_WAITING: Final[Rank] = (True, 1 << 30, float('inf'), 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Holder:
+    """What an agent knows of one entry that shares room.
+
+    ``granted`` is the room that the entry believes to be free, less the
+    starts of it that have arrived.
+    """
+
+    granted: contracts.Room = contracts.NO_ROOM
+    demand: contracts.Demand | None = None
+    wanted: int = 0
+    due_s: float = 0.0
+    received_s: float = float('-inf')
+    reserved_until_s: float = float('-inf')
+    reserved_rank: Rank = NOT_WAITING
+    running: int = 0
+
+    def is_waiting(self, now_s: float) -> bool:
+        """Tell whether the entry wants room, as far as is known."""
+        return self.wanted > 0 and now_s - self.received_s < DIGEST_TTL_S
+
+    def rank(self, now_s: float) -> Rank:
+        """Return the urgency of the waiting work; the least goes first."""
+        if self.demand is None or not self.is_waiting(now_s):
+            return NOT_WAITING
+        is_late = self.due_s < now_s
+        return is_late, self.demand.priority, self.due_s, self.running
+
+    def yields_to(self, rank: Rank, now_s: float) -> bool:
+        """Tell whether its room may go to work of this urgency."""
+        return now_s >= self.reserved_until_s or rank < self.reserved_rank
+
+
+class RoomGrants:
+    """The free room of one target, divided among the entries.
+
+    There is one holder for each entry that sends digests; other entries see
+    all free room, as without the feature.
+    """
+
+    def __init__(self) -> None:
+        self.holders: dict[str, Holder] = {}
+        self.granted = 0
+        self.withdrawn = 0
+
+    def record_demand(
+        self, entry: str, demand: contracts.Demand, now_s: float
+    ) -> None:
+        """Take note of a digest unless it is older than the last one."""
+        holder = self.holders.setdefault(entry, Holder())
+        if holder.demand is not None and demand.number <= holder.demand.number:
+            return
+        holder.demand = demand
+        holder.wanted = (
+            min(demand.count, MAX_COUNT) if demand.room.cpu_millis > 0 else 0
+        )
+        holder.due_s = now_s + demand.due_ms / 1000
+        holder.received_s = now_s
+
+    def forget(self, entry: str) -> None:
+        """Withdraw all room from an entry whose run has ended."""
+        self.holders.pop(entry, None)
+
+    def record_start(
+        self, entry: str, demand: contracts.Room, running: int
+    ) -> None:
+        """Take note of a start that has arrived."""
+        holder = self.holders.get(entry)
+        if holder is not None:
+            holder.granted = holder.granted.subtract(demand).clamp()
+            holder.running = running
+
+    def allows(
+        self,
+        entry: str,
+        room: contracts.Room,
+        free: contracts.Room,
+        now_s: float,
+    ) -> bool:
+        """Tell whether a start leaves the reservations of others untouched.
+
+        A start for which the entry has no grant takes room that is not in
+        use, but not what was just granted to more urgent work.
+        """
+        holder = self.holders.get(entry, Holder())
+        if holder.granted.covers(room):
+            return True
+        rank = holder.rank(now_s)
+        for name, other in self.holders.items():
+            if name != entry and not other.yields_to(rank, now_s):
+                free = free.subtract(other.granted)
+        return free.covers(room)
+
+    def report(self, entry: str, free: contracts.Room) -> contracts.Room:
+        """Return the room to report to an entry."""
+        holder = self.holders.get(entry)
+        return free if holder is None else holder.granted
+
+    def settle(self, free: contracts.Room, now_s: float) -> list[str]:
+        """Withdraw grants that exceed the free room; return whose."""
+        excess = contracts.NO_ROOM.subtract(self._measure_spare(free)).clamp()
+        return self._withdraw('', excess, MOST_URGENT, now_s)
+
+    def grant_freed(
+        self, owner: str, free: contracts.Room, now_s: float
+    ) -> list[str]:
+        """Grant the room of a task of ``owner`` that has ended.
+
+        Returns the entries, other than the owner, that have to be told.
+        """
+        told: list[str] = []
+        waiting = [
+            (holder.rank(now_s), name)
+            for name, holder in self.holders.items()
+            if holder.is_waiting(now_s)
+        ]
+        for _, name in sorted(waiting):
+            if self._grant(name, self._measure_spare(free), now_s):
+                told.append(name)
+        if owner in self.holders:
+            holder = self.holders[owner]
+            holder.granted = holder.granted.add(
+                self._measure_spare(free).clamp()
+            )
+        return [name for name in told if name != owner]
+
+    def grant_requested(
+        self, entry: str, free: contracts.Room, now_s: float
+    ) -> list[str]:
+        """Grant room to an entry that asks for it.
+
+        Room that nobody uses comes first, then that of entries whose waiting
+        work is less urgent.  Returns the entries that have to be told.
+        """
+        holder = self.holders[entry]
+        if holder.demand is None or not holder.is_waiting(now_s):
+            return []
+        each = holder.demand.room
+        spare = self._measure_spare(free)
+        rank = holder.rank(now_s)
+        others = [
+            other
+            for name, other in self.holders.items()
+            if name != entry and other.yields_to(rank, now_s)
+        ]
+        available = spare.add(holder.granted)
+        for other in others:
+            available = available.add(other.granted)
+        count = min(holder.wanted, available.count(each))
+        held = holder.granted.count(each)
+        if count <= held:
+            return [entry] if held else []
+        lacking = each.scale(count).subtract(holder.granted).subtract(spare)
+        told = self._withdraw(entry, lacking.clamp(), rank, now_s)
+        self._grant(entry, self._measure_spare(free), now_s)
+        return [*told, entry]
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            name: {
+                'granted_cpu_millis': holder.granted.cpu_millis,
+                'wanted': holder.wanted if holder.is_waiting(now_s) else 0,
+                'rank': holder.rank(now_s)[:3],
+            }
+            for name, holder in self.holders.items()
+        }
+
+    def _measure_spare(self, free: contracts.Room) -> contracts.Room:
+        """Return the free room without a grant; negative if there is less."""
+        for holder in self.holders.values():
+            free = free.subtract(holder.granted)
+        return free
+
+    def _grant(
+        self, entry: str, available: contracts.Room, now_s: float
+    ) -> int:
+        """Grant room for as many tasks as are wanted and available."""
+        holder = self.holders[entry]
+        if holder.demand is None:
+            return 0
+        each = holder.demand.room
+        count = min(holder.wanted, available.count(each))
+        if count <= 0:
+            return 0
+        holder.reserved_rank = holder.rank(now_s)
+        holder.reserved_until_s = now_s + RESERVATION_S
+        holder.granted = holder.granted.add(each.scale(count))
+        holder.wanted -= count
+        self.granted += count
+        return count
+
+    def _withdraw(
+        self, entry: str, room: contracts.Room, rank: Rank, now_s: float
+    ) -> list[str]:
+        """Withdraw room from entries other than ``entry``; return whose.
+
+        Those whose waiting work is least urgent come first.
+        """
+        told: list[str] = []
+        order = sorted(
+            self.holders.items(),
+            key=lambda item: (item[1].rank(now_s), item[1].granted.cpu_millis),
+            reverse=True,
+        )
+        for name, holder in order:
+            if room == contracts.NO_ROOM:
+                break
+            if name == entry or not holder.yields_to(rank, now_s):
+                continue
+            left = holder.granted.subtract(room).clamp()
+            if left == holder.granted:
+                continue
+            room = room.subtract(holder.granted.subtract(left))
+            holder.granted = left
+            self.withdrawn += 1
+            told.append(name)
+        return told
+
+
+class RoomRequests:
+    """The digests that one entry sends, and which targets it asks.
+
+    State is one time for each target.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+        self._asked_s: dict[str, float] = {}
+        self._turn = 0
+
+    def record_answer(self, target: str) -> None:
+        """Take note of room that was granted, or of a refusal."""
+        self._asked_s.pop(target, None)
+
+    def make_demand(
+        self,
+        kind: str,
+        priority: int,
+        due_s: float,
+        room: contracts.Room,
+        count: int,
+        queued: int,
+        now_s: float,
+    ) -> contracts.Demand:
+        """Return the next digest."""
+        self.number += 1
+        due_ms = round(min(max(due_s - now_s, -MAX_DUE_S), MAX_DUE_S) * 1000)
+        return contracts.Demand(
+            self.number, kind, priority, due_ms, room, count, queued
+        )
+
+    def choose(
+        self, candidates: list[views.TargetView], waiting: int, now_s: float
+    ) -> list[views.TargetView]:
+        """Return the targets to ask for room for ``waiting`` tasks.
+
+        Targets take turns, and those that have not answered an earlier
+        request yet count.
+        """
+        self._asked_s = {
+            name: asked_s
+            for name, asked_s in self._asked_s.items()
+            if now_s - asked_s < REQUEST_INTERVAL_S
+        }
+        limit = REQUESTS_PER_TASK * waiting - len(self._asked_s)
+        if limit <= 0 or not candidates:
+            return []
+        self._turn %= len(candidates)
+        rotated = candidates[self._turn :] + candidates[: self._turn]
+        chosen = [
+            view for view in rotated if view.target.name not in self._asked_s
+        ][:limit]
+        self._turn += len(chosen)
+        for view in chosen:
+            self._asked_s[view.target.name] = now_s
+        return chosen
