Room across entries: short digests, a view of the service, tests

Agents report all room left and the entries heard last; ServiceView sums them.

test_tags: three fields.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -22,10 +22,12 @@
 from eelgrassworks import features
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
+from eelgrassworks import runreports
 from eelgrassworks import zones
 from eelgrassworks.links import messages
 from eelgrassworks.machines import entryview
 from eelgrassworks.machines import roomrequests
+from eelgrassworks.machines import startqueue
 
 RENEWAL_INTERVAL_S: Final = 0.5
 # Renewals to an entry without work here are rarer by this factor.  A start
@@ -155,7 +157,7 @@
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.grants = roomrequests.RoomGrants()
-        self._queue: collections.deque[contracts.TaskKey] = collections.deque()
+        self._queue = startqueue.StartQueue()
         # Time of the latest renewal to each entry.
         self._renewed_s: dict[str, float] = {}
         self._now_s = float('-inf')
@@ -200,7 +202,7 @@
             if isinstance(message, messages.JobCancel):
                 # Only one run of an entry ever owns a job of these ids.
                 return self._cancel(message.submissions, now_s)
-            if not _is_later(message, view):
+            if not runreports.is_later(message, view):
                 self.counters['messages_outdated'] += 1
                 return []
             view = entryview.EntryView(incarnation, running=view.running)
@@ -271,7 +273,9 @@
             return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
-                _log_late_start(peer, self._describe_run(peer), start, now_s),
+                runreports.log_late_start(
+                    peer, self._describe_run(peer), start, now_s
+                ),
                 *self._decline(peer, start, 'late', now_s),
             ]
         if self.slots.fits(start.demand) and self.grants.allows(
@@ -281,7 +285,7 @@
         if not start.patient or len(self._queue) >= self.options.queue_limit:
             return self._decline(peer, start, messages.REASON_BUSY, now_s)
         self.records.track(key, keyrecords.KeyQueued(peer, start))
-        self._queue.append(key)
+        self._queue.add(key, self._read_demand(start.first_waiting), now_s)
         return []
 
     def _find_rejection_reason(
@@ -506,7 +510,7 @@
     def _fill_slots(self, now_s: float) -> effects.Effects:
         """Start queued tasks while slots are free."""
         result: effects.Effects = []
-        for key in list(self._queue):
+        for key in self._queue.list_keys():
             record = self.records.find(key)
             if not isinstance(record, keyrecords.KeyQueued):
                 raise TypeError(f'queued key {key} is recorded as {record}')
@@ -655,17 +659,32 @@
         demand: contracts.Demand | msgspec.UnsetType,
         now_s: float,
     ) -> None:
-        """Take note of a digest if room is shared by this agent too."""
+        known = self._read_demand(demand)
+        if known is not None and self.options.target.has_room:
+            self.grants.record_demand(peer, known, now_s)
+
+    def _read_demand(
+        self, demand: contracts.Demand | msgspec.UnsetType
+    ) -> contracts.Demand | None:
+        """Return a digest if this agent shares room too."""
         match self.options.optional.room, demand:
             case features.SharedRoom(), contracts.Demand():
-                if self.options.target.has_room:
-                    self.grants.record_demand(peer, demand, now_s)
+                return demand
             case _:
-                pass
+                return None
 
     def _report_room(self, peer: str) -> contracts.Room:
         return self.grants.report(peer, self.slots.free_room)
 
+    def _report_shared(
+        self, now_s: float
+    ) -> contracts.SharedState | msgspec.UnsetType:
+        match self.options.optional.room:
+            case features.SharedRoom() if self.options.target.has_room:
+                return self.grants.report_shared(self.slots.free_room, now_s)
+            case _:
+                return msgspec.UNSET
+
     def _tell_room(self, names: Sequence[str]) -> effects.Effects:
         """Tell entries the room that they may use."""
         return [
@@ -686,6 +705,15 @@
         self._expire(now_s)
         result = self._stop_unconfirmed(now_s)
         result += self._fill_slots(now_s)
+        if self.grants.holders and not self._is_paused():
+            result += self._tell_room(
+                self.grants.grant_unused(self.slots.free_room, now_s)
+            )
+            summary = self.grants.summarize(self.slots.free_room, now_s)
+            if summary is not None:
+                result.append(effects.Log('room_granted', summary))
+                self.counters['room_granted'] = self.grants.granted
+                self.counters['room_withdrawn'] = self.grants.withdrawn
         due = [
             name
             for name in self._list_renewal_peers()
@@ -791,8 +819,12 @@
         self._renewed_s.update(dict.fromkeys(names, now_s))
         target = self.options.target
         accepting = not self.stopping and self.healthy and not self.draining
-        shown = self._list_shown(names, now_s)
-        orphans = self._list_orphans(now_s)
+        occupants = self.slots.occupants
+        shown = runreports.list_shown(occupants, self.entries, names, now_s)
+        orphans = runreports.list_orphans(
+            occupants, self.entries, self.options.entry_ttl_s, now_s
+        )
+        shared = self._report_shared(now_s)
         return [
             effects.Send(
                 entry,
@@ -814,29 +846,12 @@
                     tuple(shown[entry]),
                     self._list_unended(entry, now_s),
                     orphans,
+                    shared,
                 ),
             )
             for entry in names
         ]
 
-    def _list_orphans(self, now_s: float) -> tuple[messages.OrphanedJob, ...]:
-        """Return the jobs with runs here whose entry is lost.
-
-        It is unresponsive, or its run has ended.
-        """
-        if self.options.entry_ttl_s == float('inf'):
-            return ()
-        orphans: dict[messages.OrphanedJob, None] = {}
-        for key, occupant in self.slots.occupants.items():
-            view = self.entries[occupant.entry]
-            silent_s = now_s - view.confirmed_s
-            run = contracts.read_run(key.submission)
-            has_ended = run is not None and run != view.incarnation
-            if silent_s > self.options.entry_ttl_s or has_ended:
-                orphan = messages.OrphanedJob(occupant.entry, key.submission)
-                orphans[orphan] = None
-        return tuple(orphans)
-
     def _list_unended(
         self, entry: str, now_s: float
     ) -> tuple[messages.ShownAttempt, ...] | None:
@@ -849,46 +864,8 @@
             return None
         if now_s - view.confirmed_s < LISTING_DELAY_S:
             return None
-        running = [
-            messages.ShownAttempt(key.submission, key.index, occupant.attempt)
-            for key, occupant in self.slots.occupants.items()
-            if occupant.entry == entry
-        ]
-        for key in self._queue:
-            match self.records.find(key):
-                case keyrecords.KeyQueued(peer, start) if peer == entry:
-                    running.append(
-                        messages.ShownAttempt(
-                            key.submission, key.index, start.attempt
-                        )
-                    )
-                case _:
-                    pass
-        return tuple(running)
-
-    def _list_shown(
-        self, names: Sequence[str], now_s: float
-    ) -> dict[str, list[messages.ShownAttempt]]:
-        """Return the running attempts that each entry may not know of."""
-        # As precise as the stamp that an entry returns.
-        stamp_s = int(now_s * 1000) / 1000
-        result: dict[str, list[messages.ShownAttempt]] = {
-            name: [] for name in names
-        }
-        for key, occupant in self.slots.occupants.items():
-            listed = result.get(occupant.entry)
-            if listed is None or not occupant.is_shown:
-                continue
-            view = self.entries[occupant.entry]
-            if view.confirmed_s >= occupant.reported_s:
-                continue
-            occupant.reported_s = min(occupant.reported_s, stamp_s)
-            listed.append(
-                messages.ShownAttempt(
-                    key.submission, key.index, occupant.attempt
-                )
-            )
-        return result
+        queued = [self.records.find(key) for key in self._queue.list_keys()]
+        return runreports.list_unended(self.slots.occupants, queued, entry)
 
     def _count_starts(self, entry: str) -> int:
         view = self.entries.get(entry)
@@ -967,36 +944,3 @@
             'room': self.grants.describe(now_s),
             'counters': dict(self.counters),
         }
-
-
-def _is_later(message: object, view: entryview.EntryView) -> bool:
-    """Tell whether a message of another run shows that the entry restarted.
-
-    A connection may deliver messages of an earlier run after those of the
-    current one.  They carry the stamps of earlier renewals, or none.
-    """
-    match message:
-        case (
-            messages.TaskStart(stamp_ms=stamp_ms)
-            | messages.AgentLease(stamp_ms=stamp_ms)
-            | messages.TaskFence(stamp_ms=stamp_ms)
-        ):
-            return stamp_ms / 1000 > view.confirmed_s
-        case _:
-            return False
-
-
-def _log_late_start(
-    peer: str, entry_run: str, start: messages.TaskStart, now_s: float
-) -> effects.Log:
-    return effects.Log(
-        'start_late',
-        {
-            'id': start.submission,
-            'index': start.index,
-            'attempt': start.attempt,
-            'entry': peer,
-            'entry_run': entry_run,
-            'stamp_age_s': round(now_s - start.stamp_ms / 1000, 3),
-        },
-    )
--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -30,7 +30,9 @@
 from eelgrassworks.contracts.configuration import ReplaceSheet
 from eelgrassworks.contracts.configuration import Sheet
 from eelgrassworks.contracts.configuration import UndrainTarget
+from eelgrassworks.contracts.demand import Backlog
 from eelgrassworks.contracts.demand import Demand
+from eelgrassworks.contracts.demand import SharedState
 from eelgrassworks.contracts.homeset import HomeSet
 from eelgrassworks.contracts.homeset import NO_HOMES
 from eelgrassworks.contracts.quota import Quota
@@ -50,6 +52,7 @@
     'ANY_REVISION',
     'Answer',
     'ApplySheet',
+    'Backlog',
     'Change',
     'ChangeAccepted',
     'ChangeConflict',
@@ -81,6 +84,7 @@
     'Quota',
     'ReplaceSheet',
     'Room',
+    'SharedState',
     'Sheet',
     'Submission',
     'TaskKey',
--- a/eelgrassworks/contracts/demand.py
+++ b/eelgrassworks/contracts/demand.py
@@ -23,3 +23,27 @@
     room: room.Room
     count: int
     queued: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """What an entry last told an agent, ``age_ms`` ago.
+
+    ``queued`` tasks waited there, the first of them of ``kind``.
+    """
+
+    entry: str
+    kind: str
+    queued: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedState:
+    """What an agent that shares room reports of its target.
+
+    ``free_room`` is all that is left, whichever entry it is granted to.
+    """
+
+    free_room: room.Room
+    backlogs: tuple[Backlog, ...]
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from eelgrassworks import contracts
+from eelgrassworks import dispatchreports
 from eelgrassworks import effects
 from eelgrassworks import features
 from eelgrassworks import machines
@@ -26,16 +27,12 @@
 from eelgrassworks.machines import health
 from eelgrassworks.machines import placement
 from eelgrassworks.machines import roomrequests
+from eelgrassworks.machines import serviceview
 
 SUSPECT_TIMEOUT_S: Final = 2.0
 LOST_TIMEOUT_S: Final = 5.0
 FENCE_INTERVAL_S: Final = 1.0
 OVERDUE_MARGIN_S: Final = 1.0
-# A start or the end of a transient task is lost with a connection that is
-# reset or silent.  The agent is asked once a task takes longer than the
-# slowest healthy target needs, and some queueing and message delays.
-EXPECTED_RUN_FACTOR: Final = 2.0
-EXPECTED_DELAY_S: Final = 0.3
 # An agent reports the end of a cancelled run within this time: stopping the
 # task, a hold and two message delays.
 CANCEL_ANSWER_TIMEOUT_S: Final = 0.2
@@ -128,6 +125,8 @@
         self._pending_cancels: dict[str, list[str]] = {}
         self._slot_requests = 0
         self._requests = roomrequests.RoomRequests()
+        # Empty unless the agents share room.
+        self.service = serviceview.ServiceView()
         self.completion_rate = shedding.CompletionRate()
         self._admitted_rate = shedding.AdmittedRate()
 
@@ -311,11 +310,12 @@
         }
         if not unanswered:
             return result
-        result.append(_log_unanswered_cancels(view, unanswered))
+        result.append(dispatchreports.log_unanswered(view, unanswered))
         for key in unanswered:
             start = view.outstanding[key]
             start.fence_sent_s = now_s
-            result.append(effects.Send(peer, _make_fence(view, key, start)))
+            fence = dispatchreports.make_fence(view, key, start)
+            result.append(effects.Send(peer, fence))
         self.counters['fences_sent'] += len(unanswered)
         return result
 
@@ -363,10 +363,11 @@
                 return []
             case features.SharedRoom():
                 chosen = self._requests.choose(
-                    [view for view in usable if view.target.has_room],
+                    usable,
                     self.queue.length,
                     now_s,
                 )
+        self._requests.waiting = self.queue.length
         self.counters['room_requests'] += len(chosen)
         share = self._compute_waiting_share()
         return [
@@ -403,7 +404,6 @@
                     priority,
                     due_s,
                     room,
-                    self._compute_waiting_share(),
                     self.queue.length,
                     now_s,
                 )
@@ -453,7 +453,7 @@
                 now_s,
                 now_s,
                 submission.demand,
-                _expect_answer(submission, view),
+                dispatchreports.expect_answer(submission, view),
             ),
         )
         self._find_breaker(view, kind).record_sent(now_s)
@@ -476,6 +476,7 @@
                 kind, job.priority, job.due_s, submission.demand, now_s
             ),
         )
+        self._requests.record_start()
         previous = job.previous.get(key.index, jobs.EndedAttempt())
         log_entry = effects.Log(
             'start_sent',
@@ -538,6 +539,8 @@
         view.accepting = renewal.accepting
         view.report(renewal.free, renewal.starts_seen, renewal.free_room)
         view.reported_speed = renewal.speed
+        if renewal.shared is not msgspec.UNSET:
+            self.service.record(view.target, renewal.shared, now_s)
         outcomes += self._settle_lost(peer, view)
         # Follows _settle_lost, which may take back the starts that are named.
         for each in renewal.shown:
@@ -714,7 +717,8 @@
             else finished.body.decode('utf-8', 'replace')
         )
         if finished.stopped and self._restart(job, key, reason or 'stopped'):
-            return DispatchResult([self._log_restart(view, key, reason)], [])
+            restart = dispatchreports.log_restart(view, key, reason)
+            return DispatchResult([restart], [])
         if not finished.succeeded:
             return DispatchResult(
                 [], [TaskFailed(key, view.target.name, reason)]
@@ -763,33 +767,6 @@
         self.requeue(job, key.index)
         return DispatchResult([], [])
 
-    def _log_restart(
-        self, view: machines.TargetView, key: contracts.TaskKey, reason: str
-    ) -> effects.Log:
-        return effects.Log(
-            'task_restarted',
-            {
-                'id': key.submission,
-                'index': key.index,
-                'target': view.target.name,
-                'reason': reason,
-                'slowness': round(view.slowness, 2),
-            },
-        )
-
-    def _log_lost(
-        self, view: machines.TargetView, no_contact_s: float
-    ) -> effects.Log:
-        return effects.Log(
-            'target_lost',
-            {
-                'target': view.target.name,
-                'silent_s': round(no_contact_s, 2),
-                'unshown': len(view.list_unshown()),
-                'ids': ','.join(key.submission for key in view.outstanding),
-            },
-        )
-
     def _restart(
         self, job: jobs.Job | None, key: contracts.TaskKey, reason: str
     ) -> bool:
@@ -857,7 +834,7 @@
                 HOLD_LOST_TIMEOUT_S if view.target.has_room else LOST_TIMEOUT_S
             )
             if no_contact_s > lost_timeout_s:
-                result.append(self._log_lost(view, no_contact_s))
+                result.append(dispatchreports.log_lost(view, no_contact_s))
                 outcomes += self._lose_target(peer)
             elif no_contact_s > SUSPECT_TIMEOUT_S:
                 view.suspect = True
@@ -885,7 +862,7 @@
             if not fence_all and not (overdue and interval_elapsed):
                 continue
             start.fence_sent_s = now_s
-            fence = _make_fence(view, key, start)
+            fence = dispatchreports.make_fence(view, key, start)
             result.append(effects.Send(view.target.name, fence))
         self.counters['fences_sent'] += len(result)
         return result
@@ -977,6 +954,7 @@
     def _drop_target(self, peer: str, reason: str) -> list[Outcome]:
         """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
+        self.service.forget(view.target.name)
         self.counters['targets_lost'] += 1
         for breaker_key in [key for key in self._breakers if key[0] == peer]:
             del self._breakers[breaker_key]
@@ -1066,71 +1044,23 @@
                 kind: round(run_s, 4) for kind, run_s in self.run_s.items()
             },
             'targets': {
-                name: {
-                    'worker': view.target.worker,
-                    'failure_domain': view.target.failure_domain,
-                    'slots': view.target.slots,
-                    'free': view.free,
-                    'outstanding': len(view.outstanding),
-                    'accepting': view.accepting,
-                    'reason': self.explain(view),
-                    'suspect': view.suspect,
-                    'slowness': round(view.slowness, 3),
-                    'silent_s': round(now_s - view.last_contact_s, 3),
-                    'breakers': {
-                        kind: type(breaker.state).__name__.lower()
+                name: dispatchreports.describe_target(
+                    view,
+                    self.explain(view),
+                    {
+                        kind: breaker
                         for (target, kind), breaker in self._breakers.items()
                         if target == name
                     },
-                }
+                    now_s,
+                )
                 for name, view in sorted(self.views.items())
             },
+            'service': self.service.describe(now_s),
             'counters': dict(self.counters),
         }
 
 
-def _expect_answer(
-    submission: contracts.Submission, view: machines.TargetView
-) -> float:
-    """Return the time within which a task should be answered, in seconds."""
-    if not submission.transient or not submission.estimate_s:
-        return float('inf')
-    slowness = max(1.0, view.slowness)
-    run_s = EXPECTED_RUN_FACTOR * slowness * submission.estimate_s
-    return run_s + EXPECTED_DELAY_S
-
-
-def _make_fence(
-    view: machines.TargetView,
-    key: contracts.TaskKey,
-    start: machines.Outstanding,
-) -> messages.TaskFence:
-    """Return the fence for an outstanding start."""
-    return messages.TaskFence(
-        key.submission,
-        key.index,
-        start.attempt,
-        view.incarnation,
-        start.stamp_ms,
-    )
-
-
-def _log_unanswered_cancels(
-    view: machines.TargetView, ages_s: dict[contracts.TaskKey, float]
-) -> effects.Log:
-    """Return the log line for cancellations that are sent again."""
-    ids = dict.fromkeys(key.submission for key in ages_s)
-    return effects.Log(
-        'cancel_repeated',
-        {
-            'ids': ','.join(ids),
-            'target': view.target.name,
-            'tasks': len(ages_s),
-            'age_s': round(max(ages_s.values()), 3),
-        },
-    )
-
-
 def _make_queued(job: jobs.Job, indices: Iterable[int]) -> queues.QueuedJob:
     """Return the queue's record of the given tasks of a job."""
     submission = job.submission
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -53,7 +53,9 @@
     ``unended`` names all attempts of the entry that the agent has received
     and that have not ended; it is None if the renewal lists none of them.
     ``orphans`` names the jobs of which a run is left at the target, or may
-    still begin, and whose entry the agent has lost.
+    still begin, and whose entry the agent has lost.  ``free_room`` is the room
+    for the receiver, and ``shared`` what an agent that shares room reports to
+    all entries.
     """
 
     target: str
@@ -74,6 +76,7 @@
     shown: tuple[ShownAttempt, ...] = ()
     unended: tuple[ShownAttempt, ...] | None = None
     orphans: tuple[OrphanedJob, ...] = ()
+    shared: contracts.SharedState | msgspec.UnsetType = msgspec.UNSET
 
 
 class TaskFinished(msgspec.Struct, frozen=True):
--- a/eelgrassworks/machines/placement.py
+++ b/eelgrassworks/machines/placement.py
@@ -121,14 +121,15 @@
         free = view.free
         if free <= -prefetch or view.is_at_allowance:
             continue
-        slowness = view.slowness if learnt else 1.0
         if view.covers(demand):
+            slowness = view.slowness if learnt else 1.0
             weight = (slowness, -free - view.free_room.cpu_millis)
             if weight < best_weight:
                 fastest, best_weight = view, weight
         elif fastest is None and not view.target.has_room:
             # Tasks for targets with room wait at the entry, which orders them
             # by due time.
+            slowness = view.slowness if learnt else 1.0
             wait = (1 - free) / max(1, view.target.slots) * slowness
             if wait < shortest_wait:
                 shortest, shortest_wait = view, wait
--- a/eelgrassworks/machines/roomrequests.py
+++ b/eelgrassworks/machines/roomrequests.py
@@ -21,15 +21,15 @@
 # Room granted to a waiting entry stays reserved for this long: longer than a
 # round trip between the entry and the agent, shorter than a task.
 RESERVATION_S: Final = 0.02
-# A digest older than this is forgotten; an entry that still waits has sent
-# another one.
-DIGEST_TTL_S: Final = 1.0
-# An entry asks a target again after this time; until then the target keeps
-# the digest and grants room as soon as it is free.
-REQUEST_INTERVAL_S: Final = 0.25
-# Targets that an entry has asked and that have not answered, for each task
-# that waits.  With one, a single busy target delays the task.
-REQUESTS_PER_TASK: Final = 2
+# A digest older than this is forgotten, and the entry asks another target if
+# it still waits.  In the trial with objectives (9 entries, 16 targets) 1 s and
+# 0.25 s left room with entries that no longer needed it.
+DIGEST_TTL_S: Final = 0.03
+# Entries whose waiting work an agent reports, and the age that this may have.
+# Every agent reports the latest, so a few are enough for all to be seen.
+MAX_BACKLOGS: Final = 2
+BACKLOG_TTL_S: Final = 1.0
+SUMMARY_INTERVAL_S: Final = 10.0
 # Bound on a due time, whatever the objective.
 MAX_DUE_S: Final = 3600.0
 # Bound on the tasks for which a digest asks, whatever it says.
@@ -84,8 +84,11 @@
 
     def __init__(self) -> None:
         self.holders: dict[str, Holder] = {}
+        # Tasks for which room was granted, and grants that were withdrawn.
         self.granted = 0
         self.withdrawn = 0
+        self._summarized = 0
+        self._summary_s = float('-inf')
 
     def record_demand(
         self, entry: str, demand: contracts.Demand, now_s: float
@@ -199,6 +202,65 @@
         self._grant(entry, self._measure_spare(free), now_s)
         return [*told, entry]
 
+    def grant_unused(self, free: contracts.Room, now_s: float) -> list[str]:
+        """Grant room that others have not used to the entries that wait.
+
+        Returns the entries that have to be told.
+        """
+        waiting = [
+            (holder.rank(now_s), name)
+            for name, holder in self.holders.items()
+            if holder.is_waiting(now_s)
+        ]
+        told: dict[str, None] = {}
+        for _, name in sorted(waiting):
+            granted = self.granted
+            names = self.grant_requested(name, free, now_s)
+            if self.granted > granted:
+                told.update(dict.fromkeys(names))
+        return list(told)
+
+    def report_shared(
+        self, free: contracts.Room, now_s: float
+    ) -> contracts.SharedState:
+        """Return the state to report to all entries.
+
+        It lists the ``MAX_BACKLOGS`` waiting entries that were heard last.
+        """
+        backlogs = [
+            contracts.Backlog(
+                name,
+                holder.demand.kind,
+                holder.demand.queued,
+                round((now_s - holder.received_s) * 1000),
+            )
+            for name, holder in self.holders.items()
+            if holder.demand is not None
+            and holder.demand.queued > 0
+            and now_s - holder.received_s < BACKLOG_TTL_S
+        ]
+        backlogs.sort(key=lambda each: each.age_ms)
+        return contracts.SharedState(free, tuple(backlogs[:MAX_BACKLOGS]))
+
+    def summarize(
+        self, free: contracts.Room, now_s: float
+    ) -> dict[str, object] | None:
+        """Return what to log, at most once in ``SUMMARY_INTERVAL_S``."""
+        is_early = now_s - self._summary_s < SUMMARY_INTERVAL_S
+        if is_early or self.granted == self._summarized:
+            return None
+        self._summary_s = now_s
+        self._summarized = self.granted
+        return {
+            'granted': self.granted,
+            'withdrawn': self.withdrawn,
+            'entries': len(self.holders),
+            'waiting': sum(
+                holder.is_waiting(now_s) for holder in self.holders.values()
+            ),
+            'free_cpu_millis': free.cpu_millis,
+        }
+
     def describe(self, now_s: float) -> dict[str, object]:
         """Return the state for a dump."""
         return {
@@ -270,6 +332,9 @@
 
     def __init__(self) -> None:
         self.number = 0
+        # Tasks that found no room when the entry last placed some.  While it
+        # places the tasks of a new job, these do not wait yet.
+        self.waiting = 0
         self._asked_s: dict[str, float] = {}
         self._turn = 0
 
@@ -277,18 +342,22 @@
         """Take note of room that was granted, or of a refusal."""
         self._asked_s.pop(target, None)
 
+    def record_start(self) -> None:
+        """Take note of a start."""
+        self.waiting = max(0, self.waiting - 1)
+
     def make_demand(
         self,
         kind: str,
         priority: int,
         due_s: float,
         room: contracts.Room,
-        count: int,
         queued: int,
         now_s: float,
     ) -> contracts.Demand:
         """Return the next digest."""
         self.number += 1
+        count = min(self.waiting, 1)
         due_ms = round(min(max(due_s - now_s, -MAX_DUE_S), MAX_DUE_S) * 1000)
         return contracts.Demand(
             self.number, kind, priority, due_ms, room, count, queued
@@ -299,23 +368,23 @@
     ) -> list[views.TargetView]:
         """Return the targets to ask for room for ``waiting`` tasks.
 
-        Targets take turns, and those that have not answered an earlier
-        request yet count.
+        Targets take turns.  Each is asked for room for one task, and those
+        that may still answer an earlier request count.
         """
-        self._asked_s = {
-            name: asked_s
-            for name, asked_s in self._asked_s.items()
-            if now_s - asked_s < REQUEST_INTERVAL_S
-        }
-        limit = REQUESTS_PER_TASK * waiting - len(self._asked_s)
-        if limit <= 0 or not candidates:
-            return []
-        self._turn %= len(candidates)
-        rotated = candidates[self._turn :] + candidates[: self._turn]
-        chosen = [
-            view for view in rotated if view.target.name not in self._asked_s
-        ][:limit]
-        self._turn += len(chosen)
+        while self._asked_s:
+            name, asked_s = next(iter(self._asked_s.items()))
+            if now_s - asked_s < DIGEST_TTL_S:
+                break
+            del self._asked_s[name]
+        limit = waiting - len(self._asked_s)
+        chosen: list[views.TargetView] = []
+        for _ in candidates:
+            if len(chosen) >= limit:
+                break
+            self._turn = (self._turn + 1) % len(candidates)
+            view = candidates[self._turn]
+            if view.target.has_room and view.target.name not in self._asked_s:
+                chosen.append(view)
         for view in chosen:
             self._asked_s[view.target.name] = now_s
         return chosen
--- /dev/null
+++ b/eelgrassworks/machines/serviceview.py
@@ -0,0 +1,116 @@
+"""Room and backlog of the whole service, as one entry sees them.
+
+Agents that share room report what room is left at their targets and what the
+entries last told them.  The state is one record for each target, and one for
+each of at most ``MAX_ENTRIES`` entries.  A lost report leaves an older one in
+place until it expires; of two reports on an entry the newer one counts.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+from eelgrassworks import contracts
+from eelgrassworks.machines import target as targets
+
+# Two renewals of an agent to an idle entry, and their delay.
+REPORT_TTL_S: Final = 2.0
+MAX_ENTRIES: Final = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoomReport:
+    """What an agent reported of its target."""
+
+    failure_domain: str
+    room: contracts.Room
+    free_room: contracts.Room
+    received_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainRoom:
+    """Room of the targets of a failure domain."""
+
+    room: contracts.Room = contracts.NO_ROOM
+    free_room: contracts.Room = contracts.NO_ROOM
+
+    def add(self, report: RoomReport) -> 'DomainRoom':
+        """Return the sum with the room of a target."""
+        return DomainRoom(
+            self.room.add(report.room), self.free_room.add(report.free_room)
+        )
+
+
+class ServiceView:
+    """Sums what the agents report."""
+
+    def __init__(self) -> None:
+        self._rooms: dict[str, RoomReport] = {}
+        # By entry, with the time at which the entry told an agent.
+        self._backlogs: dict[str, tuple[float, contracts.Backlog]] = {}
+
+    def record(
+        self,
+        target: targets.Target,
+        state: contracts.SharedState,
+        now_s: float,
+    ) -> None:
+        """Take note of a report."""
+        self._rooms[target.name] = RoomReport(
+            target.failure_domain, target.room, state.free_room, now_s
+        )
+        for backlog in state.backlogs:
+            told_s = now_s - max(0, backlog.age_ms) / 1000
+            known = self._backlogs.get(backlog.entry)
+            if known is None and len(self._backlogs) >= MAX_ENTRIES:
+                self._drop_expired(now_s)
+                if len(self._backlogs) >= MAX_ENTRIES:
+                    continue
+            if known is None or known[0] <= told_s:
+                self._backlogs[backlog.entry] = (told_s, backlog)
+
+    def forget(self, target: str) -> None:
+        """Drop the report of a target that has left."""
+        self._rooms.pop(target, None)
+
+    def measure_room(self, now_s: float) -> dict[str, DomainRoom]:
+        """Return the room of the service by failure domain."""
+        result: dict[str, DomainRoom] = collections.defaultdict(DomainRoom)
+        for report in self._rooms.values():
+            if now_s - report.received_s < REPORT_TTL_S:
+                domain = report.failure_domain
+                result[domain] = result[domain].add(report)
+        return dict(result)
+
+    def count_backlog(self, now_s: float) -> dict[str, int]:
+        """Return the waiting tasks of all entries by their first kind.
+
+        An entry counts with all its waiting tasks under the kind of the
+        first, since its digest has no others.
+        """
+        result: collections.Counter[str] = collections.Counter()
+        for told_s, backlog in self._backlogs.values():
+            if now_s - told_s < REPORT_TTL_S:
+                result[backlog.kind] += backlog.queued
+        return dict(result)
+
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            'room': {
+                domain: {
+                    'cpu_millis': each.room.cpu_millis,
+                    'free_cpu_millis': each.free_room.cpu_millis,
+                }
+                for domain, each in self.measure_room(now_s).items()
+            },
+            'backlog': self.count_backlog(now_s),
+        }
+
+    def _drop_expired(self, now_s: float) -> None:
+        self._backlogs = {
+            entry: known
+            for entry, known in self._backlogs.items()
+            if now_s - known[0] < REPORT_TTL_S
+        }
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -29,7 +29,9 @@
     @property
     def has_room(self) -> bool:
         """Return whether room, and not slots, limits the tasks."""
-        return self.room != contracts.NO_ROOM
+        # Read for every target and task; comparing data classes is slow.
+        room = self.room
+        return room.cpu_millis != 0 or room.memory_mib != 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -153,9 +153,9 @@
 
     def covers(self, demand: contracts.Room) -> bool:
         """Return whether a task is expected to start at once."""
-        if not self.target.has_room:
-            return self.free > 0
-        return self.free > 0 and self.free_room.covers(demand)
+        if self.free <= 0:
+            return False
+        return not self.target.has_room or self.free_room.covers(demand)
 
     def report(
         self,
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -44,6 +44,7 @@
             'shown',
             'unended',
             'orphans',
+            'shared',
         ),
     ),
     (messages.OrphanedJob, 'OrphanedJob', ('entry', 'job')),
@@ -118,6 +119,7 @@
             'patient',
             'demand',
             'estimate_ms',
+            'first_waiting',
         ),
     ),
     (
@@ -126,7 +128,7 @@
         ('submission', 'index', 'attempt', 'incarnation', 'stamp_ms'),
     ),
     (messages.JobCancel, 'JobCancel', ('submissions',)),
-    (messages.SlotsRequest, 'SlotsWanted', ('waiting',)),
+    (messages.SlotsRequest, 'SlotsWanted', ('waiting', 'first_waiting')),
     (
         messages.EntryRenewal,
         'EntryRenewal',
