Room across entries: a remainder counts with newly granted room

An entry that held too little room for a task and was granted the rest got nothing: the rest alone is too small for a task either. It asked again at once, and was told the same. A target at its allowance is no longer asked.

--- a/eelgrassworks/contracts/room.py
+++ b/eelgrassworks/contracts/room.py
@@ -39,6 +39,13 @@
         """Return ``count`` times these amounts."""
         return Room(self.cpu_millis * count, self.memory_mib * count)
 
+    def cover(self, other: 'Room') -> 'Room':
+        """Return the least amounts that cover both."""
+        return Room(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mib, other.memory_mib),
+        )
+
     def clamp(self) -> 'Room':
         """Return these amounts with 0 for negative ones."""
         return Room(max(0, self.cpu_millis), max(0, self.memory_mib))
--- a/eelgrassworks/machines/roomrequests.py
+++ b/eelgrassworks/machines/roomrequests.py
@@ -286,12 +286,15 @@
         if holder.demand is None:
             return 0
         each = holder.demand.room
-        count = min(holder.wanted, available.count(each))
+        # The entry may hold a remainder that is too small for a task.
+        held = holder.granted.count(each)
+        fitting = available.add(holder.granted).count(each)
+        count = min(holder.wanted, fitting - held)
         if count <= 0:
             return 0
         holder.reserved_rank = holder.rank(now_s)
         holder.reserved_until_s = now_s + RESERVATION_S
-        holder.granted = holder.granted.add(each.scale(count))
+        holder.granted = holder.granted.cover(each.scale(held + count))
         holder.wanted -= count
         self.granted += count
         return count
@@ -383,7 +386,10 @@
                 break
             self._turn = (self._turn + 1) % len(candidates)
             view = candidates[self._turn]
-            if view.target.has_room and view.target.name not in self._asked_s:
+            # More room would not help at a target that is still on trial.
+            if not view.target.has_room or view.is_at_allowance:
+                continue
+            if view.target.name not in self._asked_s:
                 chosen.append(view)
         for view in chosen:
             self._asked_s[view.target.name] = now_s
