--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -387,7 +387,7 @@
         }
         for job in self.jobs:
             name = job.work.kind.name
-            answer, response_s = self._find_answer(job)
+            answer, response_s = self.find_answer(job)
             in_time = response_s <= job.objective_s
             width = min(each for each in WIDTHS if each >= job.tasks)
             window = windows[int(job.arrived_s // WINDOW_S)]
@@ -419,7 +419,7 @@
             tally.cpu_s['entry'] / jobs * 1000,
         )
 
-    def _find_answer(self, job: PlannedJob) -> tuple[object, float]:
+    def find_answer(self, job: PlannedJob) -> tuple[object, float]:
         """Return the answer of a job and its response time in seconds.
 
         A job without an answer has None and an infinite response time.
--- a/tests/test_sharedroom.py
+++ b/tests/test_sharedroom.py
@@ -108,14 +108,6 @@
     )
 
 
-class KilledEntry(objectives.Experiment):
-    """A run in which one entry ends for good, with room granted to it."""
-
-    def kill_entry(self, name: str, at_s: float) -> None:
-        """Kill an entry ``at_s`` seconds after the start of the world."""
-        self.world.at(at_s, lambda: self.world.kill(name))
-
-
 @ddt.ddt
 class SharedRoomTest(unittest.TestCase):
     @ddt.data(*GRANTS)
@@ -179,8 +171,9 @@
     def test_room_of_a_dead_entry_is_used(self) -> None:
         """Room that a dead entry was granted must not stay unused."""
         plan = objectives.Plan(0.5, 5.0, entries=3, targets=6, optional=SHARED)
-        trial = KilledEntry(plan, placement.LateBinding())
-        trial.kill_entry('entry-2', objectives.WARM_UP_S + 2.0)
+        trial = objectives.Experiment(plan, placement.LateBinding())
+        world = trial.world
+        world.at(objectives.WARM_UP_S + 2.0, lambda: world.kill('entry-2'))
         trial.run()
         for name in ('entry-1', 'entry-3'):
             number = trial.entries.index(name)
@@ -192,7 +185,7 @@
             in_time = [
                 job
                 for job in jobs
-                if trial._find_answer(job)[1] <= job.objective_s
+                if trial.find_answer(job)[1] <= job.objective_s
             ]
             self.assertGreater(len(in_time), 0.95 * len(jobs))
 
