--- a/tests/test_sharedroom.py
+++ b/tests/test_sharedroom.py
@@ -170,7 +170,9 @@
 
     def test_room_of_a_dead_entry_is_used(self) -> None:
         """Room that a dead entry was granted must not stay unused."""
-        plan = objectives.Plan(0.5, 5.0, entries=3, targets=6, optional=SHARED)
+        plan = objectives.Plan(
+            0.7, 10.0, entries=3, targets=6, optional=SHARED
+        )
         trial = objectives.Experiment(plan, placement.LateBinding())
         world = trial.world
         world.at(objectives.WARM_UP_S + 2.0, lambda: world.kill('entry-2'))
