--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -15,23 +15,24 @@
 import dataclasses
 from typing import Final
 
+import msgspec
+
 from eelgrassworks import contracts
 from eelgrassworks import effects
 from eelgrassworks import features
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
+from eelgrassworks import runreports
 from eelgrassworks import zones
 from eelgrassworks.links import messages
+from eelgrassworks.machines import entryview
+from eelgrassworks.machines import roomrequests
+from eelgrassworks.machines import startqueue
 
 RENEWAL_INTERVAL_S: Final = 0.5
 # Renewals to an entry without work here are rarer by this factor.  A start
 # of such an entry is still covered by the latest renewal that it confirmed.
 IDLE_RENEWAL_FACTOR: Final = 1.75
-# An entry whose last start is older than this and that runs nothing is idle.
-IDLE_AFTER_S: Final = 0.3
-# Slots offered to an entry stay reserved for this long: longer than a round
-# trip between the entry and the agent, shorter than a task.
-OFFER_TTL_S: Final = 0.02
 # An entry that answers confirms a renewal sooner.
 LISTING_DELAY_S: Final = 0.3
 
@@ -134,40 +135,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class EntryView:
-    """State of one entry, as seen by the agent.
-
-    ``waiting`` is the number of tasks that the entry last reported as waiting
-    for a slot, less the slots offered since; ``offered`` slots are reserved
-    for it until ``offered_until_s``.
-    """
-
-    incarnation: int = 0
-    waiting: int = 0
-    starts_seen: int = 0
-    running: int = 0
-    offered: int = 0
-    offered_until_s: float = 0.0
-    # Sending time of the latest renewal that the entry has confirmed.
-    confirmed_s: float = float('-inf')
-    last_start_s: float = float('-inf')
-
-    def is_idle(self, now_s: float) -> bool:
-        """Tell whether the entry has had no work here for a while."""
-        return not self.running and now_s - self.last_start_s > IDLE_AFTER_S
-
-    def count_offered(self, now_s: float) -> int:
-        """Return the number of slots reserved for the entry."""
-        return self.offered if now_s < self.offered_until_s else 0
-
-    def offer(self, count: int, now_s: float) -> None:
-        """Reserve slots for the entry for ``OFFER_TTL_S``."""
-        self.offered = self.count_offered(now_s) + count
-        self.offered_until_s = now_s + OFFER_TTL_S
-        self.waiting = max(0, self.waiting - count)
-
-
 class Agent:
     """Decides which tasks start at a target, and answers the entries."""
 
@@ -185,11 +152,12 @@
         # tasks of the earlier ones, so it must not precede that end.
         self.announced = True
         self.stopping = False
-        self.entries: dict[str, EntryView] = {}
+        self.entries: dict[str, entryview.EntryView] = {}
         self.records = keyrecords.KeyRecords()
         self.cancelled: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
-        self._queue: collections.deque[contracts.TaskKey] = collections.deque()
+        self.grants = roomrequests.RoomGrants()
+        self._queue = startqueue.StartQueue()
         # Time of the latest renewal to each entry.
         self._renewed_s: dict[str, float] = {}
         self._now_s = float('-inf')
@@ -229,23 +197,28 @@
     ) -> effects.Effects:
         view = self.entries.get(peer)
         if view is None:
-            view = self.entries[peer] = EntryView(incarnation)
+            view = self.entries[peer] = entryview.EntryView(incarnation)
         if incarnation != view.incarnation:
             if isinstance(message, messages.JobCancel):
                 # Only one run of an entry ever owns a job of these ids.
                 return self._cancel(message.submissions, now_s)
-            if not _is_later(message, view):
+            if not runreports.is_later(message, view):
                 self.counters['messages_outdated'] += 1
                 return []
-            view = EntryView(incarnation, running=view.running)
+            view = entryview.EntryView(incarnation, running=view.running)
             self.entries[peer] = view
+            self.grants.forget(peer)
             return self._stop_earlier_incarnation(peer) + self._handle_message(
                 peer, view, message, now_s
             )
         return self._handle_message(peer, view, message, now_s)
 
     def _handle_message(
-        self, peer: str, view: EntryView, message: object, now_s: float
+        self,
+        peer: str,
+        view: entryview.EntryView,
+        message: object,
+        now_s: float,
     ) -> effects.Effects:
         match message:
             case messages.TaskStart():
@@ -255,6 +228,7 @@
                 view.waiting = max(
                     0, message.waiting - view.count_offered(now_s)
                 )
+                self._record_demand(peer, message.first_waiting, now_s)
                 return self._handle_start(
                     peer, message, now_s
                 ) + self._confirm_busy_entry(peer, now_s)
@@ -267,9 +241,10 @@
                 return self._handle_fence(peer, message, now_s)
             case messages.JobCancel(submissions):
                 return self._cancel(submissions, now_s)
-            case messages.SlotsRequest(waiting):
+            case messages.SlotsRequest(waiting, first_waiting):
                 view.waiting = waiting
-                return self._offer_slots(now_s)
+                self._record_demand(peer, first_waiting, now_s)
+                return self._offer_slots(peer, now_s)
             case _:
                 self.counters['messages_unexpected'] += 1
                 return []
@@ -298,15 +273,19 @@
             return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
-                _log_late_start(peer, self._describe_run(peer), start, now_s),
+                runreports.log_late_start(
+                    peer, self._describe_run(peer), start, now_s
+                ),
                 *self._decline(peer, start, 'late', now_s),
             ]
-        if self.slots.fits(start.demand):
+        if self.slots.fits(start.demand) and self.grants.allows(
+            peer, start.demand, self.slots.free_room, now_s
+        ):
             return self._start_task(peer, start, now_s)
         if not start.patient or len(self._queue) >= self.options.queue_limit:
             return self._decline(peer, start, messages.REASON_BUSY, now_s)
         self.records.track(key, keyrecords.KeyQueued(peer, start))
-        self._queue.append(key)
+        self._queue.add(key, self._read_demand(start.first_waiting), now_s)
         return []
 
     def _find_rejection_reason(
@@ -414,11 +393,16 @@
         stops = self._stop_unconfirmed(now_s)
         self.slots.occupy(key, peer, now_s, start.demand, start.attempt)
         self.entries[peer].running += 1
+        self.grants.record_start(
+            peer, start.demand, self.entries[peer].running
+        )
+        withdrawn = self.grants.settle(self.slots.free_room, now_s)
         self.records.track(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
         confirmed_s = self.entries[peer].confirmed_s
         return [
             *stops,
+            *self._tell_room(withdrawn),
             effects.StartTask(
                 key,
                 start.kind,
@@ -458,6 +442,12 @@
         view = self.entries[occupant.entry]
         self.counters['tasks_ended'] += 1
         result = self._fill_slots(now_s)
+        if not self._is_paused():
+            result += self._tell_room(
+                self.grants.grant_freed(
+                    occupant.entry, self.slots.free_room, now_s
+                )
+            )
         chosen = self._choose_entry(occupant.entry, now_s)
         offers = self._offer(chosen, now_s) if chosen else []
         finished = messages.TaskFinished(
@@ -470,7 +460,7 @@
             self._count_usable(occupant.entry, now_s),
             view.starts_seen,
             occupant.attempt,
-            self.slots.free_room,
+            self._report_room(occupant.entry),
         )
         self.records.end(key, finished, now_s)
         result += [
@@ -520,7 +510,7 @@
     def _fill_slots(self, now_s: float) -> effects.Effects:
         """Start queued tasks while slots are free."""
         result: effects.Effects = []
-        for key in list(self._queue):
+        for key in self._queue.list_keys():
             record = self.records.find(key)
             if not isinstance(record, keyrecords.KeyQueued):
                 raise TypeError(f'queued key {key} is recorded as {record}')
@@ -588,7 +578,7 @@
             if self.options.target.has_room
             else -len(self._queue),
             self.entries[peer].starts_seen,
-            self.slots.free_room,
+            self._report_room(peer),
         )
         return effects.Send(peer, declined)
 
@@ -620,7 +610,9 @@
         if self._count_usable('', now_s) <= 0:
             return ''
         waiting = [
-            name for name, view in self.entries.items() if view.waiting > 0
+            name
+            for name, view in self.entries.items()
+            if view.waiting > 0 and name not in self.grants.holders
         ]
         if not waiting:
             return ''
@@ -645,27 +637,83 @@
         view = self.entries[peer]
         view.offer(min(self._count_usable('', now_s), view.waiting), now_s)
         self.counters['slots_offered'] += 1
-        offered = messages.SlotsOffered(
-            self._count_usable(peer, now_s),
-            view.starts_seen,
-            self.slots.free_room,
-        )
-        return [effects.Send(peer, offered)]
+        return self._tell_room([peer])
 
-    def _offer_slots(self, now_s: float) -> effects.Effects:
+    def _offer_slots(self, peer: str, now_s: float) -> effects.Effects:
         if not self.lease.is_valid(now_s):
             return []
+        if peer in self.grants.holders:
+            if self._is_paused():
+                return []
+            return self._tell_room(
+                self.grants.grant_requested(peer, self.slots.free_room, now_s)
+            )
         chosen = self._choose_entry('', now_s)
         if not chosen:
             return []
         return self._offer(chosen, now_s)
 
+    def _record_demand(
+        self,
+        peer: str,
+        demand: contracts.Demand | msgspec.UnsetType,
+        now_s: float,
+    ) -> None:
+        known = self._read_demand(demand)
+        if known is not None and self.options.target.has_room:
+            self.grants.record_demand(peer, known, now_s)
+
+    def _read_demand(
+        self, demand: contracts.Demand | msgspec.UnsetType
+    ) -> contracts.Demand | None:
+        """Return a digest if this agent shares room too."""
+        match self.options.optional.room, demand:
+            case features.SharedRoom(), contracts.Demand():
+                return demand
+            case _:
+                return None
+
+    def _report_room(self, peer: str) -> contracts.Room:
+        return self.grants.report(peer, self.slots.free_room)
+
+    def _report_shared(
+        self, now_s: float
+    ) -> contracts.SharedState | msgspec.UnsetType:
+        match self.options.optional.room:
+            case features.SharedRoom() if self.options.target.has_room:
+                return self.grants.report_shared(self.slots.free_room, now_s)
+            case _:
+                return msgspec.UNSET
+
+    def _tell_room(self, names: Sequence[str]) -> effects.Effects:
+        """Tell entries the room that they may use."""
+        return [
+            effects.Send(
+                name,
+                messages.SlotsOffered(
+                    self._count_usable(name, self._now_s),
+                    self.entries[name].starts_seen,
+                    self._report_room(name),
+                ),
+            )
+            for name in names
+        ]
+
     # Time and stopping.
 
     def _tick(self, now_s: float) -> effects.Effects:
         self._expire(now_s)
         result = self._stop_unconfirmed(now_s)
         result += self._fill_slots(now_s)
+        if self.grants.holders and not self._is_paused():
+            result += self._tell_room(
+                self.grants.grant_unused(self.slots.free_room, now_s)
+            )
+            summary = self.grants.summarize(self.slots.free_room, now_s)
+            if summary is not None:
+                result.append(effects.Log('room_granted', summary))
+                self.counters['room_granted'] = self.grants.granted
+                self.counters['room_withdrawn'] = self.grants.withdrawn
         due = [
             name
             for name in self._list_renewal_peers()
@@ -771,8 +819,12 @@
         self._renewed_s.update(dict.fromkeys(names, now_s))
         target = self.options.target
         accepting = not self.stopping and self.healthy and not self.draining
-        shown = self._list_shown(names, now_s)
-        orphans = self._list_orphans(now_s)
+        occupants = self.slots.occupants
+        shown = runreports.list_shown(occupants, self.entries, names, now_s)
+        orphans = runreports.list_orphans(
+            occupants, self.entries, self.options.entry_ttl_s, now_s
+        )
+        shared = self._report_shared(now_s)
         return [
             effects.Send(
                 entry,
@@ -789,34 +841,17 @@
                     accepting and entry in self.live_entries,
                     target.service,
                     target.room,
-                    self.slots.free_room,
+                    self._report_room(entry),
                     self.speed,
                     tuple(shown[entry]),
                     self._list_unended(entry, now_s),
                     orphans,
+                    shared,
                 ),
             )
             for entry in names
         ]
 
-    def _list_orphans(self, now_s: float) -> tuple[messages.OrphanedJob, ...]:
-        """Return the jobs with runs here whose entry is lost.
-
-        It is unresponsive, or its run has ended.
-        """
-        if self.options.entry_ttl_s == float('inf'):
-            return ()
-        orphans: dict[messages.OrphanedJob, None] = {}
-        for key, occupant in self.slots.occupants.items():
-            view = self.entries[occupant.entry]
-            silent_s = now_s - view.confirmed_s
-            run = contracts.read_run(key.submission)
-            has_ended = run is not None and run != view.incarnation
-            if silent_s > self.options.entry_ttl_s or has_ended:
-                orphan = messages.OrphanedJob(occupant.entry, key.submission)
-                orphans[orphan] = None
-        return tuple(orphans)
-
     def _list_unended(
         self, entry: str, now_s: float
     ) -> tuple[messages.ShownAttempt, ...] | None:
@@ -829,46 +864,8 @@
             return None
         if now_s - view.confirmed_s < LISTING_DELAY_S:
             return None
-        running = [
-            messages.ShownAttempt(key.submission, key.index, occupant.attempt)
-            for key, occupant in self.slots.occupants.items()
-            if occupant.entry == entry
-        ]
-        for key in self._queue:
-            match self.records.find(key):
-                case keyrecords.KeyQueued(peer, start) if peer == entry:
-                    running.append(
-                        messages.ShownAttempt(
-                            key.submission, key.index, start.attempt
-                        )
-                    )
-                case _:
-                    pass
-        return tuple(running)
-
-    def _list_shown(
-        self, names: Sequence[str], now_s: float
-    ) -> dict[str, list[messages.ShownAttempt]]:
-        """Return the running attempts that each entry may not know of."""
-        # As precise as the stamp that an entry returns.
-        stamp_s = int(now_s * 1000) / 1000
-        result: dict[str, list[messages.ShownAttempt]] = {
-            name: [] for name in names
-        }
-        for key, occupant in self.slots.occupants.items():
-            listed = result.get(occupant.entry)
-            if listed is None or not occupant.is_shown:
-                continue
-            view = self.entries[occupant.entry]
-            if view.confirmed_s >= occupant.reported_s:
-                continue
-            occupant.reported_s = min(occupant.reported_s, stamp_s)
-            listed.append(
-                messages.ShownAttempt(
-                    key.submission, key.index, occupant.attempt
-                )
-            )
-        return result
+        queued = [self.records.find(key) for key in self._queue.list_keys()]
+        return runreports.list_unended(self.slots.occupants, queued, entry)
 
     def _count_starts(self, entry: str) -> int:
         view = self.entries.get(entry)
@@ -944,38 +941,6 @@
                 }
                 for name, view in self.entries.items()
             },
+            'room': self.grants.describe(now_s),
             'counters': dict(self.counters),
         }
-
-
-def _is_later(message: object, view: EntryView) -> bool:
-    """Tell whether a message of another run shows that the entry restarted.
-
-    A connection may deliver messages of an earlier run after those of the
-    current one.  They carry the stamps of earlier renewals, or none.
-    """
-    match message:
-        case (
-            messages.TaskStart(stamp_ms=stamp_ms)
-            | messages.AgentLease(stamp_ms=stamp_ms)
-            | messages.TaskFence(stamp_ms=stamp_ms)
-        ):
-            return stamp_ms / 1000 > view.confirmed_s
-        case _:
-            return False
-
-
-def _log_late_start(
-    peer: str, entry_run: str, start: messages.TaskStart, now_s: float
-) -> effects.Log:
-    return effects.Log(
-        'start_late',
-        {
-            'id': start.submission,
-            'index': start.index,
-            'attempt': start.attempt,
-            'entry': peer,
-            'entry_run': entry_run,
-            'stamp_age_s': round(now_s - start.stamp_ms / 1000, 3),
-        },
-    )
--- a/eelgrassworks/contracts/__init__.py
+++ b/eelgrassworks/contracts/__init__.py
@@ -30,6 +30,9 @@
 from eelgrassworks.contracts.configuration import ReplaceSheet
 from eelgrassworks.contracts.configuration import Sheet
 from eelgrassworks.contracts.configuration import UndrainTarget
+from eelgrassworks.contracts.demand import Backlog
+from eelgrassworks.contracts.demand import Demand
+from eelgrassworks.contracts.demand import SharedState
 from eelgrassworks.contracts.homeset import HomeSet
 from eelgrassworks.contracts.homeset import NO_HOMES
 from eelgrassworks.contracts.quota import Quota
@@ -49,6 +52,7 @@
     'ANY_REVISION',
     'Answer',
     'ApplySheet',
+    'Backlog',
     'Change',
     'ChangeAccepted',
     'ChangeConflict',
@@ -67,6 +71,7 @@
     'CloseDomain',
     'Complete',
     'Configuration',
+    'Demand',
     'DrainTarget',
     'Failed',
     'HomeSet',
@@ -79,6 +84,7 @@
     'Quota',
     'ReplaceSheet',
     'Room',
+    'SharedState',
     'Sheet',
     'Submission',
     'TaskKey',
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -53,7 +53,9 @@
     ``unended`` names all attempts of the entry that the agent has received
     and that have not ended; it is None if the renewal lists none of them.
     ``orphans`` names the jobs of which a run is left at the target, or may
-    still begin, and whose entry the agent has lost.
+    still begin, and whose entry the agent has lost.  ``free_room`` is the room
+    for the receiver, and ``shared`` what an agent that shares room reports to
+    all entries.
     """
 
     target: str
@@ -74,6 +76,7 @@
     shown: tuple[ShownAttempt, ...] = ()
     unended: tuple[ShownAttempt, ...] | None = None
     orphans: tuple[OrphanedJob, ...] = ()
+    shared: contracts.SharedState | msgspec.UnsetType = msgspec.UNSET
 
 
 class TaskFinished(msgspec.Struct, frozen=True):
@@ -154,6 +157,7 @@
     echoes the agent's last renewal; ``waiting`` is the number of tasks that
     the entry cannot place.  A ``transient`` task may start again after an
     earlier attempt has ended; it queues at the target only if ``patient``.
+    An entry that shares room adds the digest of its first waiting work.
     """
 
     submission: str
@@ -169,6 +173,7 @@
     patient: bool = True
     demand: contracts.Room = contracts.NO_ROOM
     estimate_ms: int = 0
+    first_waiting: contracts.Demand | msgspec.UnsetType = msgspec.UNSET
 
 
 class TaskFence(msgspec.Struct, frozen=True):
@@ -191,11 +196,15 @@
 
 
 class SlotsRequest(msgspec.Struct, frozen=True):
-    """Reports how many tasks of the entry wait for a slot."""
+    """Reports how many tasks of the entry wait for a slot.
+
+    An entry that shares room adds the digest of its first waiting work.
+    """
 
     TAG: ClassVar[str] = 'SlotsWanted'
 
     waiting: int
+    first_waiting: contracts.Demand | msgspec.UnsetType = msgspec.UNSET
 
 
 # Entry to control.
