Weighted shares of kinds decide who pays in an overload

Cause: strict priority refuses nearly all jobs of the least urgent kind in an overload, and a wide job competes with narrow ones for each start alone.

Change: contracts/shares.py divides the capacity of an entry by weighted max-min fairness. Where the feature is on, the queue lets kinds beyond their share go last, and admission predicts waits by the share. Rates and predicted waits move from dispatcher.py to waits.py. Plans of the objectives experiment take settings of features and mixed widths.

--- a/eelgrassworks/admission.py
+++ b/eelgrassworks/admission.py
@@ -4,6 +4,7 @@
 task of a refused job has run or will run.
 """
 
+import collections
 from typing import Final
 
 from eelgrassworks import contracts
@@ -11,6 +12,7 @@
 from eelgrassworks import errors
 from eelgrassworks import inquiries
 from eelgrassworks import shedding
+from eelgrassworks.contracts import queues
 from eelgrassworks.links import session
 
 MAX_QUEUED_TASKS: Final = 50_000
@@ -82,10 +84,20 @@
         """Return the reason for rejecting a transient job, or None."""
         queued = self._dispatcher.queue.length
         schedule = shedding.plan_job(kind, submission.estimate_s, now_s)
-        wait_s = self._dispatcher.predict_wait(
-            submission.team, schedule.due_s, now_s, kind.priority
-        )
         count = len(submission.payloads)
+        job = queues.QueuedJob(
+            submission.id,
+            kind.name,
+            collections.deque(range(count)),
+            schedule.due_s,
+            submission.demand,
+            submission.estimate_s,
+            kind.priority,
+            width=count,
+        )
+        waits = self._dispatcher.waits
+        waits.record_offered(job, now_s)
+        wait_s = waits.predict(submission.team, job, now_s)
         if queued + count > MAX_QUEUED_TASKS or shedding.should_refuse(
             schedule, wait_s, now_s
         ):
@@ -93,7 +105,7 @@
                 errors.Code.OVERLOADED,
                 queued=queued,
                 limit_s=round(schedule.due_s - now_s, 3),
-                retry_s=shedding.advise_retry(wait_s, submission.id),
+                retry_s=waits.advise_retry(job, wait_s, now_s),
             )
         if self._is_settling(now_s):
             return None
--- a/eelgrassworks/contracts/queues.py
+++ b/eelgrassworks/contracts/queues.py
@@ -8,8 +8,31 @@
 
 import collections
 import dataclasses
+from typing import Final
 
 from eelgrassworks import contracts
+from eelgrassworks.contracts import shares
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ByPriority:
+    """The most urgent kind goes first, whatever the others wait for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ByShare:
+    """Kinds beyond their share go last; otherwise the most urgent goes first.
+
+    Within a kind the job goes first that must begin first for its last task
+    to start in time, at the rate of the entry.  A wide job thus goes before a
+    narrow one that is due at the same time.
+    """
+
+    kinds: shares.KindShares
+
+
+Order = ByPriority | ByShare
+BY_PRIORITY: Final = ByPriority()
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,6 +42,7 @@
     ``due_s`` is the latest start that still meets the job's objective, and
     ``priority`` the urgency of its kind, with 0 first.  Within a team the most
     urgent kind goes first, and within one urgency the job that is due first.
+    ``width`` is the number of tasks of the job, waiting or not.
     Jobs that pass their due time before they have ``started`` go behind all
     others, the one due last first, since its answer may still be of use.  A
     started job keeps its place, since its work would be wasted.
@@ -32,6 +56,7 @@
     estimate_s: float = 0.0
     priority: int = 0
     started: bool = False
+    width: int = 0
 
     def is_demoted(self, now_s: float) -> bool:
         """Tell whether the job goes behind all jobs that can be in time."""
@@ -40,7 +65,12 @@
     @property
     def work(self) -> float:
         """Return the declared work that waits, in processor-seconds."""
-        return len(self.indices) * self.demand.measure_work(self.estimate_s)
+        return len(self.indices) * self.task_work
+
+    @property
+    def task_work(self) -> float:
+        """Return the declared work of one task, in processor-seconds."""
+        return self.demand.measure_work(self.estimate_s)
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,7 +88,8 @@
 class FairQueue:
     """Tasks that wait for a target, over all teams."""
 
-    def __init__(self) -> None:
+    def __init__(self, order: Order = BY_PRIORITY) -> None:
+        self.order = order
         self.teams: dict[str, TeamQueue] = {}
         self.length = 0
         self._active: dict[str, None] = {}
@@ -111,6 +142,27 @@
             and (job.priority, job.due_s) < (priority, due_s)
         )
 
+    def measure_share_ahead(
+        self, team_name: str, arriving: QueuedJob, now_s: float
+    ) -> shares.Ahead:
+        """Return the queued work of a team ahead of an arriving job.
+
+        More urgent kinds that are beyond their share are not ahead.
+        """
+        team = self.teams.get(team_name)
+        urgent = own = 0.0
+        rank = self._rank(arriving, now_s)
+        for job in () if team is None else team.jobs.values():
+            if job.is_demoted(now_s):
+                continue
+            if job.kind == arriving.kind:
+                own += job.work if self._rank(job, now_s) < rank else 0.0
+            elif job.priority < arriving.priority and not self._is_beyond(
+                job.kind
+            ):
+                urgent += job.work
+        return shares.Ahead(urgent, own)
+
     def list_overdue(self, now_s: float) -> list[str]:
         """Return the jobs that have passed their due time unstarted."""
         return [
@@ -137,7 +189,7 @@
                 continue
             first = min(
                 (job for job in team.jobs.values() if job.kind not in blocked),
-                key=lambda job: _rank(job, now_s),
+                key=lambda job: self._rank(job, now_s),
                 default=None,
             )
             if first is not None:
@@ -172,6 +224,26 @@
         self._remove_waiting(team_name, team, len(job.indices))
         return len(job.indices)
 
+    def _rank(
+        self, job: QueuedJob, now_s: float
+    ) -> tuple[bool, bool, int, float]:
+        if job.is_demoted(now_s):
+            return True, False, 0, -job.due_s
+        match self.order:
+            case ByPriority():
+                return False, False, job.priority, job.due_s
+            case ByShare(kinds):
+                lead_s = kinds.measure_lead(job.width * job.task_work)
+                is_beyond = kinds.is_beyond(job.kind)
+                return False, is_beyond, job.priority, job.due_s - lead_s
+
+    def _is_beyond(self, kind: str) -> bool:
+        match self.order:
+            case ByPriority():
+                return False
+            case ByShare(kinds):
+                return kinds.is_beyond(kind)
+
     def _find_team(self, name: str) -> TeamQueue:
         return self.teams.setdefault(name, TeamQueue(1.0, self._virtual_s))
 
@@ -188,9 +260,3 @@
         self.length -= count
         if not team.waiting:
             self._active.pop(name, None)
-
-
-def _rank(job: QueuedJob, now_s: float) -> tuple[bool, int, float]:
-    if job.is_demoted(now_s):
-        return True, 0, -job.due_s
-    return False, job.priority, job.due_s
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -17,6 +17,7 @@
 from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import shedding
+from eelgrassworks import waits
 from eelgrassworks import zones
 from eelgrassworks.contracts import jobs
 from eelgrassworks.contracts import queues
@@ -39,8 +40,6 @@
 MAX_REJECTIONS: Final = 16
 DEFAULT_RUN_S: Final = 0.3
 RUN_SMOOTHING: Final = 0.02
-# Two missed renewals of an agent; its tasks may be stalled.
-THROUGHPUT_TIMEOUT_S: Final = 0.5
 # Sum of the entry's lease at an agent, the agent's lease at its target, the
 # time to stop a task and the message delays.  After this time without contact
 # no task that the agent has reported as running runs at a target with room any
@@ -110,8 +109,7 @@
     ) -> None:
         self.policy = policy
         self.features = optional
-        self.shedding_policy = shedding_policy
-        self.queue = queues.FairQueue()
+        self.queue = queues.FairQueue(waits.make_order(optional.shares))
         self.views: dict[str, machines.TargetView] = {}
         # By the name and the incarnation of the agent.
         self._lost: dict[tuple[str, int], machines.LostTarget] = {}
@@ -124,8 +122,10 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._pending_cancels: dict[str, list[str]] = {}
         self._slot_requests = 0
-        self.completion_rate = shedding.CompletionRate()
-        self._admitted_rate = shedding.AdmittedRate()
+        self.waits = waits.Waits(
+            self.queue, self.views, shedding_policy, self.counters
+        )
+        self.completion_rate = self.waits.completion_rate
 
     # Configuration and capacity.
 
@@ -206,57 +206,22 @@
     def add(self, job: jobs.Job) -> None:
         """Queue every task of a job."""
         submission = job.submission
-        work = submission.demand.measure_work(submission.estimate_s)
-        self._admitted_rate.record(
-            job.priority, work * len(submission.payloads), job.arrived_s
-        )
-        indices = range(len(job.submission.payloads))
-        self.queue.add(job.submission.team, _make_queued(job, indices))
+        queued = _make_queued(job, range(len(submission.payloads)))
+        self.waits.record_admitted(queued, job.arrived_s)
+        self.queue.add(submission.team, queued)
 
     def predict_wait(
         self, team: str, due_s: float, now_s: float, priority: int = 0
     ) -> float:
         """Predict how long a job due at ``due_s`` would wait, in seconds."""
-        ahead = self.queue.measure_work_ahead(team, due_s, now_s, priority)
-        if not ahead:
-            return 0.0
-        rate = max(
-            self.completion_rate.measure(now_s),
-            self._measure_throughput(now_s),
+        arriving = queues.QueuedJob(
+            '', '', collections.deque(), due_s, priority=priority
         )
-        match self.shedding_policy:
-            case shedding.AtLatestStart():
-                urgent_rate = self._admitted_rate.measure_above(
-                    priority, now_s
-                )
-            case shedding.AtLatestUse():
-                urgent_rate = 0.0
-        return shedding.predict_wait(ahead, rate, urgent_rate)
+        return self.waits.predict(team, arriving, now_s)
 
     def list_overdue(self, now_s: float) -> list[str]:
-        """Return the jobs that would take the place of jobs in time.
-
-        These have missed their latest start, since all room was in use.
-        While no task runs, targets may just be returning, and jobs wait.
-        """
-        match self.shedding_policy:
-            case shedding.AtLatestStart() if self._measure_throughput(now_s):
-                return self.queue.list_overdue(now_s)
-            case _:
-                return []
-
-    def _measure_throughput(self, now_s: float) -> float:
-        """Return the declared work that outstanding tasks do a second.
-
-        The result is in processor-seconds a second.  Completions lag behind
-        starts by a run time, so the completion rate is too low while targets
-        fill up: after this entry has started, or targets have returned.
-        """
-        return sum(
-            view.throughput
-            for view in self.views.values()
-            if now_s - view.last_contact_s < THROUGHPUT_TIMEOUT_S
-        )
+        """Return the jobs that would take the place of jobs in time."""
+        return self.waits.list_overdue(now_s)
 
     def requeue(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
@@ -321,6 +286,7 @@
         """Start waiting tasks for which the policy finds a target."""
         result: effects.Effects = []
         blocked: set[str] = set()
+        self.waits.refresh_shares(now_s)
         serving: dict[str, list[machines.TargetView]] = {}
         while self.queue.length:
             peeked = self.queue.peek(blocked, now_s)
@@ -343,6 +309,7 @@
                 blocked.add(kind)
                 continue
             self.queue.pop(team, queued)
+            self.waits.record_start(queued, now_s)
             result += self._start(view, team, kind, key, now_s)
             if not self._find_breaker(view, kind).allows(now_s):
                 serving[kind].remove(view)
@@ -696,6 +663,7 @@
             job.rejections[key.index] = rejections
             if rejections >= MAX_REJECTIONS:
                 return DispatchResult([], [TaskRejected(key)])
+        self.waits.record_decline(_make_queued(job, (key.index,)), now_s)
         self.requeue(job, key.index)
         return DispatchResult([], [])
 
@@ -785,7 +753,7 @@
 
     def tick(self, now_s: float) -> DispatchResult:
         """Check for unresponsive agents and overdue starts."""
-        result = self.flush_cancels()
+        result = self.flush_cancels() + self.waits.log_shares(now_s)
         outcomes: list[Outcome] = []
         for peer, view in list(self.views.items()):
             no_contact_s = now_s - view.last_contact_s
@@ -883,7 +851,10 @@
             if view is None or key not in view.outstanding:
                 return False
             no_contact_s = now_s - view.last_contact_s
-            if view.is_unshown(key) or no_contact_s > THROUGHPUT_TIMEOUT_S:
+            if (
+                view.is_unshown(key)
+                or no_contact_s > waits.THROUGHPUT_TIMEOUT_S
+            ):
                 return False
         return True
 
@@ -1079,4 +1050,5 @@
         submission.estimate_s,
         job.priority,
         job.may_have_run(),
+        len(submission.payloads),
     )
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -26,6 +26,7 @@
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Weight = Annotated[float, msgspec.Meta(ge=0.01, le=100.0)]
 Key = Annotated[str, msgspec.Meta(min_length=16)]
 
 DEFAULT_BODY_LIMIT_BYTES: Final = 8 * 1024 * 1024
@@ -90,6 +91,9 @@
 
     shared_room: bool = False
     weighted_shares: bool = False
+    # Of kinds and callers' failure domains; 1 for those that are not named.
+    kind_weights: dict[Name, Weight] = {}
+    domain_weights: dict[Name, Weight] = {}
     whole_jobs: bool = False
     learnt_speeds: bool = False
     learnt_run_times: bool = False
@@ -231,7 +235,11 @@
     off = features.Off()
     return features.Features(
         room=features.SharedRoom() if model.shared_room else off,
-        shares=features.WeightedShares() if model.weighted_shares else off,
+        shares=(
+            features.WeightedShares(model.kind_weights, model.domain_weights)
+            if model.weighted_shares
+            else off
+        ),
         jobs=features.WholeJobs() if model.whole_jobs else off,
         speeds=features.LearntSpeeds() if model.learnt_speeds else off,
         run_times=(
--- a/eelgrassworks/shedding.py
+++ b/eelgrassworks/shedding.py
@@ -163,6 +163,11 @@
     The retries of callers that were refused together are spread between one
     and two times the shortest delay, so that they do not cause another peak.
     """
-    first_s = min(RETRY_MAX_S, max(RETRY_MIN_S, 2 * wait_s))
+    return spread_retry(2 * wait_s, submission)
+
+
+def spread_retry(free_s: float, submission: str) -> int:
+    """Return the delay before a retry that is of use after ``free_s``."""
+    first_s = min(RETRY_MAX_S, max(RETRY_MIN_S, free_s))
     fraction = xxhash.xxh32_intdigest(submission.encode()) / 2**32
     return math.ceil(first_s * (1 + fraction))
--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -11,14 +11,17 @@
 import dataclasses
 import functools
 import random
+from typing import Any
 from typing import Final
 
 from hdrh import histogram
+import msgspec
 
 from eelgrassworks import contracts
 from eelgrassworks import dispatcher
 from eelgrassworks import entry
 from eelgrassworks import machines
+from eelgrassworks import settings
 from eelgrassworks import shedding
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import experiment
@@ -88,6 +91,9 @@
 class Plan:
     """The workload of a run; ``load`` is a share of the room of all targets.
 
+    ``features`` are the settings of entries.  With ``mixed_widths`` a job has
+    half or three halves of the tasks of its kind, and is otherwise unchanged.
+
     All processes are killed at ``loss_s``, or never if it is 0.  From
     ``shortage_s`` to ``shortage_end_s`` the agents of the given number of
     targets are down.
@@ -101,6 +107,8 @@
     shortage_s: float = 0.0
     shortage_end_s: float = 0.0
     shortage_targets: int = 0
+    features: dict[str, Any] = dataclasses.field(default_factory=dict)
+    mixed_widths: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +171,7 @@
     policy: str
     kinds: list[Outcome]
     windows: list[Outcome]
+    widths: list[Outcome] = dataclasses.field(default_factory=list)
 
     @property
     def share_in_time(self) -> float:
@@ -188,9 +197,13 @@
     )
     rate = plan.load * room_cores / mean_work
     jobs: list[PlannedJob] = []
+    widths = random.Random(plan.seed)
     now_s = generator.expovariate(rate)
     while now_s < plan.seconds:
         work = generator.choices(MIX, [each.share for each in MIX])[0]
+        if plan.mixed_widths:
+            tasks = work.tasks // 2 * widths.choice((1, 3))
+            work = dataclasses.replace(work, tasks=tasks)
         run_s = work.run_s * generator.uniform(0.5, 1.5)
         error = 1 + generator.uniform(-ESTIMATE_ERROR, ESTIMATE_ERROR)
         jobs.append(PlannedJob(len(jobs), now_s, work, run_s * error, run_s))
@@ -228,6 +241,9 @@
                 CONTROLS,
                 self.policy,
                 shedding_policy=self.shedding_policy,
+                optional=settings.make_features(
+                    msgspec.convert(self.plan.features, settings.FeaturesModel)
+                ),
             )
         # The baselines bind each task to a target on arrival, so they need
         # long queues at the targets.
@@ -319,11 +335,16 @@
         responses = {
             name: histogram.HdrHistogram(1, 100_000_000, 3) for name in kinds
         }
+        widths: dict[str, Outcome] = {}
         for job in self.jobs:
             name = job.work.kind.name
             answer, response_s = self._find_answer(job)
             in_time = response_s <= job.objective_s
             kinds[name].record(answer, response_s, in_time)
+            width = f'{name} x{job.work.tasks}'
+            widths.setdefault(width, Outcome(width)).record(
+                answer, response_s, in_time
+            )
             window = windows[int(job.arrived_s // WINDOW_S)]
             window.record(answer, response_s, in_time)
             if isinstance(answer, contracts.Complete):
@@ -333,7 +354,8 @@
             outcome.p50_s = values.get_value_at_percentile(50) / 1e6
             outcome.p99_s = values.get_value_at_percentile(99) / 1e6
         policy = experiment.name_policy(self.policy)
-        return Result(policy, list(kinds.values()), windows)
+        by_width = sorted(widths.values(), key=lambda each: each.name)
+        return Result(policy, list(kinds.values()), windows, by_width)
 
     def _find_answer(self, job: PlannedJob) -> tuple[object, float]:
         """Return the answer of a job and its response time in seconds.
@@ -369,7 +391,8 @@
         + ''.join(f'{header:>9}' for header in (*headers, 'p50 s', 'p99 s'))
     ]
     for result in results:
-        for each in result.kinds:
+        has_widths = len(result.widths) > len(result.kinds)
+        for each in result.kinds + (result.widths if has_widths else []):
             counts = (
                 each.offered,
                 each.in_time,
