--- a/eelgrassworks/features.py
+++ b/eelgrassworks/features.py
@@ -21,13 +21,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedShares:
-    """Kinds and callers' failure domains have shares in an overload.
+    """Kinds have shares of the capacity in an overload.
 
-    The weight of a kind or failure domain that is not named is 1.
+    The weight of a kind that is not named is 1.
     """
 
     kind_weights: dict[str, float] = dataclasses.field(default_factory=dict)
-    domain_weights: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -91,9 +91,8 @@
 
     shared_room: bool = False
     weighted_shares: bool = False
-    # Of kinds and callers' failure domains; 1 for those that are not named.
+    # 1 for a kind that is not named.
     kind_weights: dict[Name, Weight] = {}
-    domain_weights: dict[Name, Weight] = {}
     whole_jobs: bool = False
     learnt_speeds: bool = False
     learnt_run_times: bool = False
@@ -236,7 +235,7 @@
     return features.Features(
         room=features.SharedRoom() if model.shared_room else off,
         shares=(
-            features.WeightedShares(model.kind_weights, model.domain_weights)
+            features.WeightedShares(model.kind_weights)
             if model.weighted_shares
             else off
         ),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -177,9 +177,7 @@
                 weighted_shares=True, kind_weights={'read': 2.0}
             )
         )
-        self.assertEqual(
-            parsed.shares, features.WeightedShares({'read': 2.0}, {})
-        )
+        self.assertEqual(parsed.shares, features.WeightedShares({'read': 2.0}))
 
     def test_least_urgent_kind_is_served_in_an_overload(self) -> None:
         """At 1.5 times the capacity, strict priority serves a fifth of it."""
