--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,14 +6,12 @@
 import ddt
 
 from eelgrassworks import contracts
-from eelgrassworks import entry
 from eelgrassworks import features
 from eelgrassworks import settings
 from eelgrassworks.contracts import queues
 from eelgrassworks.contracts import shares
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import objectives
-from eelgrassworks.trials import virtual
 from tests import test_shedding
 from tests import test_transient
 from tests import worlds
@@ -172,12 +170,12 @@
         self.assertLessEqual(len(changes), shares.MAX_KINDS + 1)
 
     def test_settings_give_weights(self) -> None:
+        """A weight that is lost on the way has no effect."""
+        weights = {'read': 2.0}
         parsed = settings.make_features(
-            settings.FeaturesModel(
-                weighted_shares=True, kind_weights={'read': 2.0}
-            )
+            settings.FeaturesModel(weighted_shares=True, kind_weights=weights)
         )
-        self.assertEqual(parsed.shares, features.WeightedShares({'read': 2.0}))
+        self.assertEqual(parsed.shares, features.WeightedShares(weights))
 
     def test_least_urgent_kind_is_served_in_an_overload(self) -> None:
         """At 1.5 times the capacity, strict priority serves a fifth of it."""
@@ -214,28 +212,10 @@
         world.kill('entry-3')
         world.start('entry-3')
         world.run(4.0)
-        request = world.ask(
-            'entry-3', lambda n: entry.SubmitRequested(n, make_job(world))
-        )
+        request = test_transient.submit(world, 'entry-3')
         world.run(3.0)
         self.assertIsInstance(world.replies[request][1], contracts.Complete)
 
 
-def make_job(world: virtual.World) -> contracts.Submission:
-    """Return a transient job of one task."""
-    return contracts.Submission(
-        f'{int(world.now_s * 1000):016x}',
-        'digest',
-        'callers',
-        'read',
-        (b'spec',),
-        4.0,
-        False,
-        transient=True,
-        demand=test_transient.DEMAND,
-        estimate_s=0.4,
-    )
-
-
 if __name__ == '__main__':
     unittest.main()
