--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -268,7 +268,7 @@
         self,
         policies: str | tuple[str, ...] = 'late-binding',
         plot: str = '',
-        features: str = '',
+        features: str | dict[str, Any] = '',
         **options: Any,
     ) -> None:
         """Run transient jobs with objectives under a virtual clock.
@@ -278,13 +278,16 @@
                 use learnt speeds.
             plot: file for a plot of the share of jobs in time over the run.
             features: optional decisions of entries and agents, as in their
-                settings, separated by +.
+                settings: the names of those that are on, separated by +, or
+                a mapping.
             options: load, seconds, seed, entries, targets, uneven, loss_s.
         """
         from eelgrassworks.trials import objectives
 
-        names = dict.fromkeys(features.split('+') if features else (), True)
-        model = _make_options(settings.FeaturesModel, names)
+        if isinstance(features, str):
+            names = features.split('+') if features else ()
+            features = dict.fromkeys(names, True)
+        model = _make_options(settings.FeaturesModel, features)
         options['optional'] = settings.make_features(model)
 
         # Fire parses a comma-separated argument as a tuple if it can.
--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -8,6 +8,7 @@
 compared with the default policy.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import functools
@@ -97,6 +98,9 @@
 class Plan:
     """The workload of a run; ``load`` is a share of the room of all targets.
 
+    With ``mixed_widths`` a job has half or three halves of the tasks of its
+    kind, is otherwise unchanged, and widths are counted by kind.
+
     All processes are killed at ``loss_s``, or never if it is 0.  From
     ``shortage_s`` to ``shortage_end_s`` the agents of the given number of
     targets are down.  ``uneven`` varies the tasks of a job and their run
@@ -114,6 +118,7 @@
     targets: int = 12
     uneven: bool = False
     optional: features.Features = features.NO_FEATURES
+    mixed_widths: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,9 +248,13 @@
     )
     rate = plan.load * room_cores / mean_work
     jobs: list[PlannedJob] = []
+    widths = random.Random(plan.seed)
     now_s = generator.expovariate(rate)
     while now_s < plan.seconds:
         work = generator.choices(MIX, [each.share for each in MIX])[0]
+        if plan.mixed_widths:
+            tasks = work.tasks // 2 * widths.choice((1, 3))
+            work = dataclasses.replace(work, tasks=tasks)
         run_s = work.run_s * generator.uniform(0.5, 1.5)
         error = 1 + generator.uniform(-ESTIMATE_ERROR, ESTIMATE_ERROR)
         tasks = work.tasks
@@ -379,17 +388,19 @@
         count = -int(-self.plan.seconds // WINDOW_S)
         windows = [Outcome(f'{n * WINDOW_S:g} s') for n in range(count)]
         kinds = {each.kind.name: Outcome(each.kind.name) for each in MIX}
-        widths = {width: Outcome(f'to {width} tasks') for width in WIDTHS}
-        groups = [*kinds.values(), *widths.values()]
-        responses = {
-            each.name: histogram.HdrHistogram(1, 100_000_000, 3)
-            for each in groups
-        }
+        widths: dict[str, Outcome] = {}
+        if not self.plan.mixed_widths:
+            names = [f'to {width} tasks' for width in WIDTHS]
+            widths = {name: Outcome(name) for name in names}
+        responses: dict[str, histogram.HdrHistogram] = collections.defaultdict(
+            _make_histogram
+        )
         for job in self.jobs:
             name = job.work.kind.name
             answer, response_s = self.find_answer(job)
             in_time = response_s <= job.objective_s
-            width = min(each for each in WIDTHS if each >= job.tasks)
+            width = self._name_width(job)
+            widths.setdefault(width, Outcome(width))
             window = windows[int(job.arrived_s // WINDOW_S)]
             for each in (kinds[name], widths[width], window):
                 each.record(answer, response_s, in_time)
@@ -397,7 +408,7 @@
                     each is not window
                 ):
                     responses[each.name].record_value(int(response_s * 1e6))
-        for outcome in groups:
+        for outcome in (*kinds.values(), *widths.values()):
             values = responses[outcome.name]
             outcome.p50_s = values.get_value_at_percentile(50) / 1e6
             outcome.p99_s = values.get_value_at_percentile(99) / 1e6
@@ -409,6 +420,12 @@
             self._measure_costs(),
         )
 
+    def _name_width(self, job: PlannedJob) -> str:
+        if self.plan.mixed_widths:
+            return f'{job.work.kind.name} x{job.tasks}'
+        width = min(each for each in WIDTHS if each >= job.tasks)
+        return f'to {width} tasks'
+
     def _measure_costs(self) -> Costs:
         tally = self.world.tally
         jobs = max(1, len(self.jobs))
@@ -431,6 +448,10 @@
         return answer, at_s - submitted[1]
 
 
+def _make_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(1, 100_000_000, 3)
+
+
 def run_policies(
     plan: Plan, policies: list[placement.Policy], show: Callable[[str], None]
 ) -> list[Result]:
