Homes are spread over machines that don't fail together

Cause: the first homes were chosen by the order of names alone. In a deployment of 12 entries, five of seven homes were on machines with a disk; while these had no power, no majority granted a claim, although four entries and all agents were well (165 refusals with code=unclaimable).

Change: contracts/homesites.py counts the homes that a declared failure takes (all machines with a disk, or one failure domain) above a minority of a group. `form` prefers entries without a disk up to a bare majority and spreads the others over domains. `revise` also replaces a live home if that lowers the count, which therefore comes to an end. An entry names its failure domain in its renewals; the leader keeps it in memory, so the log is unchanged. The first set waits until the members of the log have joined. `homes_exposed` says which failures still take a majority.

--- a/eelgrassworks/contracts/homeset.py
+++ b/eelgrassworks/contracts/homeset.py
@@ -16,6 +16,8 @@
 
 import xxhash
 
+from eelgrassworks.contracts import homesites
+
 # Homes of one id: bears three losses.
 GROUP_SIZE: Final = 7
 # With fewer entries, replicas are homes too.
@@ -59,53 +61,101 @@
     return len(group) // 2 + 1
 
 
-def form(entries: Sequence[str], replicas: Sequence[str]) -> HomeSet:
+def form(
+    entries: Sequence[str],
+    replicas: Sequence[str],
+    sites: homesites.Sites = homesites.NO_SITES,
+) -> HomeSet:
     """Return the first set of homes, for the given live processes.
 
     Replicas are homes only where there are too few entries to bear the loss
-    of one of them.  Neighbours in the order of names often share a failure
-    domain, so the homes of a group are far apart in this order.
+    of one of them.
     """
     names = sorted(entries)
     if len(names) < MIN_ENTRIES:
         names += sorted(replicas)[: MIN_ENTRIES - len(names)]
     count = max(1, len(names) // GROUP_SIZE)
     size = min(len(names), GROUP_SIZE)
-    total = count * (size - (size + 1) % 2)
-    chosen = [names[n * len(names) // total] for n in range(total)]
-    return HomeSet(1, tuple(tuple(chosen[n::count]) for n in range(count)))
+    size -= (size + 1) % 2
+    groups: list[tuple[str, ...]] = []
+    for _ in range(count):
+        group: tuple[str, ...] = ()
+        while len(group) < size:
+            chosen = sites.choose(names, group, size)
+            names.remove(chosen)
+            group = (*group, chosen)
+        groups.append(group)
+    return HomeSet(1, tuple(groups))
 
 
 def revise(
-    current: HomeSet, entries: Sequence[str], replicas: Sequence[str]
+    current: HomeSet,
+    entries: Sequence[str],
+    replicas: Sequence[str],
+    sites: homesites.Sites = homesites.NO_SITES,
 ) -> HomeSet | None:
     """Return the set with one home replaced or added; None to keep it.
 
     A home that has ended gives its place to an entry that is no home yet,
-    then a replica does.  A single group grows to its largest size.
+    then a replica does.  A single group grows to its largest size.  At last a
+    live home is replaced, if fewer homes are then lost to one failure.  Each
+    such change lowers a whole number, so these changes come to an end.
     """
     homes = current.list_names()
     spare = [name for name in sorted(entries) if name not in homes]
     if not spare:
         return None
-    joining = spare[0]
-    leaving = _find_replaced(homes, entries, replicas)
+    joining = sites.list_distinct(spare)
+    live = {*entries, *replicas}
+    leaving = [name for name in homes if name not in live]
+    leaving = leaving or [name for name in homes if name not in entries]
     if leaving:
-        groups = tuple(
-            tuple(joining if name == leaving else name for name in group)
-            for group in current.groups
-        )
+        changes = _list_replacements(current, leaving, joining)
     elif len(homes) < GROUP_SIZE:
-        groups = ((*homes, joining),)
+        changes = [Change((*homes, name), name, homes) for name in joining]
+        if len(spare) == 1:
+            # A group of an even size bears no more losses than before.
+            changes = [each for each in changes if each.count_gain(sites) >= 0]
     else:
+        changes = [
+            each
+            for each in _list_replacements(current, homes, joining)
+            if each.count_gain(sites) > 0
+        ]
+    if not changes:
         return None
-    return HomeSet(current.version + 1, groups, joining)
+    best = max(changes, key=lambda each: each.count_gain(sites))
+    groups = tuple(
+        best.group if group == best.previous else group
+        for group in current.groups
+    )
+    return HomeSet(current.version + 1, groups, best.joining)
 
 
-def _find_replaced(
-    homes: Sequence[str], entries: Sequence[str], replicas: Sequence[str]
-) -> str:
-    """Return the home that gives its place to an entry, or nothing."""
-    ended = [name for name in homes if name not in {*entries, *replicas}]
-    others = [name for name in homes if name not in entries]
-    return next(iter([*ended, *others]), '')
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A group in which one home is replaced or added."""
+
+    group: tuple[str, ...]
+    joining: str
+    previous: tuple[str, ...]
+
+    def count_gain(self, sites: homesites.Sites) -> int:
+        """Return how many homes less the failures take above a minority."""
+        previous = sites.count_excess(self.previous)
+        return previous - sites.count_excess(self.group)
+
+
+def _list_replacements(
+    current: HomeSet, leaving: Sequence[str], joining: Sequence[str]
+) -> list[Change]:
+    """Return the changes that replace one home, in order of the homes."""
+    return [
+        Change(
+            tuple(new if name == old else name for name in group), new, group
+        )
+        for group in current.groups
+        for old in group
+        if old in leaving
+        for new in joining
+    ]
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -18,6 +18,7 @@
 from eelgrassworks import zones
 from eelgrassworks.contracts import home
 from eelgrassworks.contracts import homeset
+from eelgrassworks.contracts import homesites
 from eelgrassworks.links import codec
 from eelgrassworks.links import homes
 from eelgrassworks.links import messages
@@ -247,6 +248,7 @@
         if self.ledger.homes.joining == options.replica.name:
             self._home.join(inputs.now_s)
         self._homes_changed_s = inputs.now_s
+        self._reported_exposures: dict[str, int] = {}
         # Replicas of an earlier version, which cannot apply SetHomes.
         self._without_homes: set[str] = set()
 
@@ -595,21 +597,53 @@
         ]
         voters = list(members.voters)
         current = self.ledger.homes
+        sites = self._make_sites()
         elapsed_s = inputs.now_s - self._homes_changed_s
         if not current.version:
             if not entries or elapsed_s < HOMES_FORMATION_DELAY_S:
                 return []
-            revised: contracts.HomeSet | None = homeset.form(entries, voters)
+            revised: contracts.HomeSet | None = homeset.form(
+                entries, voters, sites
+            )
         elif elapsed_s < HOMES_INTERVAL_S:
             return []
         else:
-            revised = homeset.revise(current, entries, voters)
+            revised = homeset.revise(current, entries, voters, sites)
         if revised is None:
-            return []
+            return self._report_exposures(sites)
         self._homes_changed_s = inputs.now_s
         command = commands.SetHomes(revised)
         return self.replica.propose([codec.pack(command)], inputs)[1]
 
+    def _make_sites(self) -> homesites.Sites:
+        """Return where the entries and the members are.
+
+        An entry names its failure domain in its renewals, each of which this
+        leader has received within ``ENTRY_TTL_S`` of its beginning.
+        """
+        entries = {}
+        for name, record in self.ledger.entries.items():
+            renewal = self._latest_renewals.get(name)
+            domain = renewal.failure_domain if renewal else ''
+            entries[name] = homesites.RegisteredEntry(record.address, domain)
+        return homesites.make_sites(entries, self._list_addresses())
+
+    def _report_exposures(self, sites: homesites.Sites) -> effects.Effects:
+        """Log by failure how many groups lose their majority to it."""
+        exposures = sites.find_exposures(self.ledger.homes.groups)
+        if exposures == self._reported_exposures:
+            return []
+        self._reported_exposures = exposures
+        fields: dict[str, object] = {
+            'version': self.ledger.homes.version,
+            'groups': len(self.ledger.homes.groups),
+            'failures': ','.join(
+                f'{failure}={count}'
+                for failure, count in sorted(exposures.items())
+            ),
+        }
+        return [effects.Log('homes_exposed', fields)]
+
     def _apply_homes(self, version: int) -> effects.Effects:
         """Log homes that differ from those of a version."""
         current = self.ledger.homes
@@ -845,6 +879,12 @@
                 self._answerable_entries |= self._deferred_renewals.keys() & {
                     command.name
                 }
+            if (
+                isinstance(command, commands.SetMembers)
+                and not self.ledger.homes.version
+            ):
+                # Machines with a disk are known once they have joined.
+                self._homes_changed_s = inputs.now_s
             verdicts = self.ledger.apply(entry.index, command)
             pending = self._committing.pop(entry.index, None)
             if isinstance(pending, list):
--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -44,6 +44,7 @@
                     model.listen,
                     link.sender.incarnation,
                     tuple(model.replicas),
+                    model.vm.failure_domain,
                 ),
                 placement.make_policy(model.policy, model.learnt_speeds),
                 model.max_wait_s,
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -204,7 +204,8 @@
 class EntryRenewal(msgspec.Struct, frozen=True):
     """Registers an incarnation of an entry and requests a lease.
 
-    ``roster_digest`` is that of the roster which the entry has.
+    ``roster_digest`` is that of the roster which the entry has.  An entry of
+    an earlier version names no failure domain.
     """
 
     name: str
@@ -213,6 +214,7 @@
     sent_ms: int
     revision: int
     roster_digest: int = 0
+    failure_domain: str = ''
 
 
 class ClaimsRequest(msgspec.Struct, frozen=True):
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -39,6 +39,7 @@
     address: str
     nonce: int
     replicas: tuple[str, ...]
+    failure_domain: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -302,6 +303,7 @@
             int(now_s * 1000),
             self.configuration.revision,
             self.roster.digest(),
+            self.options.failure_domain,
         )
         return [effects.Send(self.leader, renewal)]
 
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -137,6 +137,7 @@
             'sent_ms',
             'revision',
             'roster_digest',
+            'failure_domain',
         ),
     ),
     (messages.ClaimsRequest, 'ClaimsAsked', ('request', 'claims')),
