Objectives: a trial with claims at homes and a loss of the core

Cause: the trial had no homes and no machines that lose their power together, so it could not show the service while the core is away.

Change: `disks` puts the first entries on the machines of the replicas and lets jobs be claimed; these machines are off from `core_loss_s` to `core_return_s`. Callers go to entries that are up. Without these options nothing changes.

--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -20,6 +20,7 @@
 from eelgrassworks import entry
 from eelgrassworks import machines
 from eelgrassworks import shedding
+from eelgrassworks import zones
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import experiment
 from eelgrassworks.trials import virtual
@@ -27,7 +28,8 @@
 SERVICE: Final = 'cover-check'
 TEAM: Final = 'callers'
 DOMAINS: Final = ('accra-central', 'tema-port', 'kasoa-west')
-CONTROLS: Final = ('control-1', 'control-2', 'control-3')
+REPLICAS: Final = 3
+MAX_VOTERS: Final = 5
 # Room and run time factor of each target of a failure domain.
 TARGETS: Final = (
     (contracts.Room(32_000, 65_536), 1.0),
@@ -90,7 +92,9 @@
 
     All processes are killed at ``loss_s``, or never if it is 0.  From
     ``shortage_s`` to ``shortage_end_s`` the agents of the given number of
-    targets are down.
+    targets are down.  If ``disks`` is not 0, jobs are claimed at homes, and
+    the first ``disks`` entries share their machines with the replicas; these
+    machines are without power from ``core_loss_s`` to ``core_return_s``.
     """
 
     load: float = 0.8
@@ -101,6 +105,10 @@
     shortage_s: float = 0.0
     shortage_end_s: float = 0.0
     shortage_targets: int = 0
+    disks: int = 0
+    core_loss_s: float = 0.0
+    core_return_s: float = 0.0
+    lease_ttl_s: float = zones.LEASE_TTL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -212,6 +220,9 @@
         self.shedding_policy = shedding_policy
         self.jobs = plan_jobs(plan)
         self.entries = tuple(f'entry-{n + 1}' for n in range(plan.entries))
+        self.controls = tuple(
+            f'control-{n + 1}' for n in range(plan.disks or REPLICAS)
+        )
         self.world = virtual.World(plan.seed)
         self._submitted: dict[int, tuple[int, float]] = {}
         self._slowness: dict[str, float] = {}
@@ -221,11 +232,22 @@
         world = self.world
         world.hold_lease_s = HOLD_LEASE_S
         world.run_model = self._run_task
-        world.add_control(CONTROLS)
+        world.lease_ttl_s = self.plan.lease_ttl_s
+        world.claims_transient = bool(self.plan.disks)
+        world.machines = dict(zip(self.entries, self.controls, strict=False))
+        if not self.plan.disks:
+            world.machines = {}
+        for position, name in enumerate(self.entries):
+            world.domains[name] = DOMAINS[position % len(DOMAINS)]
+        for position, name in enumerate(self.controls):
+            world.domains[name] = DOMAINS[position % len(DOMAINS)]
+        world.add_control(
+            self.controls, voters=min(MAX_VOTERS, self.plan.disks)
+        )
         for name in self.entries:
             world.add_entry(
                 name,
-                CONTROLS,
+                self.controls,
                 self.policy,
                 shedding_policy=self.shedding_policy,
             )
@@ -270,6 +292,15 @@
             world.at(job.arrived_s, functools.partial(self._submit, job))
         if self.plan.loss_s:
             world.at(self.plan.loss_s, self._kill_all)
+        if self.plan.core_loss_s:
+            for name in (*self.controls, *self.entries[: self.plan.disks]):
+                world.at(
+                    self.plan.core_loss_s, functools.partial(world.kill, name)
+                )
+                world.at(
+                    self.plan.core_return_s,
+                    functools.partial(world.start, name),
+                )
         for name in list(self._slowness)[: self.plan.shortage_targets]:
             world.at(self.plan.shortage_s, functools.partial(world.kill, name))
             world.at(
@@ -284,7 +315,7 @@
             world.kill(name)
         for position, name in enumerate(list(world.nodes)):
             stagger_s = (
-                RESTART_INTERVAL_S * position if name in CONTROLS else 0.0
+                RESTART_INTERVAL_S * position if name in self.controls else 0.0
             )
             world.at(
                 DOWNTIME_S + stagger_s, functools.partial(world.start, name)
@@ -304,9 +335,11 @@
             demand=contracts.Room(TASK_CPU_MILLIS, MEMORY_MIB),
             estimate_s=job.declared_s,
         )
-        name = self.entries[job.number % len(self.entries)]
-        if world.nodes[name].core is None:
+        # The callers' balancer leaves out entries that are down.
+        live = [n for n in self.entries if world.nodes[n].core is not None]
+        if not live:
             return
+        name = live[job.number % len(live)]
         request = world.ask(
             name, lambda n: entry.SubmitRequested(n, submission)
         )
