A lease goes on under a later configuration

Cause: 30 ms after its leadership began, a new leader committed a revision of the manifest that operators had sent meanwhile, and pushed it. An entry that applied it held a lease of the revision before, which no longer counted: four entries logged `lease_lost` with 1.6 s left, placed nothing and were not ready for 0.15 to 0.2 s, until a renewal had been answered. The same came 1.1 s later with the next revision.

Change: `Session.has_confirmed_lease` counts a lease of a revision up to that of the configuration. Such a lease was granted before the commit of each later revision, and none of these is in force before such leases have ended. A lease of a later revision than the configuration still does not count.

--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -79,10 +79,16 @@
         self._pending: dict[int | str, PendingRequest] = {}
 
     def has_confirmed_lease(self, now_s: float) -> bool:
-        """Return whether the lease confirms the current configuration."""
+        """Return whether work may start under the current configuration.
+
+        The lease may confirm an earlier revision than the configuration: it
+        was granted before the commit of each later one, and none of these is
+        in force before all such leases have ended.  A lease of a later
+        revision than the configuration does not count.
+        """
         return (
             self.lease.is_valid(now_s)
-            and self.lease.revision == self.configuration.revision
+            and self.lease.revision <= self.configuration.revision
         )
 
     def claim(
