Operators see groups of homes that one failure takes

Change: gauge `homes_exposed` and a line of the same name when the exposures change; homes are compared with the entries once a second.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -50,6 +50,8 @@
 # Longer than a new home waits before it grants jobs, so that at most one home
 # waits at a time; also the time that a lost home has to return.
 HOMES_INTERVAL_S: Final = 10.0
+# Comparing the homes with all entries costs about as much as a roster.
+HOMES_CHECK_INTERVAL_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,6 +250,7 @@
         if self.ledger.homes.joining == options.replica.name:
             self._home.join(inputs.now_s)
         self._homes_changed_s = inputs.now_s
+        self._homes_checked_s = float('-inf')
         self._reported_exposures: dict[str, int] = {}
         # Replicas of an earlier version, which cannot apply SetHomes.
         self._without_homes: set[str] = set()
@@ -293,6 +296,16 @@
         result += self._answer_reads(inputs)
         return result + self._finish_stop(inputs)
 
+    @property
+    def homes_exposed(self) -> int:
+        """Return how many groups one declared failure takes, by the leader.
+
+        A group counts once for each such failure.
+        """
+        if not self._leadership_started:
+            return 0
+        return sum(self._reported_exposures.values())
+
     def add_replicas(self, addresses: dict[str, str]) -> None:
         """Use the addresses, by name, that changed settings list."""
         self.options = dataclasses.replace(
@@ -597,17 +610,22 @@
         ]
         voters = list(members.voters)
         current = self.ledger.homes
-        sites = self._make_sites()
         elapsed_s = inputs.now_s - self._homes_changed_s
+        checked_s = inputs.now_s - self._homes_checked_s
         if not current.version:
             if not entries or elapsed_s < HOMES_FORMATION_DELAY_S:
                 return []
+            sites = self._make_sites()
             revised: contracts.HomeSet | None = homeset.form(
                 entries, voters, sites
             )
-        elif elapsed_s < HOMES_INTERVAL_S:
+        elif (
+            elapsed_s < HOMES_INTERVAL_S or checked_s < HOMES_CHECK_INTERVAL_S
+        ):
             return []
         else:
+            self._homes_checked_s = inputs.now_s
+            sites = self._make_sites()
             revised = homeset.revise(current, entries, voters, sites)
         if revised is None:
             return self._report_exposures(sites)
@@ -928,6 +946,7 @@
             self._leadership_started = True
             self._leadership_began_s = inputs.now_s
             self.voters_missing = 0
+            self._reported_exposures = {}
             self._homes_changed_s = inputs.now_s
             self._registering = {}
             self._answerable_entries |= self._deferred_renewals.keys()
--- a/eelgrassworks/controlprocess.py
+++ b/eelgrassworks/controlprocess.py
@@ -288,6 +288,7 @@
             'voters': len(self.control.replica.members.voters),
             'learners': len(self.control.replica.members.learners),
             'voters_missing': self.control.voters_missing,
+            'homes_exposed': self.control.homes_exposed,
             'revision': self.control.ledger.configuration.revision,
         }
 
