Bounds on what clients of the HTTP listeners hold

Cause: nothing bounded what all connections of a process hold together. The library takes heads of 1 MiB, buffers half a mebibyte of bodies that nobody reads and 32 requests sent ahead, and keeps the last request, with its body, of an idle connection. Errors of connections formed cycles with partly read bodies.

Change: each connection passes through a gate, which reads 16 KiB at a time, counts, and closes what `Intake` names. Bodies without room are answered 503 `crowded`, "not run", before a handler starts. A closed connection starts no handler. Handlers of bodies over 2 KiB get a copy of the request, and frames of failed handlers are cleared.

--- a/eelgrassworks/errors.py
+++ b/eelgrassworks/errors.py
@@ -21,6 +21,7 @@
     CANCELLED = 'cancelled'
     CONFIGURATION_CONFLICT = 'configuration-conflict'
     CONFIGURATION_INVALID = 'configuration-invalid'
+    CROWDED = 'crowded'
     DATA_FOLDER = 'data-folder'
     DEADLINE = 'deadline'
     ID_CONFLICT = 'id-conflict'
@@ -105,6 +106,12 @@
         'the body exceeds {limit} bytes',
         'split the job into smaller jobs',
     ),
+    Code.CROWDED: Wording(
+        503,
+        'Too much unfinished',
+        'the memory for requests is used up',
+        'try again later',
+    ),
     Code.BAD_SETTING: Wording(
         400,
         'Invalid setting',
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -12,6 +12,7 @@
 import gc
 import signal
 import socket
+import traceback
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -22,6 +23,8 @@
 from eelgrassworks import effects
 from eelgrassworks import errors
 from eelgrassworks import exposition
+from eelgrassworks import gate
+from eelgrassworks import intake
 from eelgrassworks import links
 from eelgrassworks import logs
 from eelgrassworks import machines
@@ -91,6 +94,7 @@
         self._next_request = 0
         self._requests: dict[int, asyncio.Future[Any]] = {}
         self._runners: list[web.AppRunner] = []
+        self.door = gate.Door()
         # Numbers of the requests that are handled on each connection.
         self._busy_connections: collections.Counter[web.RequestHandler] = (
             collections.Counter()
@@ -131,7 +135,11 @@
         raise NotImplementedError
 
     def _count_all(self) -> dict[str, int]:
-        return {**self.count(), 'events_failed': self.events_failed}
+        return {
+            **self.count(),
+            **self.door.count(),
+            'events_failed': self.events_failed,
+        }
 
     def gauge(self) -> dict[str, float]:
         """Return the gauges that are exported as metrics."""
@@ -269,6 +277,7 @@
         now_s = clock.read_now()
         self.dispatch_safely(self.make_tick())
         self.link.tick(now_s)
+        self.door.tick(now_s)
         if now_s - self._last_flush_s >= metrics.FLUSH_INTERVAL_S:
             self._last_flush_s = now_s
             self.metrics_client.flush(self._count_all(), self.gauge())
@@ -354,13 +363,15 @@
             access_log=None,
             max_line_size=MAX_REQUEST_LINE_BYTES,
             max_field_size=MAX_HEADER_FIELD_BYTES,
+            read_bufsize=intake.READ_BYTES,
             shutdown_timeout=HTTP_SHUTDOWN_TIMEOUT_S,
         )
         await runner.setup()
         if listener is None:
-            await web.TCPSite(runner, host, port).start()
+            site = gate.GateSite(runner, self.door, host=host, port=port)
         else:
-            await web.SockSite(runner, listener).start()
+            site = gate.GateSite(runner, self.door, sock=listener)
+        await site.start()
         self._runners.append(runner)
         bound_port: int = runner.addresses[0][1]
         return bound_port
@@ -382,12 +393,20 @@
         """Record that a connection has a request, and end dropped ones."""
         self._busy_connections[request.protocol] += 1
         try:
-            return await handler(request)
+            if not self.door.admit(request):
+                return _refuse_body()
+            return await handler(gate.detach_body(request))
         except RequestDropped:
             response = web.Response(status=503, text='stopping')
             response.force_close()
             return response
+        except BaseException as error:
+            # An error of the connection is part of a cycle with the frame that
+            # holds what was read of the body.
+            traceback.clear_frames(error.__traceback__)
+            raise
         finally:
+            self.door.end(request)
             self._busy_connections[request.protocol] -= 1
             if not self._busy_connections[request.protocol]:
                 del self._busy_connections[request.protocol]
@@ -411,3 +430,27 @@
             'state': self.describe(),
             'link': self.link.describe(),
         }
+
+
+def _refuse_body() -> web.Response:
+    """Return the response to a request whose body is not read.
+
+    It is a problem document, with the field that callers of the platform read.
+    """
+    refusal = errors.refuse(errors.Code.CROWDED)
+    description = errors.describe(refusal)
+    response = web.json_response(
+        {
+            'type': f'urn:eelgrassworks:problem:{refusal.code}',
+            'title': description.title,
+            'status': description.status,
+            'detail': description.detail,
+            'ran': refusal.ran,
+            'remedy': description.remedy,
+            'error': description.detail,
+        },
+        status=description.status,
+        headers={'Retry-After': str(gate.RETRY_AFTER_S)},
+    )
+    response.force_close()
+    return response
