The redirector bounds its connections

Cause: it accepted any number of connections and gave a head 10 s.

Change: 128 connections, or half of the descriptors; the oldest unfinished one makes room. A head has 5 s.

--- a/eelgrassworks/platform/redirector.py
+++ b/eelgrassworks/platform/redirector.py
@@ -8,14 +8,17 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
+import resource
 import signal
 import time
 from typing import Final
 
 import msgspec
 
+from eelgrassworks import intake
 from eelgrassworks import logs
 from eelgrassworks.platform import earlylistener
 from eelgrassworks.platform import wire
@@ -25,6 +28,8 @@
 # redirector.  Redirectors that ask each other would not end.
 PROBE_HEADER: Final = 'x-eelgrassworks-probe'
 MAX_HEAD_BYTES: Final = 16 * 1024
+# A connection buffers up to 288 KiB; a redirector uses 24 MB at rest.
+MAX_CONNECTIONS: Final = 128
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 BODY_CHUNK_BYTES: Final = 64 * 1024
 REQUEST_TIMEOUT_S: Final = 10.0
@@ -156,6 +161,16 @@
         self._leader = ''
         self._leader_read_s = float('-inf')
         self._servers: list[asyncio.Server] = []
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._intake = intake.Intake(
+            intake.Limits(
+                connections=min(
+                    MAX_CONNECTIONS, intake.limit_connections(descriptors)
+                )
+            )
+        )
+        self._numbers = itertools.count()
+        self._writers: dict[int, asyncio.StreamWriter] = {}
         # Requests that have been read and are being answered.
         self._answering: set[asyncio.Task[None] | None] = set()
 
@@ -200,25 +215,45 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer the one request of a connection."""
+        """Answer the one request of a connection, if there is room for it."""
+        number = next(self._numbers)
+        self._writers[number] = writer
         with contextlib.closing(writer), contextlib.suppress(OSError):
             try:
-                async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                    head = parse_head(await reader.readuntil(b'\r\n\r\n'))
-                    is_whole = await _skip_body(reader, head)
-            except (
-                TimeoutError,
-                asyncio.IncompleteReadError,
-                asyncio.LimitOverrunError,
-            ):
-                return
-            task = asyncio.current_task()
-            self._answering.add(task)
-            try:
-                writer.write(await self._answer(head if is_whole else None))
-                await writer.drain()
+                for closing in self._intake.open(number, time.monotonic()):
+                    self._writers[closing.number].transport.abort()
+                await self._serve_request(number, reader, writer)
             finally:
-                self._answering.discard(task)
+                self._intake.close(number)
+                del self._writers[number]
+
+    async def _serve_request(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                async with asyncio.timeout(intake.HEAD_TIMEOUT_S):
+                    head = parse_head(await reader.readuntil(b'\r\n\r\n'))
+                # The body is thrown away as it comes, so it costs nothing.
+                self._intake.read_body(number, 0, time.monotonic())
+                is_whole = await _skip_body(reader, head)
+        except (
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+        ):
+            return
+        self._intake.read_all(number, 0, time.monotonic())
+        task = asyncio.current_task()
+        self._answering.add(task)
+        try:
+            writer.write(await self._answer(head if is_whole else None))
+            await writer.drain()
+        finally:
+            self._answering.discard(task)
 
     async def _answer(self, head: Head | None) -> bytes:
         """Return the response to a request; None stands for an invalid one."""
