Trial with objectives: targets, uneven work, optional decisions, costs

Plan takes targets, uneven (widths up to four times the mean, run times of the tasks of a job 15% apart) and optional (features.Features). A result also has outcomes by width, starts declined as busy for each task, and messages, bytes and processor time of the entries for each job.

--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -268,6 +268,7 @@
         self,
         policies: str | tuple[str, ...] = 'late-binding',
         plot: str = '',
+        features: str = '',
         **options: Any,
     ) -> None:
         """Run transient jobs with objectives under a virtual clock.
@@ -276,15 +277,21 @@
             policies: policies to run, separated by commas; append +speeds to
                 use learnt speeds.
             plot: file for a plot of the share of jobs in time over the run.
-            options: load, seconds, seed, entries, loss_s.
+            features: optional decisions of entries and agents, as in their
+                settings, separated by +.
+            options: load, seconds, seed, entries, targets, uneven, loss_s.
         """
         from eelgrassworks.trials import objectives
 
+        names = dict.fromkeys(features.split('+') if features else (), True)
+        model = _make_options(settings.FeaturesModel, names)
+        options['optional'] = settings.make_features(model)
+
         # Fire parses a comma-separated argument as a tuple if it can.
-        names = policies.split(',') if isinstance(policies, str) else policies
+        chosen = policies.split(',') if isinstance(policies, str) else policies
         results = objectives.run_policies(
             _make_options(objectives.Plan, options),
-            [_make_policy(name) for name in names],
+            [_make_policy(name) for name in chosen],
             lambda name: print(f'{name} ...', file=sys.stderr),
         )
         if plot:
--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -2,9 +2,10 @@
 
 Submits a mix of kinds with room demands and priorities to entries under the
 virtual clock, optionally with a loss of all processes.  Counts for each kind
-how many jobs completed in time, completed late, were refused, failed, or were
-lost without a response.  Every policy of ``machines.placement`` gets the same
-arrivals, so that the baselines can be compared with the default policy.
+and each width (tasks of a job) how many jobs completed in time, completed
+late, were refused, failed, or were lost without a response.  Every policy of
+``machines.placement`` gets the same arrivals, so that the baselines can be
+compared with the default policy.
 """
 
 from collections.abc import Callable
@@ -14,10 +15,12 @@
 from typing import Final
 
 from hdrh import histogram
+import xxhash
 
 from eelgrassworks import contracts
 from eelgrassworks import dispatcher
 from eelgrassworks import entry
+from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import shedding
 from eelgrassworks.machines import placement
@@ -51,6 +54,12 @@
 ENTRY_TTL_S: Final = 0.6
 HOLD_LEASE_S: Final = 0.62
 QUEUE_LIMIT: Final = 8
+# With ``uneven`` work a job has up to this many times its mean tasks, and the
+# run times of its tasks differ by this fraction.
+MAX_WIDTH_RATIO: Final = 4
+TASK_SPREAD: Final = 0.15
+# The widest jobs of each group of widths in a result.
+WIDTHS: Final = (1, 4, 8, 16, 32)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +99,8 @@
 
     All processes are killed at ``loss_s``, or never if it is 0.  From
     ``shortage_s`` to ``shortage_end_s`` the agents of the given number of
-    targets are down.
+    targets are down.  ``uneven`` varies the tasks of a job and their run
+    times.  ``optional`` has the optional decisions of entries and agents.
     """
 
     load: float = 0.8
@@ -101,17 +111,24 @@
     shortage_s: float = 0.0
     shortage_end_s: float = 0.0
     shortage_targets: int = 0
+    targets: int = 12
+    uneven: bool = False
+    optional: features.Features = features.NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedJob:
-    """A job: its arrival, and its declared and actual run time in seconds."""
+    """A job: its arrival, and its declared and actual run time in seconds.
+
+    The actual run time is that of its longest task.
+    """
 
     number: int
     arrived_s: float
     work: KindOfWork
     declared_s: float
     run_s: float
+    tasks: int
 
     @property
     def objective_s(self) -> float:
@@ -156,13 +173,30 @@
                 self.lost += 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Costs:
+    """What the jobs of a run cost.
+
+    ``busy_per_task`` are the starts declined as busy for each task that
+    started.  The others are for each offered job: messages and bytes between
+    all processes, and processor time of the entries' decisions.
+    """
+
+    busy_per_task: float
+    messages_per_job: float
+    bytes_per_job: float
+    entry_cpu_ms_per_job: float
+
+
 @dataclasses.dataclass(slots=True)
 class Result:
-    """The outcomes under one policy, by kind and by time of arrival."""
+    """The outcomes under one policy, by kind, time of arrival and width."""
 
     policy: str
     kinds: list[Outcome]
     windows: list[Outcome]
+    widths: list[Outcome]
+    costs: Costs
 
     @property
     def share_in_time(self) -> float:
@@ -176,12 +210,33 @@
         return sum(each.refused_late for each in self.kinds)
 
 
+def list_targets(plan: Plan) -> list[tuple[machines.Target, float]]:
+    """Return the targets of a plan with their run time factors."""
+    result: list[tuple[machines.Target, float]] = []
+    for number, domain in enumerate(DOMAINS):
+        count = len(range(number, plan.targets, len(DOMAINS)))
+        for position in range(count):
+            room, slowness = TARGETS[position % len(TARGETS)]
+            target = machines.Target(
+                f'{domain}-{position + 1}',
+                f'worker-{domain}-{position + 1}',
+                domain,
+                room.cpu_millis // TASK_CPU_MILLIS,
+                frozenset(),
+                SERVICE,
+                room,
+            )
+            result.append((target, slowness))
+    return result
+
+
 def plan_jobs(plan: Plan) -> list[PlannedJob]:
     """Return the jobs of a plan in order of arrival."""
     generator = random.Random(plan.seed)
     room_cores = sum(
-        room.cpu_millis / 1000 / slowness for room, slowness in TARGETS
-    ) * len(DOMAINS)
+        target.room.cpu_millis / 1000 / slowness
+        for target, slowness in list_targets(plan)
+    )
     mean_work = sum(
         each.share * each.tasks * each.run_s * TASK_CPU_MILLIS / 1000
         for each in MIX
@@ -193,7 +248,13 @@
         work = generator.choices(MIX, [each.share for each in MIX])[0]
         run_s = work.run_s * generator.uniform(0.5, 1.5)
         error = 1 + generator.uniform(-ESTIMATE_ERROR, ESTIMATE_ERROR)
-        jobs.append(PlannedJob(len(jobs), now_s, work, run_s * error, run_s))
+        tasks = work.tasks
+        if plan.uneven:
+            drawn = int(generator.expovariate(1 / work.tasks)) + 1
+            tasks = min(drawn, MAX_WIDTH_RATIO * work.tasks)
+        jobs.append(
+            PlannedJob(len(jobs), now_s, work, run_s * error, run_s, tasks)
+        )
         now_s += generator.expovariate(rate)
     return jobs
 
@@ -228,29 +289,31 @@
                 CONTROLS,
                 self.policy,
                 shedding_policy=self.shedding_policy,
+                optional=self.plan.optional,
             )
         # The baselines bind each task to a target on arrival, so they need
         # long queues at the targets.
         is_late_binding = isinstance(self.policy, placement.LateBinding)
         limit = QUEUE_LIMIT if is_late_binding else len(self.jobs)
-        for domain in DOMAINS:
-            for position, (room, slowness) in enumerate(TARGETS):
-                target = machines.Target(
-                    f'{domain}-{position + 1}',
-                    f'worker-{domain}-{position + 1}',
-                    domain,
-                    room.cpu_millis // TASK_CPU_MILLIS,
-                    frozenset(),
-                    SERVICE,
-                    room,
-                )
-                self._slowness[target.name] = slowness
-                world.add_agent(target, self.entries, limit, ENTRY_TTL_S)
+        for target, slowness in list_targets(self.plan):
+            self._slowness[target.name] = slowness
+            world.add_agent(
+                target,
+                self.entries,
+                limit,
+                ENTRY_TTL_S,
+                optional=self.plan.optional,
+            )
 
     def _run_task(
         self, target: str, key: contracts.TaskKey, _: str, payload: bytes
     ) -> tuple[float, bool]:
-        return self.jobs[int(payload)].run_s * self._slowness[target], True
+        run_s = self.jobs[int(payload)].run_s * self._slowness[target]
+        if self.plan.uneven:
+            name = f'{int(payload)}/{key.index}'
+            draw = xxhash.xxh64_intdigest(name.encode()) / 2**64
+            run_s *= 1 - TASK_SPREAD * draw
+        return run_s, True
 
     def run(self) -> Result:
         """Run the plan to its end and return the outcomes."""
@@ -297,7 +360,7 @@
             'digest',
             TEAM,
             job.work.kind.name,
-            (str(job.number).encode(),) * job.work.tasks,
+            (str(job.number).encode(),) * job.tasks,
             LIMIT_S,
             False,
             transient=True,
@@ -316,24 +379,45 @@
         count = -int(-self.plan.seconds // WINDOW_S)
         windows = [Outcome(f'{n * WINDOW_S:g} s') for n in range(count)]
         kinds = {each.kind.name: Outcome(each.kind.name) for each in MIX}
+        widths = {width: Outcome(f'to {width} tasks') for width in WIDTHS}
+        groups = [*kinds.values(), *widths.values()]
         responses = {
-            name: histogram.HdrHistogram(1, 100_000_000, 3) for name in kinds
+            each.name: histogram.HdrHistogram(1, 100_000_000, 3)
+            for each in groups
         }
         for job in self.jobs:
             name = job.work.kind.name
             answer, response_s = self._find_answer(job)
             in_time = response_s <= job.objective_s
-            kinds[name].record(answer, response_s, in_time)
+            width = min(each for each in WIDTHS if each >= job.tasks)
             window = windows[int(job.arrived_s // WINDOW_S)]
-            window.record(answer, response_s, in_time)
-            if isinstance(answer, contracts.Complete):
-                responses[name].record_value(int(response_s * 1e6))
-        for name, outcome in kinds.items():
-            values = responses[name]
+            for each in (kinds[name], widths[width], window):
+                each.record(answer, response_s, in_time)
+                if isinstance(answer, contracts.Complete) and (
+                    each is not window
+                ):
+                    responses[each.name].record_value(int(response_s * 1e6))
+        for outcome in groups:
+            values = responses[outcome.name]
             outcome.p50_s = values.get_value_at_percentile(50) / 1e6
             outcome.p99_s = values.get_value_at_percentile(99) / 1e6
-        policy = experiment.name_policy(self.policy)
-        return Result(policy, list(kinds.values()), windows)
+        return Result(
+            experiment.name_policy(self.policy),
+            list(kinds.values()),
+            windows,
+            [each for each in widths.values() if each.offered],
+            self._measure_costs(),
+        )
+
+    def _measure_costs(self) -> Costs:
+        tally = self.world.tally
+        jobs = max(1, len(self.jobs))
+        return Costs(
+            tally.declined_busy / max(1, len(tally.starts)),
+            sum(tally.messages.values()) / jobs,
+            tally.sampled_bytes * virtual.BYTES_SAMPLING / jobs,
+            tally.cpu_s['entry'] / jobs * 1000,
+        )
 
     def _find_answer(self, job: PlannedJob) -> tuple[object, float]:
         """Return the answer of a job and its response time in seconds.
@@ -369,7 +453,7 @@
         + ''.join(f'{header:>9}' for header in (*headers, 'p50 s', 'p99 s'))
     ]
     for result in results:
-        for each in result.kinds:
+        for each in (*result.kinds, *result.widths):
             counts = (
                 each.offered,
                 each.in_time,
@@ -383,6 +467,13 @@
                 + ''.join(f'{count:9}' for count in counts)
                 + f'{each.p50_s:9.3f}{each.p99_s:9.3f}'
             )
+        costs = result.costs
+        lines.append(
+            f'{result.policy:26}busy per task {costs.busy_per_task:.3f}, '
+            f'per job: {costs.messages_per_job:.1f} messages, '
+            f'{costs.bytes_per_job:.0f} bytes, '
+            f'{costs.entry_cpu_ms_per_job:.2f} ms of entries'
+        )
     return '\n'.join(lines)
 
 
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -13,6 +13,7 @@
 import heapq
 import itertools
 import random
+import time
 from typing import Any
 from typing import Final
 
@@ -29,6 +30,7 @@
 from eelgrassworks import shedding
 from eelgrassworks.links import codec
 from eelgrassworks.links import discovery
+from eelgrassworks.links import frame as frames
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 from eelgrassworks.machines import placement
@@ -42,6 +44,11 @@
 SYNC_S: Final = 0.004
 START_S: Final = 1000.0
 WALL_OFFSET_MS: Final = 1_700_000_000_000
+# One frame of this many is encoded to count its bytes.
+BYTES_SAMPLING: Final = 16
+
+_CODEC: Final = codec.Codec(b'virtual')
+_SENDER: Final = frames.Sender('process-1', 1, 'tcp://10.0.0.1:8000')
 
 # Returns the run time in seconds and whether the task succeeds.
 RunModel = Callable[[str, contracts.TaskKey, str, bytes], tuple[float, bool]]
@@ -116,7 +123,9 @@
     """Counts of sent frames and messages and of started tasks.
 
     ``runs`` has the start in world time, the run time and the target of each
-    run of a task; times are in seconds.
+    run of a task; times are in seconds.  ``sampled_bytes`` is the size of one
+    of ``BYTES_SAMPLING`` frames, and ``cpu_s`` the processor time of the
+    decisions of each role.
     """
 
     frames: int = 0
@@ -129,6 +138,11 @@
     runs: list[tuple[float, float, str]] = dataclasses.field(
         default_factory=list
     )
+    declined_busy: int = 0
+    sampled_bytes: int = 0
+    cpu_s: collections.defaultdict[str, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
 
 
 class Finder:
@@ -486,10 +500,12 @@
         if node.frozen:
             node.held.append(event)
             return
+        began_s = time.thread_time()
         if node.role == 'control':
             result = node.core.handle(event, self._make_inputs(node))
         else:
             result = node.core.handle(event, self.read_clock(node))
+        self.tally.cpu_s[node.role] += time.thread_time() - began_s
         self._execute_effects(node, result)
 
     def _execute_effects(self, node: Node, result: effects.Effects) -> None:
@@ -525,7 +541,16 @@
         if peer not in node.contacts:
             return
         self.tally.frames += 1
+        if self.tally.frames % BYTES_SAMPLING == 0:
+            self.tally.sampled_bytes += len(
+                _CODEC.encode_frame(_SENDER, frame)
+            )
         for message in frame:
+            match message:
+                case messages.TaskDeclined(reason=messages.REASON_BUSY):
+                    self.tally.declined_busy += 1
+                case _:
+                    pass
             self.tally.messages[codec.find_tag(type(message))] += 1
             for delay_s in self.router(node.name, peer, message):
                 self._deliver(node, peer, message, delay_s)
