Separation: agents measure interference of kinds, entries keep them apart

Some kinds slow each other down on a target, and nothing notices which.

machines/interference.py explains the rate of each run by the kinds beside it (regression within a kind and target, samples lose weight with age); renewals carry the figures until they are confirmed; entries merge them and prefer a target without interference that has room now. Off sends and decides as before. The trial gets a plan field interference and a pace of runs that follows what runs beside them.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -20,8 +20,11 @@
 from eelgrassworks import features
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
+from eelgrassworks import neighbourreports
+from eelgrassworks import runlogs
 from eelgrassworks import zones
 from eelgrassworks.links import messages
+from eelgrassworks.machines import interference
 
 RENEWAL_INTERVAL_S: Final = 0.5
 # Renewals to an entry without work here are rarer by this factor.  A start
@@ -174,6 +177,9 @@
     def __init__(self, options: AgentOptions) -> None:
         self.options = options
         self.slots = machines.Slots(options.target.slots, options.target.room)
+        self.interference = interference.InterferenceMeter(
+            options.optional.separation, options.target.capacity
+        )
         self.live_entries = options.entries
         self.draining = False
         # Measured speed of the target, sent in renewals.
@@ -298,7 +304,9 @@
             return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
-                _log_late_start(peer, self._describe_run(peer), start, now_s),
+                runlogs.log_late_start(
+                    peer, self._describe_run(peer), start, now_s
+                ),
                 *self._decline(peer, start, 'late', now_s),
             ]
         if self.slots.fits(start.demand):
@@ -416,7 +424,9 @@
         self.entries[peer].running += 1
         self.records.track(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
-        confirmed_s = self.entries[peer].confirmed_s
+        self.interference.begin(
+            key, start.kind, start.estimate_ms / 1000, start.demand, now_s
+        )
         return [
             *stops,
             effects.StartTask(
@@ -427,16 +437,12 @@
                 start.attempt,
                 start.estimate_ms / 1000,
             ),
-            effects.Log(
-                'task_started',
-                {
-                    'id': key.submission,
-                    'index': key.index,
-                    'attempt': start.attempt,
-                    'entry': peer,
-                    'entry_run': self._describe_run(peer),
-                    'confirmed_age_s': round(now_s - confirmed_s, 3),
-                },
+            runlogs.log_started(
+                key,
+                peer,
+                self._describe_run(peer),
+                start.attempt,
+                now_s - self.entries[peer].confirmed_s,
             ),
         ]
 
@@ -455,6 +461,7 @@
         occupant = self._release_slot(key)
         if occupant is None:
             return []
+        self.interference.end(key, succeeded and not stopped, now_s)
         view = self.entries[occupant.entry]
         self.counters['tasks_ended'] += 1
         result = self._fill_slots(now_s)
@@ -474,17 +481,10 @@
         )
         self.records.end(key, finished, now_s)
         result += [
-            effects.Log(
-                'task_ended',
-                {
-                    'id': key.submission,
-                    'index': key.index,
-                    'attempt': occupant.attempt,
-                    'entry': occupant.entry,
-                    'entry_run': self._describe_run(occupant.entry),
-                    'succeeded': succeeded,
-                    'stopped': finished.stopped,
-                },
+            runlogs.log_ended(
+                finished,
+                occupant.entry,
+                self._describe_run(occupant.entry),
             ),
             effects.Send(occupant.entry, finished),
         ]
@@ -511,6 +511,7 @@
         occupant = self._release_slot(key)
         if occupant is None:
             return []
+        self.interference.end(key, False, now_s)
         self.counters['starts_rejected'] += 1
         attempt = occupant.attempt
         self.records.fence(key, attempt, reason, now_s)
@@ -794,6 +795,11 @@
                     tuple(shown[entry]),
                     self._list_unended(entry, now_s),
                     orphans,
+                    neighbourreports.make_report(
+                        self.interference,
+                        self._read_confirmed(entry),
+                        now_s,
+                    ),
                 ),
             )
             for entry in names
@@ -870,6 +876,10 @@
             )
         return result
 
+    def _read_confirmed(self, entry: str) -> float:
+        view = self.entries.get(entry)
+        return float('-inf') if view is None else view.confirmed_s
+
     def _count_starts(self, entry: str) -> int:
         view = self.entries.get(entry)
         return 0 if view is None else view.starts_seen
@@ -945,6 +955,7 @@
                 for name, view in self.entries.items()
             },
             'counters': dict(self.counters),
+            **self.interference.describe(),
         }
 
 
@@ -963,19 +974,3 @@
             return stamp_ms / 1000 > view.confirmed_s
         case _:
             return False
-
-
-def _log_late_start(
-    peer: str, entry_run: str, start: messages.TaskStart, now_s: float
-) -> effects.Log:
-    return effects.Log(
-        'start_late',
-        {
-            'id': start.submission,
-            'index': start.index,
-            'attempt': start.attempt,
-            'entry': peer,
-            'entry_run': entry_run,
-            'stamp_age_s': round(now_s - start.stamp_ms / 1000, 3),
-        },
-    )
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -16,12 +16,15 @@
 from eelgrassworks import effects
 from eelgrassworks import features
 from eelgrassworks import machines
+from eelgrassworks import neighbourreports
 from eelgrassworks import shedding
+from eelgrassworks import targetlogs
 from eelgrassworks import zones
 from eelgrassworks.contracts import jobs
 from eelgrassworks.contracts import queues
 from eelgrassworks.links import messages
 from eelgrassworks.machines import health
+from eelgrassworks.machines import interference
 from eelgrassworks.machines import placement
 
 SUSPECT_TIMEOUT_S: Final = 2.0
@@ -117,6 +120,9 @@
         self._lost: dict[tuple[str, int], machines.LostTarget] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.run_s: dict[str, float] = {}
+        self.separation = interference.SeparationView(
+            optional.separation, self.counters
+        )
         self._table = table
         self._configuration: contracts.Configuration | None = None
         # Of the current configuration, by failure domain and target.
@@ -307,7 +313,7 @@
         }
         if not unanswered:
             return result
-        result.append(_log_unanswered_cancels(view, unanswered))
+        result.append(targetlogs.log_unanswered_cancels(view, unanswered))
         for key in unanswered:
             start = view.outstanding[key]
             start.fence_sent_s = now_s
@@ -331,11 +337,12 @@
             if kind not in serving:
                 serving[kind] = self._list_usable(kind, now_s)
             key = contracts.TaskKey(queued.submission, queued.indices[0])
-            view = placement.choose(
+            view = self.separation.choose(
                 self.policy,
                 placement.list_fast_enough(
                     serving[kind], queued.due_s - now_s, queued.estimate_s
                 ),
+                kind,
                 key,
                 queued.demand,
             )
@@ -481,10 +488,12 @@
             key = contracts.TaskKey(each.submission, each.index)
             view.record_shown(key, each.attempt)
         self._settle_unlisted(view, renewal)
-        result: effects.Effects = []
+        result = neighbourreports.apply_report(
+            self.separation, peer, renewal.neighbours, now_s
+        )
         if view.suspect:
             view.suspect = False
-            result = self._send_fences(view, now_s, float('inf'))
+            result += self._send_fences(view, now_s, float('inf'))
         return DispatchResult(result, outcomes)
 
     def _settle_lost(
@@ -713,19 +722,6 @@
             },
         )
 
-    def _log_lost(
-        self, view: machines.TargetView, no_contact_s: float
-    ) -> effects.Log:
-        return effects.Log(
-            'target_lost',
-            {
-                'target': view.target.name,
-                'silent_s': round(no_contact_s, 2),
-                'unshown': len(view.list_unshown()),
-                'ids': ','.join(key.submission for key in view.outstanding),
-            },
-        )
-
     def _restart(
         self, job: jobs.Job | None, key: contracts.TaskKey, reason: str
     ) -> bool:
@@ -793,7 +789,7 @@
                 HOLD_LOST_TIMEOUT_S if view.target.has_room else LOST_TIMEOUT_S
             )
             if no_contact_s > lost_timeout_s:
-                result.append(self._log_lost(view, no_contact_s))
+                result.append(targetlogs.log_lost(view, no_contact_s))
                 outcomes += self._lose_target(peer)
             elif no_contact_s > SUSPECT_TIMEOUT_S:
                 view.suspect = True
@@ -1022,6 +1018,7 @@
                 for name, view in sorted(self.views.items())
             },
             'counters': dict(self.counters),
+            **self.separation.describe(),
         }
 
 
@@ -1051,22 +1048,6 @@
     )
 
 
-def _log_unanswered_cancels(
-    view: machines.TargetView, ages_s: dict[contracts.TaskKey, float]
-) -> effects.Log:
-    """Return the log line for cancellations that are sent again."""
-    ids = dict.fromkeys(key.submission for key in ages_s)
-    return effects.Log(
-        'cancel_repeated',
-        {
-            'ids': ','.join(ids),
-            'target': view.target.name,
-            'tasks': len(ages_s),
-            'age_s': round(max(ages_s.values()), 3),
-        },
-    )
-
-
 def _make_queued(job: jobs.Job, indices: Iterable[int]) -> queues.QueuedJob:
     """Return the queue's record of the given tasks of a job."""
     submission = job.submission
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -44,6 +44,25 @@
     job: str
 
 
+class PairReport(msgspec.Struct, frozen=True, array_like=True):
+    """How much longer a kind runs beside another one, by so many runs."""
+
+    kind: str
+    beside: str
+    slowdown: float
+    samples: float
+
+
+class KindsReport(msgspec.Struct, frozen=True, array_like=True):
+    """The kinds that run at a target, and how they slow each other down.
+
+    ``pairs`` is None if the entry has confirmed the latest ones.
+    """
+
+    running: tuple[str, ...]
+    pairs: tuple[PairReport, ...] | None = None
+
+
 class AgentRenewal(msgspec.Struct, frozen=True):
     """Registers a target and requests a lease for it.
 
@@ -53,7 +72,8 @@
     ``unended`` names all attempts of the entry that the agent has received
     and that have not ended; it is None if the renewal lists none of them.
     ``orphans`` names the jobs of which a run is left at the target, or may
-    still begin, and whose entry the agent has lost.
+    still begin, and whose entry the agent has lost.  ``neighbours`` is
+    encoded only if the agent measures interference.
     """
 
     target: str
@@ -74,6 +94,7 @@
     shown: tuple[ShownAttempt, ...] = ()
     unended: tuple[ShownAttempt, ...] | None = None
     orphans: tuple[OrphanedJob, ...] = ()
+    neighbours: KindsReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class TaskFinished(msgspec.Struct, frozen=True):
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -31,6 +31,11 @@
         """Return whether room, and not slots, limits the tasks."""
         return self.room != contracts.NO_ROOM
 
+    @property
+    def capacity(self) -> float:
+        """Return the processor room in millicores, or the slots."""
+        return self.room.cpu_millis if self.has_room else self.slots
+
 
 @dataclasses.dataclass(slots=True)
 class Occupant:
--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -25,6 +25,7 @@
 from eelgrassworks import shedding
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import experiment
+from eelgrassworks.trials import paces
 from eelgrassworks.trials import virtual
 
 SERVICE: Final = 'cover-check'
@@ -101,6 +102,7 @@
     ``shortage_s`` to ``shortage_end_s`` the agents of the given number of
     targets are down.  ``uneven`` varies the tasks of a job and their run
     times.  ``optional`` has the optional decisions of entries and agents.
+    ``interference`` has the kinds that slow each other down on a target.
     """
 
     load: float = 0.8
@@ -114,6 +116,7 @@
     targets: int = 12
     uneven: bool = False
     optional: features.Features = features.NO_FEATURES
+    interference: paces.Interference = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,6 +285,7 @@
         world = self.world
         world.hold_lease_s = HOLD_LEASE_S
         world.run_model = self._run_task
+        world.paces = paces.Paces(self.plan.interference)
         world.add_control(CONTROLS)
         for name in self.entries:
             world.add_entry(
--- a/eelgrassworks/trials/virtual.py
+++ b/eelgrassworks/trials/virtual.py
@@ -38,6 +38,7 @@
 from eelgrassworks.replication import journal
 from eelgrassworks.replication import ledger
 from eelgrassworks.replication import roles
+from eelgrassworks.trials import paces
 
 TICK_S: Final = 0.05
 LATENCY_S: Final = 0.0005
@@ -196,6 +197,8 @@
         # Start and end of each run of a task, in world time.
         self.intervals: list[tuple[float, float, contracts.TaskKey]] = []
         self._start_times_s: dict[int, float] = {}
+        # How tasks on the same node slow each other down.
+        self.paces = paces.Paces(())
         # How long the tasks of a killed agent go on running; to their end if
         # infinite.
         self.hold_lease_s = float('inf')
@@ -630,10 +633,16 @@
         if node.core is None and self.hold_lease_s != float('inf'):
             self._schedule_lease_expiry(key, token)
         self.at(0.0, lambda: self._show_task(key, token))
-        self.at(
-            run_s,
-            lambda: self._end_task(key, succeeded, body, False, token),
-        )
+        self.paces.begin(token, node.name, start.kind, run_s, self.now_s)
+
+        def end() -> None:
+            remaining_s = self.paces.measure_remaining(token, self.now_s)
+            if remaining_s:
+                self.at(remaining_s, end)
+            else:
+                self._end_task(key, succeeded, body, False, token)
+
+        self.at(run_s, end)
 
     def _show_task(self, key: contracts.TaskKey, token: int) -> None:
         """Tell the agent that its target runs the task."""
@@ -659,6 +668,7 @@
         if current is not None and token in (0, current[2]):
             node, run, run_token = self._running.pop(key)
             start_s = self._start_times_s.pop(run_token)
+            self.paces.end(run_token, self.now_s)
             self.intervals.append((start_s, self.now_s, key))
             event = agent.TaskEnded(key, succeeded, body, stopped)
             self._handle_event(node, run, event)
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -44,8 +44,15 @@
             'shown',
             'unended',
             'orphans',
+            'neighbours',
         ),
     ),
+    (
+        messages.PairReport,
+        'PairReport',
+        ('kind', 'beside', 'slowdown', 'samples'),
+    ),
+    (messages.KindsReport, 'KindsReport', ('running', 'pairs')),
     (messages.OrphanedJob, 'OrphanedJob', ('entry', 'job')),
     (
         messages.ShownAttempt,
