--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -279,7 +279,8 @@
             plot: file for a plot of the share of jobs in time over the run.
             features: optional decisions of entries and agents, as in their
                 settings, separated by +.
-            options: load, seconds, seed, entries, targets, uneven, loss_s.
+            options: load, seconds, seed, entries, targets, uneven, loss_s,
+                interference.
         """
         from eelgrassworks.trials import objectives
 
--- a/eelgrassworks/machines/interference.py
+++ b/eelgrassworks/machines/interference.py
@@ -21,8 +21,10 @@
 # At an agent.
 MAX_KINDS: Final = 8
 MAX_PAIRS: Final = 16
-# The weight of a run halves in this time.
-HALF_LIFE_S: Final = 60.0
+# The weight of a run halves in this time.  An interference that ends is
+# forgotten after three to four times as long, and 6 targets need two to three
+# times as long for the rarer of two kinds.
+HALF_LIFE_S: Final = 45.0
 SPEED_HALF_LIFE_S: Final = 10.0
 # Least weighted run time before the speed of the target is known.
 MIN_SPEED_RUN_S: Final = 2.0
@@ -50,13 +52,12 @@
 REPORT_TTL_S: Final = 30.0
 MAX_MERGED_PAIRS: Final = 256
 MIN_SAMPLES: Final = 30.0
-# A pair is believed if its slowdown exceeds the first threshold by four
-# standard errors, so that 256 pairs checked every two seconds give no false
-# one, and dropped if it does not exceed the second by two.
-BELIEF_SLOWDOWN: Final = 1.1
+# A pair is believed if its slowdown exceeds the threshold by four standard
+# errors, since noise of hundreds of pairs must give no false one, and dropped
+# if it does not exceed it by one.
+MIN_SLOWDOWN: Final = 1.1
 BELIEF_ERRORS: Final = 4.0
-DROP_SLOWDOWN: Final = 1.05
-DROP_ERRORS: Final = 2.0
+DROP_ERRORS: Final = 1.0
 # A belief holds at least this long, which bounds the log lines.
 MIN_BELIEF_S: Final = 10.0
 
@@ -93,6 +94,17 @@
     is_believed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Targets where a kind would interfere, and by how much.
+
+    ``hosts`` are the targets where the kind runs, if it slows others down.
+    """
+
+    costs: Mapping[str, float]
+    hosts: frozenset[str]
+
+
 class AgedFit:
     """Linear regression whose samples lose weight with age."""
 
@@ -463,10 +475,10 @@
     def mean_log(self) -> float:
         return self.weighted_log / self.samples if self.samples > 0 else 0.0
 
-    def exceeds(self, slowdown: float, errors: float) -> bool:
-        """Tell whether the slowdown exceeds another one significantly."""
+    def is_slow(self, errors: float) -> bool:
+        """Tell whether the slowdown exceeds the threshold by errors."""
         margin = errors * NOISE / math.sqrt(max(1e-9, self.samples))
-        return self.mean_log - margin > math.log(slowdown)
+        return self.mean_log - margin > math.log(MIN_SLOWDOWN)
 
 
 @dataclasses.dataclass(slots=True)
@@ -490,8 +502,9 @@
         self._counters = counters
         self._reports: dict[str, _AgentReport] = {}
         self._pairs: dict[Pair, _MergedPair] = {}
-        # The believed slowdown in either direction, by kind.
-        self._costs: dict[str, dict[str, float]] = {}
+        # The believed slowdown that a kind suffers from others, and causes.
+        self._suffered: dict[str, dict[str, float]] = {}
+        self._caused: dict[str, dict[str, float]] = {}
         self._expired_s = float('-inf')
 
     def apply(
@@ -557,28 +570,21 @@
         for pair, merged in self._pairs.items():
             if now_s - merged.changed_s < MIN_BELIEF_S:
                 continue
+            samples, errors = MIN_SAMPLES, BELIEF_ERRORS
             if merged.is_believed:
-                keeps = merged.samples >= MIN_SAMPLES / 2 and merged.exceeds(
-                    DROP_SLOWDOWN, DROP_ERRORS
-                )
-            else:
-                keeps = merged.samples >= MIN_SAMPLES and merged.exceeds(
-                    BELIEF_SLOWDOWN, BELIEF_ERRORS
-                )
+                samples, errors = MIN_SAMPLES / 2, DROP_ERRORS
+            keeps = merged.samples >= samples and merged.is_slow(errors)
             if keeps == merged.is_believed:
                 continue
             merged.is_believed, merged.changed_s = keeps, now_s
             changes.append(BeliefChange(self._make_figure(pair), keeps))
             name = 'believed' if keeps else 'dropped'
             self._counters[f'separation_{name}'] += 1
-        self._costs = {}
+        self._suffered, self._caused = {}, {}
         for each in self.list_believed():
-            for kind, other in (
-                (each.kind, each.beside),
-                (each.beside, each.kind),
-            ):
-                costs = self._costs.setdefault(kind, {})
-                costs[other] = max(costs.get(other, 1.0), each.slowdown)
+            kind, beside = each.kind, each.beside
+            self._suffered.setdefault(kind, {})[beside] = each.slowdown
+            self._caused.setdefault(beside, {})[kind] = each.slowdown
         return changes
 
     def _make_figure(self, pair: Pair) -> PairFigure:
@@ -597,26 +603,32 @@
             if merged.is_believed
         ]
 
-    def find_costs(
+    def survey(
         self, kind: str, views: Iterable[machines.TargetView]
-    ) -> dict[str, float]:
-        """Return the slowdown at each target where a kind would interfere.
+    ) -> Surroundings:
+        """Return where a kind would interfere, and where it runs already.
 
-        It is the largest of what the kind would suffer and cause there.
+        The cost at a target is the larger of the slowdown that the task would
+        suffer and of that which it would cause.  It causes none where its
+        kind runs already.
         """
-        costs = self._costs.get(kind)
-        if not costs:
-            return {}
-        result: dict[str, float] = {}
+        suffered = self._suffered.get(kind, {})
+        caused = self._caused.get(kind, {})
+        costs: dict[str, float] = {}
+        hosts: set[str] = set()
         for view in views:
             kinds = {start.kind for start in view.outstanding.values()}
             report = self._reports.get(view.target.name)
             if report is not None:
                 kinds |= report.running
-            cost = max((costs.get(each, 1.0) for each in kinds), default=1.0)
-            if cost > 1.0:
-                result[view.target.name] = cost
-        return result
+            cost = max((suffered.get(each, 1.0) for each in kinds), default=1)
+            if kind in kinds:
+                hosts.add(view.target.name)
+            else:
+                cost = max(cost, *(caused.get(each, 1.0) for each in kinds), 1)
+            if cost > 1:
+                costs[view.target.name] = cost
+        return Surroundings(costs, frozenset(hosts) if caused else frozenset())
 
     def choose(
         self,
@@ -628,14 +640,16 @@
     ) -> machines.TargetView | None:
         """Return the target for a task, or None if the task has to wait."""
         chosen = placement.choose(policy, views, key, demand)
-        if chosen is None or kind not in self._costs:
+        if chosen is None:
+            return None
+        if kind not in self._suffered and kind not in self._caused:
             return chosen
-        costs = self.find_costs(kind, views)
-        if chosen.target.name not in costs:
-            return chosen
-        apart = choose_apart(policy, views, key, demand, costs, chosen)
-        name = 'starts_beside' if apart is chosen else 'starts_apart'
-        self._counters[name] += 1
+        surroundings = self.survey(kind, views)
+        apart = choose_apart(policy, views, key, demand, surroundings, chosen)
+        if apart is not chosen:
+            self._counters['starts_apart'] += 1
+        if apart.target.name in surroundings.costs:
+            self._counters['starts_beside'] += 1
         return apart
 
     def describe(self) -> dict[str, object]:
@@ -658,25 +672,33 @@
     views: list[machines.TargetView],
     key: contracts.TaskKey,
     demand: contracts.Room,
-    costs: Mapping[str, float],
+    surroundings: Surroundings,
     chosen: machines.TargetView,
 ) -> machines.TargetView:
     """Return a target without interference, or the chosen one.
 
-    A target without interference must have room now, and must be no slower
-    than the chosen one is with interference.
+    The target must have room now, and must be no slower than the chosen one
+    is with interference.  A kind that slows others down stays together, so
+    that more targets are free of it.
     """
     match policy:
         case placement.LateBinding():
             pass
         case _:
             return chosen
-    others = [view for view in views if view.target.name not in costs]
-    apart = placement.choose(policy, others, key, demand)
-    if apart is None or not apart.covers(demand):
-        return chosen
-    limit = chosen.slowness * costs[chosen.target.name]
-    return apart if apart.slowness <= limit else chosen
+    costs, hosts = surroundings.costs, surroundings.hosts
+    limit = chosen.slowness * costs.get(chosen.target.name, 1.0)
+    others = [
+        view
+        for view in views
+        if view.target.name not in costs and view.slowness <= limit
+    ]
+    joined = [view for view in others if view.target.name in hosts]
+    for candidates in (joined, others):
+        apart = placement.choose(policy, candidates, key, demand)
+        if apart is not None and apart.covers(demand):
+            return apart
+    return chosen
 
 
 def _list_valid(pairs: Iterable[PairFigure]) -> tuple[PairFigure, ...]:
