Separation: leave out full targets before looking at what runs there

The survey built a set of kinds for every target and task; only targets with room that are fast enough can be chosen.

--- a/eelgrassworks/machines/interference.py
+++ b/eelgrassworks/machines/interference.py
@@ -644,11 +644,23 @@
             return None
         if kind not in self._suffered and kind not in self._caused:
             return chosen
-        surroundings = self.survey(kind, views)
-        apart = choose_apart(policy, views, key, demand, surroundings, chosen)
+        here = self.survey(kind, [chosen])
+        if not here.costs and (here.hosts or kind not in self._caused):
+            return chosen
+        # Full targets are left out first, since this runs for every task.
+        limit = chosen.slowness * here.costs.get(chosen.target.name, 1.0)
+        candidates = [
+            view
+            for view in views
+            if view.covers(demand) and view.slowness <= limit
+        ]
+        surroundings = self.survey(kind, candidates)
+        apart = choose_apart(
+            policy, candidates, key, demand, surroundings, chosen
+        )
         if apart is not chosen:
             self._counters['starts_apart'] += 1
-        if apart.target.name in surroundings.costs:
+        elif here.costs:
             self._counters['starts_beside'] += 1
         return apart
 
@@ -677,26 +689,24 @@
 ) -> machines.TargetView:
     """Return a target without interference, or the chosen one.
 
-    The target must have room now, and must be no slower than the chosen one
-    is with interference.  A kind that slows others down stays together, so
-    that more targets are free of it.
+    The targets in ``views`` have room now, and are no slower than the chosen
+    one is with interference.  A kind that slows others down stays together,
+    so that more targets are free of it.
     """
     match policy:
         case placement.LateBinding():
             pass
         case _:
             return chosen
-    costs, hosts = surroundings.costs, surroundings.hosts
-    limit = chosen.slowness * costs.get(chosen.target.name, 1.0)
     others = [
-        view
-        for view in views
-        if view.target.name not in costs and view.slowness <= limit
+        view for view in views if view.target.name not in surroundings.costs
+    ]
+    joined = [
+        view for view in others if view.target.name in surroundings.hosts
     ]
-    joined = [view for view in others if view.target.name in hosts]
     for candidates in (joined, others):
         apart = placement.choose(policy, candidates, key, demand)
-        if apart is not None and apart.covers(demand):
+        if apart is not None:
             return apart
     return chosen
 
