--- a/eelgrassworks/machines/interference.py
+++ b/eelgrassworks/machines/interference.py
@@ -62,6 +62,7 @@
 MIN_BELIEF_S: Final = 10.0
 
 Pair = tuple[str, str]
+_NO_KINDS: Final[frozenset[str]] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,7 +99,7 @@
 class Surroundings:
     """Targets where a kind would interfere, and by how much.
 
-    ``hosts`` are the targets where the kind runs, if it slows others down.
+    ``hosts`` are other targets, where a kind runs that slows others down.
     """
 
     costs: Mapping[str, float]
@@ -612,23 +613,36 @@
         suffer and of that which it would cause.  It causes none where its
         kind runs already.
         """
-        suffered = self._suffered.get(kind, {})
         caused = self._caused.get(kind, {})
         costs: dict[str, float] = {}
         hosts: set[str] = set()
+        # Few different sets of kinds run at many targets.
+        known: dict[frozenset[str], float] = {}
         for view in views:
-            kinds = {start.kind for start in view.outstanding.values()}
-            report = self._reports.get(view.target.name)
-            if report is not None:
-                kinds |= report.running
-            cost = max((suffered.get(each, 1.0) for each in kinds), default=1)
-            if kind in kinds:
-                hosts.add(view.target.name)
-            else:
-                cost = max(cost, *(caused.get(each, 1.0) for each in kinds), 1)
+            name = view.target.name
+            report = self._reports.get(name)
+            kinds = _NO_KINDS if report is None else report.running
+            if view.outstanding:
+                kinds = kinds.union(
+                    [start.kind for start in view.outstanding.values()]
+                )
+            cost = known.get(kinds)
+            if cost is None:
+                cost = known[kinds] = self._find_cost(kind, kinds)
             if cost > 1:
-                costs[view.target.name] = cost
-        return Surroundings(costs, frozenset(hosts) if caused else frozenset())
+                costs[name] = cost
+            elif caused and kind in kinds:
+                hosts.add(name)
+        return Surroundings(costs, frozenset(hosts))
+
+    def _find_cost(self, kind: str, kinds: frozenset[str]) -> float:
+        """Return the slowdown by a kind beside others, or of these."""
+        factors = self._suffered.get(kind, {})
+        cost = max((factors.get(each, 1.0) for each in kinds), default=1.0)
+        if kind in kinds:
+            return cost
+        factors = self._caused.get(kind, {})
+        return max([cost, *(factors.get(each, 1.0) for each in kinds)])
 
     def choose(
         self,
@@ -647,17 +661,15 @@
         here = self.survey(kind, [chosen])
         if not here.costs and (here.hosts or kind not in self._caused):
             return chosen
-        # Full targets are left out first, since this runs for every task.
-        limit = chosen.slowness * here.costs.get(chosen.target.name, 1.0)
-        candidates = [
-            view
-            for view in views
-            if view.covers(demand) and view.slowness <= limit
-        ]
+        # Only what is cheap is asked of every target; a choice asks the rest.
+        candidates = [view for view in views if view.free > 0]
         surroundings = self.survey(kind, candidates)
+        limit = chosen.slowness * here.costs.get(chosen.target.name, 1.0)
         apart = choose_apart(
-            policy, candidates, key, demand, surroundings, chosen
+            policy, candidates, key, demand, surroundings, limit
         )
+        if apart is None:
+            apart = chosen
         if apart is not chosen:
             self._counters['starts_apart'] += 1
         elif here.costs:
@@ -685,19 +697,18 @@
     key: contracts.TaskKey,
     demand: contracts.Room,
     surroundings: Surroundings,
-    chosen: machines.TargetView,
-) -> machines.TargetView:
-    """Return a target without interference, or the chosen one.
+    max_slowness: float,
+) -> machines.TargetView | None:
+    """Return the best target without interference that has room, if any.
 
-    The targets in ``views`` have room now, and are no slower than the chosen
-    one is with interference.  A kind that slows others down stays together,
-    so that more targets are free of it.
+    A kind that slows others down stays together, so that more targets are
+    free of it.
     """
     match policy:
         case placement.LateBinding():
             pass
         case _:
-            return chosen
+            return None
     others = [
         view for view in views if view.target.name not in surroundings.costs
     ]
@@ -705,10 +716,10 @@
         view for view in others if view.target.name in surroundings.hosts
     ]
     for candidates in (joined, others):
-        apart = placement.choose(policy, candidates, key, demand)
-        if apart is not None:
-            return apart
-    return chosen
+        found = placement.choose(policy, candidates, key, demand)
+        if found is not None and found.slowness <= max_slowness:
+            return found
+    return None
 
 
 def _list_valid(pairs: Iterable[PairFigure]) -> tuple[PairFigure, ...]:
