--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -22,10 +22,13 @@
 from eelgrassworks import features
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
+from eelgrassworks import neighbourreports
+from eelgrassworks import runlogs
 from eelgrassworks import runreports
 from eelgrassworks import zones
 from eelgrassworks.links import messages
 from eelgrassworks.machines import entryview
+from eelgrassworks.machines import interference
 from eelgrassworks.machines import roomrequests
 from eelgrassworks.machines import startqueue
 
@@ -141,6 +144,9 @@
     def __init__(self, options: AgentOptions) -> None:
         self.options = options
         self.slots = machines.Slots(options.target.slots, options.target.room)
+        self.interference = interference.InterferenceMeter(
+            options.optional.separation, options.target.capacity
+        )
         self.live_entries = options.entries
         self.draining = False
         # Measured speed of the target, sent in renewals.
@@ -273,7 +279,7 @@
             return self._decline(peer, start, rejection, now_s)
         if start.transient and self._is_lease_over(start.stamp_ms, now_s):
             return [
-                runreports.log_late_start(
+                runlogs.log_late_start(
                     peer, self._describe_run(peer), start, now_s
                 ),
                 *self._decline(peer, start, 'late', now_s),
@@ -399,7 +405,9 @@
         withdrawn = self.grants.settle(self.slots.free_room, now_s)
         self.records.track(key, keyrecords.KeyRunning())
         self.counters['tasks_started'] += 1
-        confirmed_s = self.entries[peer].confirmed_s
+        self.interference.begin(
+            key, start.kind, start.estimate_ms / 1000, start.demand, now_s
+        )
         return [
             *stops,
             *self._tell_room(withdrawn),
@@ -411,16 +419,12 @@
                 start.attempt,
                 start.estimate_ms / 1000,
             ),
-            effects.Log(
-                'task_started',
-                {
-                    'id': key.submission,
-                    'index': key.index,
-                    'attempt': start.attempt,
-                    'entry': peer,
-                    'entry_run': self._describe_run(peer),
-                    'confirmed_age_s': round(now_s - confirmed_s, 3),
-                },
+            runlogs.log_started(
+                key,
+                peer,
+                self._describe_run(peer),
+                start.attempt,
+                now_s - self.entries[peer].confirmed_s,
             ),
         ]
 
@@ -439,6 +443,7 @@
         occupant = self._release_slot(key)
         if occupant is None:
             return []
+        self.interference.end(key, succeeded and not stopped, now_s)
         view = self.entries[occupant.entry]
         self.counters['tasks_ended'] += 1
         result = self._fill_slots(now_s)
@@ -464,17 +469,10 @@
         )
         self.records.end(key, finished, now_s)
         result += [
-            effects.Log(
-                'task_ended',
-                {
-                    'id': key.submission,
-                    'index': key.index,
-                    'attempt': occupant.attempt,
-                    'entry': occupant.entry,
-                    'entry_run': self._describe_run(occupant.entry),
-                    'succeeded': succeeded,
-                    'stopped': finished.stopped,
-                },
+            runlogs.log_ended(
+                finished,
+                occupant.entry,
+                self._describe_run(occupant.entry),
             ),
             effects.Send(occupant.entry, finished),
         ]
@@ -501,6 +499,7 @@
         occupant = self._release_slot(key)
         if occupant is None:
             return []
+        self.interference.end(key, False, now_s)
         self.counters['starts_rejected'] += 1
         attempt = occupant.attempt
         self.records.fence(key, attempt, reason, now_s)
@@ -847,6 +846,11 @@
                     self._list_unended(entry, now_s),
                     orphans,
                     shared,
+                    neighbourreports.make_report(
+                        self.interference,
+                        self._read_confirmed(entry),
+                        now_s,
+                    ),
                 ),
             )
             for entry in names
@@ -867,6 +871,10 @@
         queued = [self.records.find(key) for key in self._queue.list_keys()]
         return runreports.list_unended(self.slots.occupants, queued, entry)
 
+    def _read_confirmed(self, entry: str) -> float:
+        view = self.entries.get(entry)
+        return float('-inf') if view is None else view.confirmed_s
+
     def _count_starts(self, entry: str) -> int:
         view = self.entries.get(entry)
         return 0 if view is None else view.starts_seen
@@ -943,4 +951,5 @@
             },
             'room': self.grants.describe(now_s),
             'counters': dict(self.counters),
+            **self.interference.describe(),
         }
--- a/eelgrassworks/client.py
+++ b/eelgrassworks/client.py
@@ -280,7 +280,8 @@
             features: optional decisions of entries and agents, as in their
                 settings: the names of those that are on, separated by +, or
                 a mapping.
-            options: load, seconds, seed, entries, targets, uneven, loss_s.
+            options: load, seconds, seed, entries, targets, uneven, loss_s,
+                interference.
         """
         from eelgrassworks.trials import objectives
 
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -19,6 +19,7 @@
 from eelgrassworks import effects
 from eelgrassworks import features
 from eelgrassworks import machines
+from eelgrassworks import neighbourreports
 from eelgrassworks import shedding
 from eelgrassworks import waits
 from eelgrassworks import zones
@@ -26,6 +27,7 @@
 from eelgrassworks.contracts import queues
 from eelgrassworks.links import messages
 from eelgrassworks.machines import health
+from eelgrassworks.machines import interference
 from eelgrassworks.machines import placement
 from eelgrassworks.machines import roomrequests
 from eelgrassworks.machines import serviceview
@@ -115,6 +117,9 @@
         self._lost: dict[tuple[str, int], machines.LostTarget] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.run_s: dict[str, float] = {}
+        self.separation = interference.SeparationView(
+            optional.separation, self.counters
+        )
         self._table = table
         self._configuration: contracts.Configuration | None = None
         # Of the current configuration, by failure domain and target.
@@ -305,7 +310,9 @@
             usable = placement.list_fast_enough(
                 serving[kind], queued.due_s - now_s, queued.estimate_s
             )
-            view = placement.choose(self.policy, usable, key, queued.demand)
+            view = self.separation.choose(
+                self.policy, usable, kind, key, queued.demand
+            )
             if view is None:
                 if not blocked:
                     requests = self._request_room(usable, queued, now_s)
@@ -514,10 +521,12 @@
             key = contracts.TaskKey(each.submission, each.index)
             view.record_shown(key, each.attempt)
         self._settle_unlisted(view, renewal)
-        result: effects.Effects = []
+        result = neighbourreports.apply_report(
+            self.separation, peer, renewal.neighbours, now_s
+        )
         if view.suspect:
             view.suspect = False
-            result = self._send_fences(view, now_s, float('inf'))
+            result += self._send_fences(view, now_s, float('inf'))
         return DispatchResult(result, outcomes)
 
     def _settle_lost(
@@ -1029,6 +1038,7 @@
             },
             'service': self.service.describe(now_s),
             'counters': dict(self.counters),
+            **self.separation.describe(),
         }
 
 
--- a/eelgrassworks/machines/target.py
+++ b/eelgrassworks/machines/target.py
@@ -33,6 +33,11 @@
         room = self.room
         return room.cpu_millis != 0 or room.memory_mib != 0
 
+    @property
+    def capacity(self) -> float:
+        """Return the processor room in millicores, or the slots."""
+        return self.room.cpu_millis if self.has_room else self.slots
+
 
 @dataclasses.dataclass(slots=True)
 class Occupant:
--- a/eelgrassworks/runreports.py
+++ b/eelgrassworks/runreports.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 
 from eelgrassworks import contracts
-from eelgrassworks import effects
 from eelgrassworks import keyrecords
 from eelgrassworks import machines
 from eelgrassworks.links import messages
@@ -96,20 +95,3 @@
             return stamp_ms / 1000 > view.confirmed_s
         case _:
             return False
-
-
-def log_late_start(
-    peer: str, entry_run: str, start: messages.TaskStart, now_s: float
-) -> effects.Log:
-    """Return the log line for a start that was held up."""
-    return effects.Log(
-        'start_late',
-        {
-            'id': start.submission,
-            'index': start.index,
-            'attempt': start.attempt,
-            'entry': peer,
-            'entry_run': entry_run,
-            'stamp_age_s': round(now_s - start.stamp_ms / 1000, 3),
-        },
-    )
--- a/eelgrassworks/trials/objectives.py
+++ b/eelgrassworks/trials/objectives.py
@@ -27,6 +27,7 @@
 from eelgrassworks import zones
 from eelgrassworks.machines import placement
 from eelgrassworks.trials import experiment
+from eelgrassworks.trials import paces
 from eelgrassworks.trials import virtual
 
 SERVICE: Final = 'cover-check'
@@ -109,7 +110,8 @@
     times.  ``optional`` has the optional decisions of entries and agents.
     If ``disks`` is not 0, jobs are claimed at homes, and the first ``disks``
     entries share their machines with the replicas; these machines are without
-    power from ``core_loss_s`` to ``core_return_s``.
+    power from ``core_loss_s`` to ``core_return_s``.  ``interference`` has the
+    kinds that slow each other down on a target.
     """
 
     load: float = 0.8
@@ -128,6 +130,7 @@
     core_loss_s: float = 0.0
     core_return_s: float = 0.0
     lease_ttl_s: float = zones.LEASE_TTL_S
+    interference: paces.Interference = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -315,6 +318,7 @@
         world.add_control(
             self.controls, voters=min(MAX_VOTERS, self.plan.disks)
         )
+        world.paces = paces.Paces(self.plan.interference)
         for name in self.entries:
             world.add_entry(
                 name,
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -45,8 +45,15 @@
             'unended',
             'orphans',
             'shared',
+            'neighbours',
         ),
     ),
+    (
+        messages.PairReport,
+        'PairReport',
+        ('kind', 'beside', 'slowdown', 'samples'),
+    ),
+    (messages.KindsReport, 'KindsReport', ('running', 'pairs')),
     (messages.OrphanedJob, 'OrphanedJob', ('entry', 'job')),
     (
         messages.ShownAttempt,
