Homes that respond soonest are asked first for a claim

Cause: a claim waits for a home that responds late. Homes are asked in turns, only 0.1 s without any response makes one doubtful, and another is asked after 50 ms and up to a tick.

Change: contracts/homechoice.py takes over the order and the delay. With LearntHomes (settings: learnt_homes; WholeJobs and whole_jobs, which nothing used, are gone) slow homes are asked last, a further one after a learnt time, and one more at once if the slack is short, within a tenth of the requests.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -139,13 +139,11 @@
 
     def __init__(self, options: EntryOptions) -> None:
         self.options = options
+        optional = options.optional
         self.session = session.Session(options.session)
         self.table = jobs.JobTable()
         self.dispatcher = dispatcher.Dispatcher(
-            options.policy,
-            self.table,
-            options.shedding_policy,
-            options.optional,
+            options.policy, self.table, options.shedding_policy, optional
         )
         self.counters: collections.Counter[str] = collections.Counter()
         self.stopping = False
@@ -156,7 +154,7 @@
         self._deadlines: list[tuple[float, str]] = []
         self._transient_ids = jobs.TransientIds(options.session.nonce)
         self.ownership = ownership.Ownership(
-            options.session.name, options.session.nonce
+            options.session.name, options.session.nonce, optional.claims
         )
         self._ownership_checked_s = float('-inf')
         self._attachments = attachments.Attachments()
@@ -301,7 +299,7 @@
         if self._must_claim(submission):
             heapq.heappush(self._deadlines, (deadline_s, submission.id))
             outcomes = self.ownership.claim(
-                submission.caller_id, submission.id, now_s
+                submission.caller_id, submission.id, now_s, job.due_s - now_s
             )
             return [accepted, *self._handle_ownership(outcomes, now_s)]
         if not submission.claimed:
@@ -478,7 +476,7 @@
         self.ownership.begin(now_s)
         self.ownership.set_authority(self.session.lease.is_valid(now_s))
         if now_s - self._ownership_checked_s < OWNERSHIP_INTERVAL_S:
-            return []
+            return self._handle_ownership(self.ownership.hedge(now_s), now_s)
         self._ownership_checked_s = now_s
         outcomes = self.ownership.tick(now_s)
         if self.ownership.list_ended():
--- a/eelgrassworks/features.py
+++ b/eelgrassworks/features.py
@@ -30,8 +30,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WholeJobs:
-    """A job is admitted, ordered and placed by its last task."""
+class LearntHomes:
+    """Homes that respond soonest are asked first for a claim."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
 
     room: Off | SharedRoom = Off()
     shares: Off | WeightedShares = Off()
-    jobs: Off | WholeJobs = Off()
+    claims: Off | LearntHomes = Off()
     speeds: Off | LearntSpeeds = Off()
     run_times: Off | LearntRunTimes = Off()
     spill: Off | DomainSpill = Off()
--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -15,20 +15,16 @@
 
 from eelgrassworks import contracts
 from eelgrassworks import effects
+from eelgrassworks import features
 from eelgrassworks.contracts import home
+from eelgrassworks.contracts import homechoice
 from eelgrassworks.contracts import homeset
 from eelgrassworks.links import homes
 from eelgrassworks.links import messages
 from eelgrassworks.links import session
 
 RENEWAL_INTERVAL_S: Final = 0.2
-# A home that has not answered by then is slow or lost; the others are asked.
-HEDGE_DELAY_S: Final = 0.05
-# Such a home is asked last for a while.
-DOUBT_DELAY_S: Final = 0.1
 RESEND_INTERVAL_S: Final = 0.2
-# A home without a response for this long is not counted on.
-HOME_TIMEOUT_S: Final = 0.5
 PROBE_INTERVAL_S: Final = 0.25
 REPORT_INTERVAL_S: Final = 0.1
 PROTECTION_INTERVAL_S: Final = 0.5
@@ -86,13 +82,15 @@
     majority has granted the job, and ``contended`` while another entry owns
     the id.  Grants that were requested up to ``reset_s`` do not count, since
     they have been given back.  ``ended_s`` is the end of a job of which a run
-    may be left.
+    may be left.  ``slack_s`` is the time from the claim to the latest start of
+    the job that is in time.
     """
 
     submission: str
     job: str
     submitted_s: float
     attempt: int
+    slack_s: float = float('inf')
     repeated: bool = False
     reset_s: float = float('-inf')
     sent_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -123,22 +121,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class HomeContact:
-    """What this entry knows of a home.
-
-    ``unanswered_s`` is when the oldest request was sent that has no response.
-    """
-
-    unanswered_s: float = float('inf')
-    sent_s: float = float('-inf')
-    recovering: bool = False
-
-    def is_late(self, now_s: float, timeout_s: float = HOME_TIMEOUT_S) -> bool:
-        """Tell whether the home has not responded for a time."""
-        return now_s - self.unanswered_s > timeout_s
-
-
 @dataclasses.dataclass(slots=True)
 class Batch:
     """What the next request to a home contains."""
@@ -174,14 +156,19 @@
 class Ownership:
     """The registrations of one entry, and the table of its own home."""
 
-    def __init__(self, name: str, incarnation: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        policy: homechoice.Policy = features.NO_FEATURES.claims,
+    ) -> None:
         self.homes = contracts.NO_HOMES
         self.table: home.Home | None = None
-        self.counters: collections.Counter[str] = collections.Counter()
+        self.choice = homechoice.HomeChoice(name, policy)
+        self.counters = self.choice.counters
         self._name = name
         self._incarnation = incarnation
         self._registrations: dict[str, Registration] = {}
-        self._contacts: dict[str, HomeContact] = {}
         self._batches: dict[str, Batch] = {}
         self._requests: dict[int, SentRequest] = {}
         # Responses to an earlier run may still arrive.
@@ -189,7 +176,6 @@
             incarnation % session.REQUEST_RANGE * session.REQUEST_RANGE
         )
         self._attempt = 0
-        self._rotation = 0
         self._may_grant = False
         self._has_authority = False
         self._reports_requested_s = float('-inf')
@@ -216,9 +202,7 @@
         if self.table is not None and current.joining == self._name:
             self.table.join(now_s)
         names = current.list_names()
-        self._contacts = {
-            name: self._contacts.get(name, HomeContact()) for name in names
-        }
+        self.choice.apply_homes(names)
         fields = {
             'version': current.version,
             'homes': ','.join(names),
@@ -229,7 +213,7 @@
     def set_authority(self, may_grant: bool) -> None:
         """Record whether this entry can be sure of the set of homes."""
         self._has_authority = may_grant
-        self._may_grant = may_grant and self._name in self._contacts
+        self._may_grant = may_grant and self._name in self.choice.contacts
 
     def handle_request(
         self,
@@ -381,11 +365,17 @@
             self._has_majority(group, now_s) for group in self.homes.groups
         )
 
-    def claim(self, submission: str, job: str, now_s: float) -> list[Outcome]:
+    def claim(
+        self,
+        submission: str,
+        job: str,
+        now_s: float,
+        slack_s: float = float('inf'),
+    ) -> list[Outcome]:
         """Claim the id of a job that the caller has submitted here."""
         self.counters['ownership_claims'] += 1
         registration = Registration(
-            submission, job, now_s, self._number_attempt()
+            submission, job, now_s, self._number_attempt(), slack_s
         )
         earlier = self._registrations.get(submission)
         if earlier is not None:
@@ -452,14 +442,17 @@
         self, peer: str, response: messages.OwnershipResponse, now_s: float
     ) -> list[Outcome]:
         """Apply the response of a home."""
-        contact = self._contacts.get(peer)
-        if contact is not None:
-            contact.unanswered_s = float('inf')
-            contact.recovering = response.recovering
+        self.choice.record_response(peer, response.recovering)
         sent = self._requests.get(response.request)
         if sent is None or sent.home != peer:
             return []
         del self._requests[response.request]
+        later_s = (
+            each.sent_s
+            for each in self._requests.values()
+            if each.home == peer and each.sent_s > sent.sent_s
+        )
+        self.choice.measure_response(peer, sent.sent_s, later_s, now_s)
         return self._apply_response(sent, response, now_s)
 
     def tick(self, now_s: float) -> list[Outcome]:
@@ -483,13 +476,27 @@
             self.table.sweep(now_s)
         return outcomes
 
+    def hedge(self, now_s: float) -> list[Outcome]:
+        """Ask further homes for the claims whose responses take long.
+
+        It is called with every event, and does nothing most of the time.
+        """
+        outcomes: list[Outcome] = []
+        for submission in self.choice.take_due(now_s):
+            each = self._registrations.get(submission)
+            if each is not None and not (each.owned or each.contended):
+                outcomes += self._ask(each, now_s)
+        return outcomes
+
     def flush(self, now_s: float, with_releases: bool) -> effects.Effects:
         """Return the messages that have collected, for each home.
 
         Releases alone wait for the next request, or for a time.  Those that
         another entry may wait for go ``with_releases``.
         """
-        result: effects.Effects = []
+        result: effects.Effects = [
+            effects.Log(*line) for line in self.choice.list_slow(now_s)
+        ]
         elapsed_s = now_s - self._released_s
         is_due = with_releases and elapsed_s >= RELEASE_INTERVAL_S
         if is_due:
@@ -514,10 +521,7 @@
         self._requests[self._request] = SentRequest(
             name, now_s, (*batch.claims, *batch.renewals)
         )
-        contact = self._contacts.get(name)
-        if contact is not None:
-            contact.sent_s = now_s
-            contact.unanswered_s = min(contact.unanswered_s, now_s)
+        self.choice.record_request(name, now_s)
         request = messages.OwnershipRequest(
             self._request, tuple(batch.claims), tuple(batch.renewals)
         )
@@ -542,45 +546,34 @@
     def _ask(self, registration: Registration, now_s: float) -> list[Outcome]:
         """Claim the job at as many homes as a majority still needs."""
         group = self.homes.find_group(registration.submission)
-        needed = homeset.count_majority(group)
-        needed -= registration.count_grants(group, now_s)
-        since_s = now_s - HEDGE_DELAY_S
-        waiting = [
-            name
+        recovering = {
+            name for name in group if self._is_recovering(name, now_s)
+        }
+        pending = {
+            name: sent_s
             for name, sent_s in registration.sent_s.items()
             if name in group
-            and sent_s > since_s
             and name not in registration.refused
             and registration.granted_s.get(name, float('-inf')) < sent_s
-            and not self._is_recovering(name, now_s)
-        ]
-        chosen = [
-            name
-            for name in self._rank(group, now_s)
-            if name not in registration.sent_s
-        ][: max(0, needed - len(waiting))]
+            and name not in recovering
+        }
+        needed = homeset.count_majority(group)
+        needed -= registration.count_grants(group, now_s)
+        asked = homechoice.Asked(
+            group,
+            needed,
+            pending,
+            registration.sent_s,
+            registration.slack_s,
+            registration.submission,
+        )
+        chosen = self.choice.choose(asked, recovering, now_s)
         return self._send_claims(registration, chosen, now_s)
 
-    def _rank(self, group: tuple[str, ...], now_s: float) -> list[str]:
-        """Return the homes of a group in the order in which they are asked.
-
-        The own home comes first, then those that respond, in turns.
-        """
-        self._rotation += 1
-        start = self._rotation % len(group) if group else 0
-        rotated = [*group[start:], *group[:start]]
-
-        def find_rank(name: str) -> tuple[bool, bool]:
-            is_late = self._contacts[name].is_late(now_s, DOUBT_DELAY_S)
-            is_doubtful = is_late or self._is_recovering(name, now_s)
-            return is_doubtful, name != self._name
-
-        return sorted(rotated, key=find_rank)
-
     def _is_recovering(self, name: str, now_s: float) -> bool:
         """Tell whether a home can't grant jobs that it does not know."""
         if name != self._name:
-            return self._contacts[name].recovering
+            return self.choice.contacts[name].recovering
         if self.table is None or not self._may_grant:
             return True
         return self.table.is_recovering(now_s)
@@ -702,7 +695,7 @@
             name
             for name in group
             if name not in registration.refused
-            and not self._contacts[name].is_late(now_s)
+            and not self.choice.contacts[name].is_late(now_s)
         ]
         if len(able) < homeset.count_majority(group):
             refusing = [name for name in group if name in registration.refused]
@@ -783,7 +776,7 @@
                     registration.attempt,
                     now_s,
                 )
-            elif name in self._contacts:
+            elif name in self.choice.contacts:
                 batch = self._batches.setdefault(name, Batch())
                 batch.releases.append(registration.describe(now_s))
                 batch.is_awaited |= is_awaited
@@ -792,13 +785,13 @@
 
     def _has_majority(self, group: tuple[str, ...], now_s: float) -> bool:
         responding = sum(
-            not self._contacts[name].is_late(now_s) for name in group
+            not self.choice.contacts[name].is_late(now_s) for name in group
         )
         return responding >= homeset.count_majority(group)
 
     def _probe(self, now_s: float) -> None:
         """Ask the homes that did not respond or could not decide."""
-        for name, contact in self._contacts.items():
+        for name, contact in self.choice.contacts.items():
             if name == self._name:
                 continue
             is_doubtful = contact.recovering or contact.is_late(now_s)
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -93,7 +93,7 @@
     weighted_shares: bool = False
     # 1 for a kind that is not named.
     kind_weights: dict[Name, Weight] = {}
-    whole_jobs: bool = False
+    learnt_homes: bool = False
     learnt_speeds: bool = False
     learnt_run_times: bool = False
     domain_spill: bool = False
@@ -239,7 +239,7 @@
             if model.weighted_shares
             else off
         ),
-        jobs=features.WholeJobs() if model.whole_jobs else off,
+        claims=features.LearntHomes() if model.learnt_homes else off,
         speeds=features.LearntSpeeds() if model.learnt_speeds else off,
         run_times=(
             features.LearntRunTimes() if model.learnt_run_times else off
