Entries learn which homes respond where two machines may be lost at a time

Cause: a claim waits for a home that is away or slow, and such homes are usual where a deployment bears several losses. Change: the platform's adapter asks for learnt_homes from two declared losses on; deployments that declare one are as before.

--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -26,6 +26,8 @@
 # The platform stops sending requests to a node after two failed readiness
 # checks, one second apart.
 STOP_LINGER_S: Final = 2.2
+# Losses of machines that a deployment bears, from which on homes are learnt.
+MIN_LEARNT_LOSSES: Final = 2
 
 _DECODER: Final = msgspec.json.Decoder(wire.NodeFile)
 
@@ -96,9 +98,14 @@
     )
 
 
-def make_features(_: wire.NodeFile) -> settings.FeaturesModel:
-    """Return the optional decisions that suit a deployment."""
-    return settings.FeaturesModel()
+def make_features(node: wire.NodeFile) -> settings.FeaturesModel:
+    """Return the optional decisions that suit a deployment.
+
+    A deployment that bears the loss of several machines at a time has homes
+    that are away or slow more often, so its entries learn which respond.
+    """
+    losses = node.fault_tolerance.get('machines', 1)
+    return settings.FeaturesModel(learnt_homes=losses >= MIN_LEARNT_LOSSES)
 
 
 def make_worker(node: wire.NodeFile) -> settings.WorkerModel:
