--- a/eelgrassworks/features.py
+++ b/eelgrassworks/features.py
@@ -34,21 +34,6 @@
     """Homes that respond soonest are asked first for a claim."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LearntSpeeds:
-    """The speed of a target is learnt for each kind, and aged."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LearntRunTimes:
-    """Predictions use the learnt distribution of run times."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DomainSpill:
-    """Work stays in its callers' failure domain unless waiting costs more."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Separation:
     """Kinds that slow each other down are kept apart while there is room."""
@@ -61,9 +46,6 @@
     room: Off | SharedRoom = Off()
     shares: Off | WeightedShares = Off()
     claims: Off | LearntHomes = Off()
-    speeds: Off | LearntSpeeds = Off()
-    run_times: Off | LearntRunTimes = Off()
-    spill: Off | DomainSpill = Off()
     separation: Off | Separation = Off()
 
 
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -94,9 +94,6 @@
     # 1 for a kind that is not named.
     kind_weights: dict[Name, Weight] = {}
     learnt_homes: bool = False
-    learnt_speeds: bool = False
-    learnt_run_times: bool = False
-    domain_spill: bool = False
     separation: bool = False
 
 
@@ -240,11 +237,6 @@
             else off
         ),
         claims=features.LearntHomes() if model.learnt_homes else off,
-        speeds=features.LearntSpeeds() if model.learnt_speeds else off,
-        run_times=(
-            features.LearntRunTimes() if model.learnt_run_times else off
-        ),
-        spill=features.DomainSpill() if model.domain_spill else off,
         separation=features.Separation() if model.separation else off,
     )
 
