A crowd that connects at once keeps no ordinary caller out

All connections of the crowd were younger than the 0.5 s after which one counts as stalled, so that the new one was closed. Change: a new connection takes the place of the oldest one that has sent no whole request. The row of test_intake that expected the refusal now has connections that have sent one, where it still holds; a row for the crowd is added. A request whose head was read counts as one being read until its handler starts; an answered connection that makes room is closed in order. Result: the new rows of test_intake and test_gate fail without the change; 83 tests of these, the redirector and robustness pass.

--- a/eelgrassworks/gate.py
+++ b/eelgrassworks/gate.py
@@ -198,7 +198,11 @@
         A later one gets none, which could be taken for that of an earlier one.
         """
         self.is_closed = True
-        if reason == intake.Reason.IDLE and not self._has_unsent():
+        is_answered = self._has_begun and not self._has_request
+        if not self._has_unsent() and (
+            is_answered or reason == intake.Reason.IDLE
+        ):
+            # Nothing is lost, so that the client sees an orderly end.
             self._transport.close()
             return
         if self._has_begun or reason not in STATUS_LINES:
@@ -239,9 +243,12 @@
         if end < 0:
             self._owner.read_head(self.number, self._scanner.size)
             return not self.is_closed
+        # Until its handler starts, the request counts as one being read, not
+        # as a connection that has been idle since the request before.
+        self._owner.read_head(self.number, self._scanner.size)
         self._has_request = True
         self._body_bytes = len(data) - end
-        return True
+        return not self.is_closed
 
     def _count_body(self, size: int, content: Content) -> bool:
         if not content.is_eof():
--- a/eelgrassworks/intake.py
+++ b/eelgrassworks/intake.py
@@ -109,12 +109,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Client:
-    """One connection; ``since_s`` is the start of its phase."""
+    """One connection; ``since_s`` is the start of its phase.
+
+    ``is_new`` is set until its first request has been read whole.
+    """
 
     phase: Phase
     since_s: float
     progress_s: float
     cost_bytes: int = 0
+    is_new: bool = True
 
 
 def limit_connections(descriptors: int) -> int:
@@ -190,12 +194,17 @@
     def open(self, number: int, now_s: float) -> list[Closing]:
         """Add a connection; return those that are closed for it.
 
-        The new connection itself is closed if no other makes room.
+        If none is stalled, the oldest one makes room that has sent no whole
+        request yet: ordinary callers send theirs at once, so that a crowd
+        that connects at the same moment does not keep them out.  The new
+        connection itself is closed if all others have sent one.
         """
         self._clients[number] = Client(IDLE, now_s, now_s)
         if len(self._clients) <= self.limits.connections:
             return []
         victim = self._find_victim(number, now_s, needs_idle=True)
+        if victim is None:
+            victim = self._find_oldest_new(number)
         closed = number if victim is None else victim
         return [self._drop(closed, Reason.CONNECTIONS)]
 
@@ -220,6 +229,9 @@
         """
         self._set_cost(number, cost_bytes)
         self._enter(number, HANDLING, now_s)
+        client = self._clients.get(number)
+        if client is not None:
+            client.is_new = False
 
     def is_admitted(self, number: int, body_bytes: int) -> bool:
         """Return whether a body of this size may be read."""
@@ -343,6 +355,17 @@
         candidates = unfinished or (idle if needs_idle else [])
         return min(candidates)[1] if candidates else None
 
+    def _find_oldest_new(self, asking: int) -> int | None:
+        """Return the oldest connection without a whole request so far."""
+        return next(
+            (
+                number
+                for number, client in self._clients.items()
+                if number != asking and client.is_new
+            ),
+            None,
+        )
+
     def _drop(self, number: int, reason: Reason) -> Closing:
         self.counters[reason] += 1
         self.close(number)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -64,6 +64,20 @@
         held = gates.intake._clients[client.number]
         self.assertIsInstance(held.phase, phase)
 
+    def test_request_whose_handler_has_not_started(self) -> None:
+        """Guards against a request that is closed as an idle connection.
+
+        The handler starts some turns of the loop after the head was read.
+        """
+        gates = gate.Gates()
+        client = gates.make_gate(FakeProtocol())
+        client.connection_made(FakeProtocol())
+        held = gates.intake._clients[client.number]
+        held.since_s -= 2 * intake.IDLE_TIMEOUT_S
+        gates.buffer[: len(HEAD)] = HEAD
+        client.buffer_updated(len(HEAD))
+        self.assertIsNone(intake.find_expiry(held, held.progress_s))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -184,8 +184,10 @@
         """Guards against a process without free descriptors."""
         for number in range(3):
             self.intake.open(number, number / 10)
+            self.intake.read_all(number, 0, number / 10)
+            self.intake.finish(number, number / 10)
         self.intake.read_head(2, 10, 0.2)
-        # Nobody has been idle for long.
+        # Nobody has been idle for long, and all have sent a request.
         refused = self.intake.open(3, 0.3)
         self.assertEqual([each.number for each in refused], [3])
         # The unfinished request goes before idle connections.
@@ -195,6 +197,17 @@
             self.assertEqual([each.number for each in closings], [expected])
             self.assertEqual(self.intake.connections, 3)
 
+    def test_crowd_that_connects_at_once(self) -> None:
+        """Guards against an ordinary caller who is kept out by a crowd.
+
+        All connections of the crowd are too young to be stalled.
+        """
+        for number in range(20):
+            self.intake.open(number, 0.0)
+        closings = self.intake.open(20, 0.01)
+        self.assertEqual([each.number for each in closings], [17])
+        self.assertEqual(self.intake.connections, 3)
+
     def test_cost_is_released(self) -> None:
         """Guards against a budget that answered requests use up."""
         self.intake.open(1, 0.0)
