Requests that wait for a commit have a module of their own

Cause: control.py had 1,185 lines; the data classes of pending requests, the size of a batch of claims and the answers after a commit depend on none of its state. Change: they moved to replication/pendingrequests.py as they were; control.py calls them. The two names that test_dispatch uses moved with them.

--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -7,10 +7,7 @@
 
 import collections
 from collections.abc import Mapping
-from collections.abc import Sequence
 import dataclasses
-import itertools
-from typing import Any
 from typing import Final
 
 from eelgrassworks import contracts
@@ -25,6 +22,7 @@
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import ledger
+from eelgrassworks.replication import pendingrequests
 from eelgrassworks.replication import replica
 from eelgrassworks.replication import reports
 from eelgrassworks.replication import roles
@@ -34,8 +32,6 @@
 # A run of an entry that renewed within this time still runs: five renewals.
 RUN_CONTACT_TIMEOUT_S: Final = 2.0
 SNAPSHOT_INTERVAL: Final = 4096
-# Bounds the size of one record of the log, and how long its sync takes.
-MAX_BATCH_CLAIMS: Final = 4096
 # A frame holds such a change beside other messages.
 MAX_CHANGE_BYTES: Final = codec.MAX_BATCH_BYTES
 # An entry that got no answer for this long has asked another replica.
@@ -125,29 +121,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingClaims:
-    """Claims of one entry's request that are not yet committed."""
-
-    peer: str
-    request: int
-    claims: tuple[contracts.Claim, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingChange:
-    """A change from another process that is not yet committed."""
-
-    peer: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingLocalChange:
-    """A change from this replica's own API that is not yet committed."""
-
-    request: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentRoster:
     """The roster that was sent to an entry last."""
@@ -156,24 +129,6 @@
     sent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingRead:
-    """A configuration read that waits until a quorum confirms the leader."""
-
-    request: int
-    arrived_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingLookups:
-    """Lookups of one request that wait until a quorum confirms the leader."""
-
-    peer: str
-    request: int
-    submissions: tuple[str, ...]
-    arrived_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeferredRenewal:
     """A renewal that could not be answered when it was received."""
@@ -209,15 +164,13 @@
         self.voters_missing = 0
         self._stop_requested_s = 0.0
         self._now_s = inputs.now_s
-        self._batch: list[PendingClaims] = []
+        self._batch: list[pendingrequests.PendingClaims] = []
         # Peer and number of each pending claims request.  Entries resend
         # requests; one that is already pending is not appended again.
         self._pending_claim_keys: set[tuple[str, int]] = set()
         # By log index: the requests whose command is not yet committed.
-        self._committing: dict[
-            int, list[PendingClaims] | PendingChange | PendingLocalChange
-        ] = {}
-        self._pending_reads: collections.deque[PendingRead] = (
+        self._committing: dict[int, pendingrequests.PendingCommit] = {}
+        self._pending_reads: collections.deque[pendingrequests.PendingRead] = (
             collections.deque()
         )
         self._sent_rosters: dict[str, SentRoster] = {}
@@ -228,9 +181,9 @@
         self._reports = reports.Reports()
         self._reported_membership: dict[str, object] = {}
         self._reported_leader = ''
-        self._pending_lookups: collections.deque[PendingLookups] = (
-            collections.deque()
-        )
+        self._pending_lookups: collections.deque[
+            pendingrequests.PendingLookups
+        ] = collections.deque()
         self._entry_last_contact_s: dict[str, float] = {}
         # By entry name, the latest renewal of the registered run.
         self._latest_renewals: dict[str, messages.EntryRenewal] = {}
@@ -351,13 +304,17 @@
                     self.counters['claims_resent'] += 1
                     return []
                 self._pending_claim_keys.add((peer, request))
-                self._batch.append(PendingClaims(peer, request, claims))
+                self._batch.append(
+                    pendingrequests.PendingClaims(peer, request, claims)
+                )
                 return []
             case messages.LookupsRequest(request, submissions):
                 if not self.replica.is_leader:
                     return [self._send_not_leader(peer)]
                 self._pending_lookups.append(
-                    PendingLookups(peer, request, submissions, inputs.now_s)
+                    pendingrequests.PendingLookups(
+                        peer, request, submissions, inputs.now_s
+                    )
                 )
                 return self.replica.send_heartbeats(inputs)
             case messages.ConfigurationChangeRequest():
@@ -741,7 +698,7 @@
         index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._reply_not_leader(request)]
-        self._committing[index] = PendingLocalChange(request)
+        self._committing[index] = pendingrequests.PendingLocalChange(request)
         return result
 
     def _handle_configuration_read(
@@ -749,7 +706,9 @@
     ) -> effects.Effects:
         if not self.replica.has_committed_in_term():
             return [self._reply_not_leader(request)]
-        self._pending_reads.append(PendingRead(request, inputs.now_s))
+        self._pending_reads.append(
+            pendingrequests.PendingRead(request, inputs.now_s)
+        )
         return self.replica.send_heartbeats(inputs)
 
     def _reply_not_leader(self, request: int) -> effects.Reply:
@@ -807,7 +766,7 @@
         index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._send_not_leader(peer)]
-        self._committing[index] = PendingChange(peer)
+        self._committing[index] = pendingrequests.PendingChange(peer)
         return result
 
     def _refuse_oversized(
@@ -836,7 +795,7 @@
             return []
         count = 1
         if self.options.group_commit:
-            count = count_batch(self._batch)
+            count = pendingrequests.count_batch(self._batch)
         requests, self._batch = self._batch[:count], self._batch[count:]
         claims = tuple(
             claim for request in requests for claim in request.claims
@@ -888,7 +847,7 @@
                 self._pending_claim_keys -= {
                     (each.peer, each.request) for each in pending
                 }
-            result += _answer_committed(pending, verdicts)
+            result += pendingrequests.answer_committed(pending, verdicts)
         if self.ledger.configuration.revision != revision:
             self.grants.record_commit(
                 self.ledger.configuration.revision, inputs.now_s
@@ -1032,10 +991,10 @@
         ]
         for pending in self._committing.values():
             match pending:
-                case PendingLocalChange(request):
+                case pendingrequests.PendingLocalChange(request):
                     # The next leader may still commit this change.
                     result.append(effects.Reply(request, NotLeading('')))
-                case PendingChange(peer):
+                case pendingrequests.PendingChange(peer):
                     peers.add(peer)
                 case list():
                     peers |= {each.peer for each in pending}
@@ -1070,7 +1029,9 @@
                 for submission in pending.submissions
             ]
             result.append(
-                _send_claim_verdicts(pending.peer, pending.request, verdicts)
+                pendingrequests.send_claim_verdicts(
+                    pending.peer, pending.request, verdicts
+                )
             )
         return result
 
@@ -1138,48 +1099,3 @@
     if decisions.is_voter:
         return 'voter'
     return 'learner' if decisions.is_member else 'none'
-
-
-def _send_claim_verdicts(
-    peer: str, request: int, verdicts: list[Any]
-) -> effects.Send:
-    packed = tuple(codec.pack(verdict) for verdict in verdicts)
-    return effects.Send(peer, messages.ClaimsResponse(request, packed))
-
-
-def _answer_committed(
-    pending: list[PendingClaims] | PendingChange | PendingLocalChange | None,
-    verdicts: list[Any],
-) -> effects.Effects:
-    """Answer the requests whose command was committed."""
-    match pending:
-        case PendingLocalChange(request):
-            return [effects.Reply(request, verdicts[0])]
-        case PendingChange(peer):
-            response = messages.ConfigurationChangeResponse(
-                codec.pack(verdicts[0])
-            )
-            return [effects.Send(peer, response)]
-        case list():
-            result: effects.Effects = []
-            position = 0
-            for each in pending:
-                end = position + len(each.claims)
-                result.append(
-                    _send_claim_verdicts(
-                        each.peer, each.request, verdicts[position:end]
-                    )
-                )
-                position = end
-            return result
-        case None:
-            return []
-
-
-def count_batch(waiting: Sequence[PendingClaims]) -> int:
-    """Return how many waiting requests the next batch contains.
-
-    At least one: a single request may exceed the limit of a batch.
-    """
-    totals = itertools.accumulate(len(request.claims) for request in waiting)
-    return max(1, sum(total <= MAX_BATCH_CLAIMS for total in totals))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,6 @@
 import ddt
 
 from eelgrassworks import contracts
-from eelgrassworks import control
 from eelgrassworks import dispatcher
 from eelgrassworks import entry
 from eelgrassworks import joblog
@@ -15,6 +14,7 @@
 from eelgrassworks.contracts import queues
 from eelgrassworks.machines import health
 from eelgrassworks.machines import placement
+from eelgrassworks.replication import pendingrequests
 from tests import worlds
 
 # Outcomes as letters (s succeeded, f failed), seconds after the last outcome,
@@ -135,10 +135,10 @@
     ) -> None:
         claim = contracts.Claim('id', 'digest', 'entry-1', 1)
         waiting = [
-            control.PendingClaims('entry-1', number, (claim,) * size)
+            pendingrequests.PendingClaims('entry-1', number, (claim,) * size)
             for number, size in enumerate(sizes)
         ]
-        self.assertEqual(control.count_batch(waiting), expected)
+        self.assertEqual(pendingrequests.count_batch(waiting), expected)
 
     @ddt.data(('transient', True), ('claimed', False))
     @ddt.unpack
