Requests that wait for a job have a module of their own

How requests of callers and of other entries attach to a job, and how they are answered, depends on the job alone. Change: jobwaiters.py has it, without change of behaviour; entry.py still decides whether a job gives way to one that was submitted again. Leases and authority are not touched.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -22,6 +22,7 @@
 from eelgrassworks import features
 from eelgrassworks import inquiries
 from eelgrassworks import joblog
+from eelgrassworks import jobwaiters
 from eelgrassworks import ownership
 from eelgrassworks import shedding
 from eelgrassworks.contracts import jobs
@@ -220,7 +221,9 @@
         job = self.table.find(submission.id)
         if job is not None:
             self.counters['resubmissions'] += 1
-            return self._attach_local(request, submission.digest, job, now_s)
+            return jobwaiters.attach_caller(
+                job, request, submission.digest, now_s
+            )
         refusal = self._find_refusal(submission, now_s)
         if refusal is None:
             return self._admit(request, submission, now_s)
@@ -253,18 +256,6 @@
             'lease_s': round(lease_s, 2),
         }
 
-    def _attach_local(
-        self, request: int, digest: str, job: jobs.Job, now_s: float
-    ) -> effects.Effects:
-        submission = job.submission
-        if digest != submission.digest:
-            conflict = answers.refuse_conflict(submission.id)
-            return [effects.Reply(request, conflict)]
-        if job.answer is not None:
-            return [effects.Reply(request, job.answer)]
-        job.waiters.append(request)
-        return [joblog.log_attachment(job, request, now_s)]
-
     def _find_refusal(
         self, submission: contracts.Submission, now_s: float
     ) -> errors.Refusal | None:
@@ -352,7 +343,9 @@
             )
         if team != job.submission.team:
             return [effects.Reply(request, answers.refuse_foreign_team())]
-        return self._attach_local(request, job.submission.digest, job, now_s)
+        return jobwaiters.attach_caller(
+            job, request, job.submission.digest, now_s
+        )
 
     def _cancel(
         self, request: int, submission: str, team: str, now_s: float
@@ -414,27 +407,16 @@
         """
         job = self.table.find(message.submission)
         if job is None:
-            answer: contracts.Answer = answers.refuse_expired(
-                message.submission
-            )
-        elif message.team != job.submission.team:
-            answer = answers.refuse_foreign_team()
-        elif message.digest not in ('', job.submission.digest):
-            answer = answers.refuse_conflict(message.submission)
-        elif job.answer is not None:
-            answer = job.answer
-        elif self._must_give_up(job, now_s - message.age_ms / 1000, now_s):
+            expired = answers.refuse_expired(message.submission)
+            return [jobwaiters.answer_entry(peer, message, expired)]
+        answer = jobwaiters.find_answer(job, message)
+        if answer is not None:
+            return [jobwaiters.answer_entry(peer, message, answer)]
+        submitted_s = now_s - message.age_ms / 1000
+        if self._must_give_up(job, submitted_s, now_s):
             return self._give_up_to(job, peer, now_s)
-        else:
-            remote_waiter = (peer, message.request)
-            if remote_waiter not in job.remote_waiters:
-                job.remote_waiters.append(remote_waiter)
-            return []
-        return [
-            _send_attach_response(
-                peer, message.request, message.submission, answer
-            )
-        ]
+        jobwaiters.attach_entry(job, peer, message.request)
+        return []
 
     def _must_give_up(
         self, job: jobs.Job, submitted_s: float, now_s: float
@@ -836,7 +818,7 @@
         result: effects.Effects = [
             joblog.log_end(job, answer, now_s, self._describe_inputs(now_s))
         ]
-        result += _answer_waiters(job, answer)
+        result += jobwaiters.answer_all(job, answer)
         self._record_latency(job, answer, now_s)
         self._transient_ids.close(job.submission)
         self.table.end(job, answer, now_s)
@@ -858,7 +840,7 @@
         self._transient_ids.close(job.submission)
         self.table.drop(job.submission.id)
         return [
-            *_answer_waiters(job, answer),
+            *jobwaiters.answer_all(job, answer),
             *self._end_ownership(job, False, now_s),
         ]
 
@@ -1073,28 +1055,3 @@
             'counters': dict(self.counters),
             'dispatcher': self.dispatcher.describe(now_s),
         }
-
-
-def _answer_waiters(
-    job: jobs.Job, answer: contracts.Answer
-) -> effects.Effects:
-    """Send an answer to every request that waits for the job."""
-    local_replies: effects.Effects = [
-        effects.Reply(request, answer) for request in job.waiters
-    ]
-    remote_replies = [
-        _send_attach_response(peer, request, job.submission.id, answer)
-        for peer, request in job.remote_waiters
-    ]
-    job.waiters = []
-    job.remote_waiters = []
-    return local_replies + remote_replies
-
-
-def _send_attach_response(
-    peer: str, request: int, submission: str, answer: contracts.Answer
-) -> effects.Send:
-    return effects.Send(
-        peer,
-        messages.AttachResponse(request, codec.pack(answer), submission),
-    )
