--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -6,10 +6,8 @@
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping
 import dataclasses
-import itertools
-from typing import Any
 from typing import Final
 
 from eelgrassworks import contracts
@@ -17,13 +15,14 @@
 from eelgrassworks import effects
 from eelgrassworks import zones
 from eelgrassworks.contracts import home
-from eelgrassworks.contracts import homeset
+from eelgrassworks.contracts import homeplacement
 from eelgrassworks.contracts import homesites
 from eelgrassworks.links import codec
 from eelgrassworks.links import homes
 from eelgrassworks.links import messages
 from eelgrassworks.replication import commands
 from eelgrassworks.replication import ledger
+from eelgrassworks.replication import pendingrequests
 from eelgrassworks.replication import replica
 from eelgrassworks.replication import reports
 from eelgrassworks.replication import roles
@@ -33,8 +32,6 @@
 # A run of an entry that renewed within this time still runs: five renewals.
 RUN_CONTACT_TIMEOUT_S: Final = 2.0
 SNAPSHOT_INTERVAL: Final = 4096
-# Bounds the size of one record of the log, and how long its sync takes.
-MAX_BATCH_CLAIMS: Final = 4096
 # A frame holds such a change beside other messages.
 MAX_CHANGE_BYTES: Final = codec.MAX_BATCH_BYTES
 # An entry that got no answer for this long has asked another replica.
@@ -45,13 +42,6 @@
 ROSTER_RESEND_S: Final = 1.0
 # Shorter than the time for which a relay relies on what it was told.
 ANNOUNCEMENT_INTERVAL_S: Final = 1.0
-# Entries that start together have registered by then.
-HOMES_FORMATION_DELAY_S: Final = 1.0
-# Longer than a new home waits before it grants jobs, so that at most one home
-# waits at a time; also the time that a lost home has to return.
-HOMES_INTERVAL_S: Final = 10.0
-# Comparing the homes with all entries costs about as much as a roster.
-HOMES_CHECK_INTERVAL_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,29 +121,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingClaims:
-    """Claims of one entry's request that are not yet committed."""
-
-    peer: str
-    request: int
-    claims: tuple[contracts.Claim, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingChange:
-    """A change from another process that is not yet committed."""
-
-    peer: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingLocalChange:
-    """A change from this replica's own API that is not yet committed."""
-
-    request: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentRoster:
     """The roster that was sent to an entry last."""
@@ -162,24 +129,6 @@
     sent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingRead:
-    """A configuration read that waits until a quorum confirms the leader."""
-
-    request: int
-    arrived_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingLookups:
-    """Lookups of one request that wait until a quorum confirms the leader."""
-
-    peer: str
-    request: int
-    submissions: tuple[str, ...]
-    arrived_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeferredRenewal:
     """A renewal that could not be answered when it was received."""
@@ -215,15 +164,13 @@
         self.voters_missing = 0
         self._stop_requested_s = 0.0
         self._now_s = inputs.now_s
-        self._batch: list[PendingClaims] = []
+        self._batch: list[pendingrequests.PendingClaims] = []
         # Peer and number of each pending claims request.  Entries resend
         # requests; one that is already pending is not appended again.
         self._pending_claim_keys: set[tuple[str, int]] = set()
         # By log index: the requests whose command is not yet committed.
-        self._committing: dict[
-            int, list[PendingClaims] | PendingChange | PendingLocalChange
-        ] = {}
-        self._pending_reads: collections.deque[PendingRead] = (
+        self._committing: dict[int, pendingrequests.PendingCommit] = {}
+        self._pending_reads: collections.deque[pendingrequests.PendingRead] = (
             collections.deque()
         )
         self._sent_rosters: dict[str, SentRoster] = {}
@@ -234,9 +181,9 @@
         self._reports = reports.Reports()
         self._reported_membership: dict[str, object] = {}
         self._reported_leader = ''
-        self._pending_lookups: collections.deque[PendingLookups] = (
-            collections.deque()
-        )
+        self._pending_lookups: collections.deque[
+            pendingrequests.PendingLookups
+        ] = collections.deque()
         self._entry_last_contact_s: dict[str, float] = {}
         # By entry name, the latest renewal of the registered run.
         self._latest_renewals: dict[str, messages.EntryRenewal] = {}
@@ -249,9 +196,7 @@
         self._home = home.Home(inputs.now_s)
         if self.ledger.homes.joining == options.replica.name:
             self._home.join(inputs.now_s)
-        self._homes_changed_s = inputs.now_s
-        self._homes_checked_s = float('-inf')
-        self._reported_exposures: dict[str, int] = {}
+        self._home_placement = homeplacement.HomePlacement(inputs.now_s)
         # Replicas of an earlier version, which cannot apply SetHomes.
         self._without_homes: set[str] = set()
 
@@ -304,7 +249,7 @@
         """
         if not self._leadership_started:
             return 0
-        return sum(self._reported_exposures.values())
+        return sum(self._home_placement.exposures.values())
 
     def add_replicas(self, addresses: dict[str, str]) -> None:
         """Use the addresses, by name, that changed settings list."""
@@ -359,13 +304,17 @@
                     self.counters['claims_resent'] += 1
                     return []
                 self._pending_claim_keys.add((peer, request))
-                self._batch.append(PendingClaims(peer, request, claims))
+                self._batch.append(
+                    pendingrequests.PendingClaims(peer, request, claims)
+                )
                 return []
             case messages.LookupsRequest(request, submissions):
                 if not self.replica.is_leader:
                     return [self._send_not_leader(peer)]
                 self._pending_lookups.append(
-                    PendingLookups(peer, request, submissions, inputs.now_s)
+                    pendingrequests.PendingLookups(
+                        peer, request, submissions, inputs.now_s
+                    )
                 )
                 return self.replica.send_heartbeats(inputs)
             case messages.ConfigurationChangeRequest():
@@ -543,6 +492,14 @@
             if name in addresses
         }
 
+    def _list_live_entries(self) -> dict[str, str]:
+        """Return the entries that have not ended, with the address."""
+        return {
+            name: record.address
+            for name, record in self.ledger.entries.items()
+            if record.alive
+        }
+
     def _make_announcement(self) -> messages.RosterUpdate:
         """Return a roster that names the leader, without the entries."""
         return messages.RosterUpdate(
@@ -578,11 +535,7 @@
         """Return the addresses of the members and of the live entries."""
         return messages.RosterUpdate(
             self._list_addresses(),
-            {
-                name: record.address
-                for name, record in self.ledger.entries.items()
-                if record.alive
-            },
+            self._list_live_entries(),
             self.replica.find_leader(self._now_s),
             self.ledger.homes,
         )
@@ -603,38 +556,22 @@
         members = self.replica.members
         if self._without_homes & {*members.voters, *members.learners}:
             return []
-        entries = [
-            name
-            for name, record in self.ledger.entries.items()
-            if record.alive
-        ]
-        voters = list(members.voters)
-        current = self.ledger.homes
-        elapsed_s = inputs.now_s - self._homes_changed_s
-        checked_s = inputs.now_s - self._homes_checked_s
-        if not current.version:
-            if not entries or elapsed_s < HOMES_FORMATION_DELAY_S:
-                return []
-            sites = self._make_sites()
-            revised: contracts.HomeSet | None = homeset.form(
-                entries, voters, sites
-            )
-        elif (
-            elapsed_s < HOMES_INTERVAL_S or checked_s < HOMES_CHECK_INTERVAL_S
-        ):
+        if not self._home_placement.is_due(self.ledger.homes, inputs.now_s):
             return []
-        else:
-            self._homes_checked_s = inputs.now_s
-            sites = self._make_sites()
-            revised = homeset.revise(current, entries, voters, sites)
-        if revised is None:
-            return self._report_exposures(sites)
-        self._homes_changed_s = inputs.now_s
-        command = commands.SetHomes(revised)
-        return self.replica.propose([codec.pack(command)], inputs)[1]
-
-    def _make_sites(self) -> homesites.Sites:
-        """Return where the entries and the members are.
+        decision = self._home_placement.decide(
+            self._make_placement_inputs(), inputs.now_s
+        )
+        match decision:
+            case homeplacement.HomesRevised(revised):
+                command = commands.SetHomes(revised)
+                return self.replica.propose([codec.pack(command)], inputs)[1]
+            case homeplacement.ExposuresChanged(exposures):
+                return [self._log_exposures(exposures)]
+            case None:
+                return []
+
+    def _make_placement_inputs(self) -> homeplacement.PlacementInputs:
+        """Return what the placement of homes depends on at present.
 
         An entry names its failure domain in its renewals, each of which this
         leader has received within ``ENTRY_TTL_S`` of its beginning.
@@ -644,30 +581,31 @@
             renewal = self._latest_renewals.get(name)
             domain = renewal.failure_domain if renewal else ''
             entries[name] = homesites.RegisteredEntry(record.address, domain)
-        return homesites.make_sites(entries, self._list_addresses())
+        return homeplacement.PlacementInputs(
+            self.ledger.homes,
+            entries,
+            tuple(self._list_live_entries()),
+            tuple(self.replica.members.voters),
+            self._list_addresses(),
+        )
 
-    def _report_exposures(self, sites: homesites.Sites) -> effects.Effects:
-        """Log by failure how many groups lose their majority to it."""
-        exposures = sites.find_exposures(self.ledger.homes.groups)
-        if exposures == self._reported_exposures:
-            return []
-        self._reported_exposures = exposures
-        fields: dict[str, object] = {
-            'version': self.ledger.homes.version,
-            'groups': len(self.ledger.homes.groups),
-            'failures': ','.join(
-                f'{failure}={count}'
-                for failure, count in sorted(exposures.items())
-            ),
-        }
-        return [effects.Log('homes_exposed', fields)]
+    def _log_exposures(self, exposures: Mapping[str, int]) -> effects.Log:
+        failures = (f'{name}={n}' for name, n in sorted(exposures.items()))
+        return effects.Log(
+            'homes_exposed',
+            {
+                'version': self.ledger.homes.version,
+                'groups': len(self.ledger.homes.groups),
+                'failures': ','.join(failures),
+            },
+        )
 
     def _apply_homes(self, version: int) -> effects.Effects:
         """Log homes that differ from those of a version."""
         current = self.ledger.homes
         if current.version == version:
             return []
-        self._homes_changed_s = self._now_s
+        self._home_placement.restart_wait(self._now_s)
         if current.joining == self.options.replica.name:
             self._home.join(self._now_s)
         fields: dict[str, object] = {
@@ -760,7 +698,7 @@
         index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._reply_not_leader(request)]
-        self._committing[index] = PendingLocalChange(request)
+        self._committing[index] = pendingrequests.PendingLocalChange(request)
         return result
 
     def _handle_configuration_read(
@@ -768,7 +706,9 @@
     ) -> effects.Effects:
         if not self.replica.has_committed_in_term():
             return [self._reply_not_leader(request)]
-        self._pending_reads.append(PendingRead(request, inputs.now_s))
+        self._pending_reads.append(
+            pendingrequests.PendingRead(request, inputs.now_s)
+        )
         return self.replica.send_heartbeats(inputs)
 
     def _reply_not_leader(self, request: int) -> effects.Reply:
@@ -826,7 +766,7 @@
         index, result = self.replica.propose([packed], inputs)
         if not index:
             return [self._send_not_leader(peer)]
-        self._committing[index] = PendingChange(peer)
+        self._committing[index] = pendingrequests.PendingChange(peer)
         return result
 
     def _refuse_oversized(
@@ -855,7 +795,7 @@
             return []
         count = 1
         if self.options.group_commit:
-            count = count_batch(self._batch)
+            count = pendingrequests.count_batch(self._batch)
         requests, self._batch = self._batch[:count], self._batch[count:]
         claims = tuple(
             claim for request in requests for claim in request.claims
@@ -892,24 +832,22 @@
             command = codec.unpack(entry.command)
             if isinstance(command, commands.RegisterEntry):
                 self._registering.pop(command.name, None)
-                if not self.ledger.homes.version:
-                    self._homes_changed_s = inputs.now_s
                 self._answerable_entries |= self._deferred_renewals.keys() & {
                     command.name
                 }
-            if (
-                isinstance(command, commands.SetMembers)
-                and not self.ledger.homes.version
+            if not self.ledger.homes.version and isinstance(
+                command, commands.RegisterEntry | commands.SetMembers
             ):
-                # Machines with a disk are known once they have joined.
-                self._homes_changed_s = inputs.now_s
+                # The first homes are chosen among all that start together,
+                # and machines with a disk are known once they have joined.
+                self._home_placement.restart_wait(inputs.now_s)
             verdicts = self.ledger.apply(entry.index, command)
             pending = self._committing.pop(entry.index, None)
             if isinstance(pending, list):
                 self._pending_claim_keys -= {
                     (each.peer, each.request) for each in pending
                 }
-            result += _answer_committed(pending, verdicts)
+            result += pendingrequests.answer_committed(pending, verdicts)
         if self.ledger.configuration.revision != revision:
             self.grants.record_commit(
                 self.ledger.configuration.revision, inputs.now_s
@@ -946,8 +884,7 @@
             self._leadership_started = True
             self._leadership_began_s = inputs.now_s
             self.voters_missing = 0
-            self._reported_exposures = {}
-            self._homes_changed_s = inputs.now_s
+            self._home_placement.start_leadership(inputs.now_s)
             self._registering = {}
             self._answerable_entries |= self._deferred_renewals.keys()
             self._sent_rosters = {}
@@ -1038,12 +975,8 @@
         """
         result: effects.Effects = []
         announcement = self._make_announcement()
-        for name, record in self.ledger.entries.items():
-            if not record.alive:
-                continue
-            result.append(
-                effects.Connect(name, record.address, persistent=False)
-            )
+        for name, address in self._list_live_entries().items():
+            result.append(effects.Connect(name, address, persistent=False))
             if self.options.replica.is_open:
                 result.append(effects.Send(name, announcement))
         return result
@@ -1058,10 +991,10 @@
         ]
         for pending in self._committing.values():
             match pending:
-                case PendingLocalChange(request):
+                case pendingrequests.PendingLocalChange(request):
                     # The next leader may still commit this change.
                     result.append(effects.Reply(request, NotLeading('')))
-                case PendingChange(peer):
+                case pendingrequests.PendingChange(peer):
                     peers.add(peer)
                 case list():
                     peers |= {each.peer for each in pending}
@@ -1096,7 +1029,9 @@
                 for submission in pending.submissions
             ]
             result.append(
-                _send_claim_verdicts(pending.peer, pending.request, verdicts)
+                pendingrequests.send_claim_verdicts(
+                    pending.peer, pending.request, verdicts
+                )
             )
         return result
 
@@ -1164,48 +1099,3 @@
     if decisions.is_voter:
         return 'voter'
     return 'learner' if decisions.is_member else 'none'
-
-
-def _send_claim_verdicts(
-    peer: str, request: int, verdicts: list[Any]
-) -> effects.Send:
-    packed = tuple(codec.pack(verdict) for verdict in verdicts)
-    return effects.Send(peer, messages.ClaimsResponse(request, packed))
-
-
-def _answer_committed(
-    pending: list[PendingClaims] | PendingChange | PendingLocalChange | None,
-    verdicts: list[Any],
-) -> effects.Effects:
-    """Answer the requests whose command was committed."""
-    match pending:
-        case PendingLocalChange(request):
-            return [effects.Reply(request, verdicts[0])]
-        case PendingChange(peer):
-            response = messages.ConfigurationChangeResponse(
-                codec.pack(verdicts[0])
-            )
-            return [effects.Send(peer, response)]
-        case list():
-            result: effects.Effects = []
-            position = 0
-            for each in pending:
-                end = position + len(each.claims)
-                result.append(
-                    _send_claim_verdicts(
-                        each.peer, each.request, verdicts[position:end]
-                    )
-                )
-                position = end
-            return result
-        case None:
-            return []
-
-
-def count_batch(waiting: Sequence[PendingClaims]) -> int:
-    """Return how many waiting requests the next batch contains.
-
-    At least one: a single request may exceed the limit of a batch.
-    """
-    totals = itertools.accumulate(len(request.claims) for request in waiting)
-    return max(1, sum(total <= MAX_BATCH_CLAIMS for total in totals))
