A lease counts for the homes that its entry knows only if it names no later ones

Cause: an entry that returns may receive its lease before its roster, or lose the roster, and acted on the homes that it had known before. As an owner and a home at once it reached a majority of these, beside a majority of the present homes. Change: EntryLease names the version of the committed homes (last field, 0 by default). The session counts a lease as authority only if the entry knows these homes or later ones; a job that has its grants waits for authority. A lease that names former homes counts until it ends, at most 5 s after the change; HOME_SET_TTL_S is 6 s. Leases of an earlier release name 0 and count as before.

--- a/eelgrassworks/contracts/home.py
+++ b/eelgrassworks/contracts/home.py
@@ -31,7 +31,9 @@
 RUNS_TTL_S: Final = 1.5
 RETENTION_S: Final = GRANT_TTL_S + RUNS_TTL_S
 # For how long an entry may act on a set of homes that has been changed: its
-# lease from control, and one interval in which the set is sent again.
+# lease from control, of up to 5 s, which was granted before the change.  Later
+# leases name the newer set, except those of an earlier release, after which
+# the set is sent again within 1 s.
 HOME_SET_TTL_S: Final = 6.0
 JOIN_DELAY_S: Final = HOME_SET_TTL_S + RETENTION_S
 SWEEP_INTERVAL_S: Final = 1.0
--- a/eelgrassworks/control.py
+++ b/eelgrassworks/control.py
@@ -502,14 +502,14 @@
         configuration = self.ledger.configuration
         result: effects.Effects = []
         if renewal.revision != configuration.revision:
-            message = self._make_configuration()
-            result.append(effects.Send(peer, message))
+            result.append(effects.Send(peer, self._make_configuration()))
         lease = messages.EntryLease(
             renewal.sent_ms,
             int(remaining_s * 1000),
             configuration.revision,
             self.grants.update_in_force(inputs.now_s),
             incarnation,
+            self.ledger.homes.version,
         )
         result.append(effects.Send(peer, lease))
         return result + self._send_roster(peer, renewal, inputs.now_s)
--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -474,7 +474,7 @@
     def _check_ownership(self, now_s: float) -> effects.Effects:
         """End the jobs whose grants have lapsed, before any other event."""
         self.ownership.begin(now_s)
-        self.ownership.set_authority(self.session.lease.is_valid(now_s))
+        self.ownership.set_authority(self.session.confirms_homes(now_s))
         if now_s - self._ownership_checked_s < OWNERSHIP_INTERVAL_S:
             return self._handle_ownership(self.ownership.hedge(now_s), now_s)
         self._ownership_checked_s = now_s
--- a/eelgrassworks/links/messages.py
+++ b/eelgrassworks/links/messages.py
@@ -280,7 +280,11 @@
 
 
 class EntryLease(msgspec.Struct, frozen=True):
-    """Response of the leader to a renewal."""
+    """Response of the leader to a renewal.
+
+    ``homes_version`` is that of the homes that were committed when the lease
+    was granted; 0 if there are none, or in a lease of an earlier version.
+    """
 
     TAG: ClassVar[str] = 'EntryTerms'
 
@@ -289,6 +293,7 @@
     revision: int
     in_force_revision: int
     incarnation: int
+    homes_version: int = 0
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True):
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -14,6 +14,7 @@
 from eelgrassworks import effects
 from eelgrassworks import links
 from eelgrassworks import zones
+from eelgrassworks.links import homeleases
 from eelgrassworks.links import messages
 
 RENEWAL_INTERVAL_S: Final = 0.4
@@ -58,6 +59,7 @@
         self.options = options
         self.incarnation = 0
         self.lease = zones.Lease()
+        self._home_leases = homeleases.HomeLeases()
         self.configuration = contracts.Configuration(
             0, contracts.Sheet({}, {}), frozenset(), frozenset()
         )
@@ -91,6 +93,11 @@
             and self.lease.revision <= self.configuration.revision
         )
 
+    def confirms_homes(self, now_s: float) -> bool:
+        """Return whether the lease is authority to act on the known homes."""
+        has_lease = self.lease.is_valid(now_s)
+        return has_lease and self._home_leases.confirms_homes(now_s)
+
     def claim(
         self, claims: tuple[contracts.Claim, ...], now_s: float
     ) -> effects.Effects:
@@ -150,9 +157,11 @@
             return False
         self.incarnation = lease.incarnation
         sent_s = lease.sent_ms / 1000
-        if self.lease.extend(
-            lease.revision, sent_s, lease.remaining_ms / 1000
-        ):
+        remaining_s = lease.remaining_ms / 1000
+        if self.lease.extend(lease.revision, sent_s, remaining_s):
+            self._home_leases.record_lease(
+                lease.homes_version, sent_s, remaining_s, now_s
+            )
             self.in_force_revision = max(
                 self.in_force_revision, lease.in_force_revision
             )
@@ -193,6 +202,7 @@
         replicas: the leader lists this entry, and a relay that has just
         started knows nothing.
         """
+        self._home_leases.record_homes(roster.homes.version)
         if roster.entries:
             self.roster = roster
             if roster.leader == peer:
@@ -275,7 +285,8 @@
         """Renew the lease, search for a leader and resend requests.
 
         With ``eager`` renewals are more frequent, so that the entry learns
-        sooner which revision is in force.
+        sooner which revision is in force.  The roster is requested if a lease
+        names homes that it has not shown.
         """
         result: effects.Effects = []
         searching = self._is_searching(now_s)
@@ -283,6 +294,7 @@
             if searching:
                 self._try_next_replica()
             result += self._renew(now_s)
+        result += self._home_leases.request_roster(self.leader, now_s)
         return result + self._resend(now_s, RESEND_INTERVAL_S)
 
     def _is_searching(self, now_s: float) -> bool:
--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -559,6 +559,9 @@
         }
         needed = homeset.count_majority(group)
         needed -= registration.count_grants(group, now_s)
+        if group and needed <= 0 and self._has_authority:
+            # It was granted while this entry lacked authority.
+            return self._decide(registration, now_s)
         asked = homechoice.Asked(
             group,
             needed,
@@ -638,12 +641,17 @@
     def _decide(
         self, registration: Registration, now_s: float
     ) -> list[Outcome]:
-        """Decide whether this entry owns a job that it has claimed."""
+        """Decide whether this entry owns a job that it has claimed.
+
+        Without authority the group may be a former one, in which a majority
+        need not share a home with one of the present group.
+        """
         if registration.owned:
             return []
         group = self.homes.find_group(registration.submission)
         majority = homeset.count_majority(group)
-        if registration.count_grants(group, now_s) >= majority:
+        is_granted = registration.count_grants(group, now_s) >= majority
+        if is_granted and self._has_authority:
             registration.owned = True
             registration.contended = False
             registration.renewed_s = now_s
--- a/tests/test_tags.py
+++ b/tests/test_tags.py
@@ -165,6 +165,7 @@
             'revision',
             'in_force_revision',
             'incarnation',
+            'homes_version',
         ),
     ),
     (messages.ConfigurationUpdate, 'ConfigurationTold', ('configuration',)),
