The lease of entries is at most 5 s where there are homes

Cause: the delay of a joining home is computed from a lease of up to 5 s (home.HOME_SET_TTL_S, 6 s), but the settings of control took any length, and the platform's evacuateMs was used as it is. With a longer lease an entry could act on former homes after the new one had joined. Change: home.MAX_LEASE_TTL_S names the bound. Settings with open_members and a longer lease_ttl_s are refused with the reason; without homes they are valid as before. The platform's adapter takes the shorter of both, which keeps the bound on an evacuation. Weighed: to let the delay follow the setting, which the homes do not know; to cap the lease at the entry, which does not bound the leases of a leader that has been replaced.

--- a/eelgrassworks/contracts/home.py
+++ b/eelgrassworks/contracts/home.py
@@ -30,11 +30,14 @@
 # leases at agents and targets, and the time to stop a run.
 RUNS_TTL_S: Final = 1.5
 RETENTION_S: Final = GRANT_TTL_S + RUNS_TTL_S
+# The longest lease from control where there are homes: the settings of control
+# are held to it, since a home that joins knows no setting of the leader.
+MAX_LEASE_TTL_S: Final = 5.0
 # For how long an entry may act on a set of homes that has been changed: its
-# lease from control, of up to 5 s, which was granted before the change.  Later
-# leases name the newer set, except those of an earlier release, after which
-# the set is sent again within 1 s.
-HOME_SET_TTL_S: Final = 6.0
+# lease from control, which was granted before the change.  Later leases name
+# the newer set, except those of an earlier release, after which the set is
+# sent again within 1 s.
+HOME_SET_TTL_S: Final = MAX_LEASE_TTL_S + 1.0
 JOIN_DELAY_S: Final = HOME_SET_TTL_S + RETENTION_S
 SWEEP_INTERVAL_S: Final = 1.0
 
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -10,6 +10,7 @@
 from eelgrassworks import errors
 from eelgrassworks import logs
 from eelgrassworks import settings
+from eelgrassworks.contracts import home
 from eelgrassworks.platform import earlylistener
 from eelgrassworks.platform import wire
 
@@ -66,7 +67,11 @@
 
 
 def make_control(node: wire.NodeFile) -> settings.ControlSettings:
-    """Return the settings of a control replica."""
+    """Return the settings of a control replica.
+
+    A lease may be shorter than the bound on an evacuation, not longer.
+    """
+    evacuation_s = node.bounds.get('evacuateMs', DEFAULT_LEASE_MS) / 1000
     address = _make_address(node, wire.CONTROL_PORT)
     return settings.ControlSettings(
         name=node.ip,
@@ -79,7 +84,7 @@
         open_members=True,
         # A majority of the voters survives the tolerated number of failures.
         voters=2 * node.fault_tolerance.get('machines', 1) + 1,
-        lease_ttl_s=node.bounds.get('evacuateMs', DEFAULT_LEASE_MS) / 1000,
+        lease_ttl_s=min(evacuation_s, home.MAX_LEASE_TTL_S),
         repair_folder=True,
     )
 
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -18,6 +18,7 @@
 from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import zones
+from eelgrassworks.contracts import home
 
 Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 Address = Annotated[
@@ -112,7 +113,8 @@
     # Replicas that are not listed may join; up to ``voters`` of them vote.
     open_members: bool = False
     voters: Annotated[int, msgspec.Meta(ge=0, le=9)] = 0
-    # How long a node without contact may work under an old configuration.
+    # How long a node without contact may work under an old configuration; at
+    # most ``home.MAX_LEASE_TTL_S`` with open members.
     lease_ttl_s: Seconds = zones.LEASE_TTL_S
     # An unusable data folder is emptied, and the replica joins again.
     repair_folder: bool = False
@@ -206,6 +208,16 @@
                 return expression.Error(
                     _refuse('replicas', 'their number must be 1, 3 or 5')
                 )
+            if (
+                parsed.open_members
+                and parsed.lease_ttl_s > home.MAX_LEASE_TTL_S
+            ):
+                reason = (
+                    f'must be at most {home.MAX_LEASE_TTL_S:g} s with '
+                    'open_members, since a home that joins waits no longer '
+                    'for earlier leases'
+                )
+                return expression.Error(_refuse('lease_ttl_s', reason))
         case EntrySettings(replicas=replicas) if not replicas:
             return expression.Error(_refuse('replicas', 'none is named'))
         case AgentSettings(entries=entries) if not entries:
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -152,6 +152,12 @@
         'replicas',
         '1, 3 or 5',
     ),
+    (
+        'lease longer than the homes allow for',
+        VALID_CONTROL | {'open_members': True, 'lease_ttl_s': 5.1},
+        'lease_ttl_s',
+        'at most 5 s',
+    ),
     (
         'itself missing',
         VALID_CONTROL | {'replicas': {'d': 'tcp://1:2'}},
@@ -216,7 +222,12 @@
         self.assertIn(reason, refusal.values['reason'])
         self.assertTrue(errors.describe(refusal).remedy)
 
-    @ddt.data(VALID_AGENT, VALID_CONTROL)
+    @ddt.data(
+        VALID_AGENT,
+        VALID_CONTROL,
+        VALID_CONTROL | {'open_members': True, 'lease_ttl_s': 5.0},
+        VALID_CONTROL | {'lease_ttl_s': 8.0},
+    )
     def test_valid_settings(self, model: object) -> None:
         result = settings.parse_settings(json.dumps(model).encode())
         self.assertTrue(result.is_ok(), result)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -164,6 +164,14 @@
     {'address': '10.0.0.9:99999', 'slots': 10**30, 'coldRemainingMs': -1},
 )
 
+# The bound on an evacuation in the settings, and the lease of an entry: homes
+# that join wait for no longer one.
+BOUNDS: tuple[tuple[dict[str, Any], float], ...] = (
+    ({}, 5.0),
+    ({'evacuateMs': 3000}, 3.0),
+    ({'evacuateMs': 9000}, 5.0),
+)
+
 # Host, path, and the kind that matches them.
 LOCATIONS: tuple[tuple[str, str, str | None], ...] = (
     ('a.example', '/one/x', 'one'),
@@ -335,6 +343,17 @@
         found = locator.Locator(sheet).find(host, path)
         self.assertEqual(found.name if found else None, expected)
 
+    # Guards against a lease that outlives the delay of a joining home, after
+    # which two entries can own one id.
+    @ddt.data(*BOUNDS)
+    @ddt.unpack
+    def test_lease_is_bounded(
+        self, bounds: dict[str, Any], lease_s: float
+    ) -> None:
+        node = standins.make_node('folder', 'control')
+        node = msgspec.structs.replace(node, bounds=bounds)
+        self.assertEqual(nodefile.make_control(node).lease_ttl_s, lease_s)
+
     def test_build_installs_what_the_project_depends_on(self) -> None:
         root = pathlib.Path(__file__).parent.parent
         project = tomllib.loads((root / 'pyproject.toml').read_text())
