A young job outlives a change of its homes

Cause: when a live home gave its place to another one, or a home was added, a job whose renewals had not reached all homes yet no longer had a majority of the new group, and ended as lapsed. Change: while a running lease names the former homes, a majority of these keeps a job that the entry owns, as at an entry that does not know of the change yet. New claims count on the present homes only. The grants of a home that has left are not renewed, so they end after 1 s. A lease of an earlier release names no homes, and nothing changes under its leader. The hostile network of tests/homeworld.py gives each entry the oldest lease that may run. Result: the new rows for a home replaced and a home added fail without the change.

--- a/eelgrassworks/entry.py
+++ b/eelgrassworks/entry.py
@@ -474,7 +474,9 @@
     def _check_ownership(self, now_s: float) -> effects.Effects:
         """End the jobs whose grants have lapsed, before any other event."""
         self.ownership.begin(now_s)
-        self.ownership.set_authority(self.session.confirms_homes(now_s))
+        is_confirmed = self.session.confirms_homes(now_s)
+        oldest_version = self.session.find_oldest_homes(now_s)
+        self.ownership.set_authority(is_confirmed, oldest_version)
         if now_s - self._ownership_checked_s < OWNERSHIP_INTERVAL_S:
             return self._handle_ownership(self.ownership.hedge(now_s), now_s)
         self._ownership_checked_s = now_s
@@ -483,10 +485,8 @@
             outcomes += self.ownership.release_ended(
                 self.dispatcher.list_unsettled(), now_s
             )
-        return [
-            *self._handle_ownership(outcomes, now_s),
-            *self._request_reports(now_s),
-        ]
+        result = self._handle_ownership(outcomes, now_s)
+        return result + self._request_reports(now_s)
 
     def _request_reports(self, now_s: float) -> effects.Effects:
         """Ask the live entries for their jobs after a restart of this home."""
--- a/eelgrassworks/links/homeleases.py
+++ b/eelgrassworks/links/homeleases.py
@@ -58,16 +58,16 @@
             for version, lease in self._leases.items()
         )
 
+    def find_oldest(self, now_s: float) -> int:
+        """Return the lowest version that a running lease names, or 0.
+
+        An entry that knew no later homes might still act on these.
+        """
+        return min(self._list_named(now_s), default=0)
+
     def request_roster(self, leader: str, now_s: float) -> effects.Effects:
         """Request the roster if a lease names homes that are not known."""
-        named = max(
-            (
-                version
-                for version, lease in self._leases.items()
-                if lease.is_valid(now_s)
-            ),
-            default=0,
-        )
+        named = max(self._list_named(now_s), default=0)
         if (
             named <= self._known_version
             or now_s - self._requested_s < REQUEST_INTERVAL_S
@@ -84,3 +84,11 @@
             'leader': leader,
         }
         return [effects.Log('homes_awaited', fields), request]
+
+    def _list_named(self, now_s: float) -> list[int]:
+        """Return the versions in running leases of this release."""
+        return [
+            version
+            for version, lease in self._leases.items()
+            if version > 0 and lease.is_valid(now_s)
+        ]
--- a/eelgrassworks/links/session.py
+++ b/eelgrassworks/links/session.py
@@ -98,6 +98,10 @@
         has_lease = self.lease.is_valid(now_s)
         return has_lease and self._home_leases.confirms_homes(now_s)
 
+    def find_oldest_homes(self, now_s: float) -> int:
+        """Return the lowest version of homes that a running lease names."""
+        return self._home_leases.find_oldest(now_s)
+
     def claim(
         self, claims: tuple[contracts.Claim, ...], now_s: float
     ) -> effects.Effects:
--- a/eelgrassworks/ownership.py
+++ b/eelgrassworks/ownership.py
@@ -163,6 +163,7 @@
         policy: homechoice.Policy = features.NO_FEATURES.claims,
     ) -> None:
         self.homes = contracts.NO_HOMES
+        self._former_homes = contracts.NO_HOMES
         self.table: home.Home | None = None
         self.choice = homechoice.HomeChoice(name, policy)
         self.counters = self.choice.counters
@@ -178,6 +179,7 @@
         self._attempt = 0
         self._may_grant = False
         self._has_authority = False
+        self._counts_former = False
         self._reports_requested_s = float('-inf')
         self._started_s = float('inf')
         self._released_s = float('-inf')
@@ -198,7 +200,7 @@
         """Apply a newer set of homes."""
         if current.version <= self.homes.version:
             return []
-        self.homes = current
+        self._former_homes, self.homes = self.homes, current
         if self.table is not None and current.joining == self._name:
             self.table.join(now_s)
         names = current.list_names()
@@ -210,10 +212,17 @@
         }
         return [effects.Log('homes_changed', fields)]
 
-    def set_authority(self, may_grant: bool) -> None:
-        """Record whether this entry can be sure of the set of homes."""
+    def set_authority(self, may_grant: bool, oldest_version: int = 0) -> None:
+        """Record whether this entry can be sure of the set of homes.
+
+        ``oldest_version`` is the lowest version of homes that a running lease
+        names; 0 if none does.
+        """
         self._has_authority = may_grant
         self._may_grant = may_grant and self._name in self.choice.contacts
+        self._counts_former = (
+            may_grant and 0 < oldest_version <= self._former_homes.version
+        )
 
     def handle_request(
         self,
@@ -737,9 +746,7 @@
                 else:
                     batch = self._batches.setdefault(name, Batch())
                     batch.renewals.append(registration.describe(now_s))
-        majority = homeset.count_majority(group)
-        is_confirmed = registration.count_grants(group, now_s) >= majority
-        if is_confirmed or registration.lapsed:
+        if self._is_confirmed(registration, now_s) or registration.lapsed:
             return []
         registration.lapsed = True
         self.counters['ownership_lapsed'] += 1
@@ -747,6 +754,23 @@
             return []
         return [OwnershipLapsed(registration.job)]
 
+    def _is_confirmed(self, registration: Registration, now_s: float) -> bool:
+        """Tell whether a majority has granted an owned job lately.
+
+        A majority of the former homes counts while a lease names them, as for
+        an entry that does not know of the change.  Its grants are not renewed
+        there, so this bridges the time until the others have its renewals.
+        """
+        sets = [self.homes]
+        if self._counts_former:
+            sets.append(self._former_homes)
+        groups = [each.find_group(registration.submission) for each in sets]
+        return any(
+            registration.count_grants(group, now_s)
+            >= homeset.count_majority(group)
+            for group in groups
+        )
+
     def _renew_locally(self, registration: Registration, now_s: float) -> None:
         if self.table is None:
             return
--- a/tests/homeworld.py
+++ b/tests/homeworld.py
@@ -194,6 +194,15 @@
         )
         return self.now_s < replaced_s + home.HOME_SET_TTL_S
 
+    def _find_oldest_homes(self) -> int:
+        """Return the lowest version of homes that a lease may still name."""
+        running = [
+            version
+            for version, replaced_s in self._replaced_s.items()
+            if self.now_s < replaced_s + home.HOME_SET_TTL_S
+        ]
+        return min(running, default=self.homes.version)
+
     # The job.
 
     def submit(self, name: str) -> None:
@@ -280,7 +289,7 @@
             # leases have not been renewed meanwhile.
             self._end_job(node, CHAIN_S - gap_s)
         has_authority = self._has_authority(node)
-        core.set_authority(has_authority)
+        core.set_authority(has_authority, self._find_oldest_homes())
         if not has_authority:
             self._end_job(node, CHAIN_S)
         self._apply(node, core.tick(self.now_s))
--- a/tests/test_homeleases.py
+++ b/tests/test_homeleases.py
@@ -54,6 +54,18 @@
     ('earlier release leads again', ((10.0, 4), (10.4, 0)), 3, 11.0, True),
 )
 
+# The homes after a change, the lowest version of homes that a running lease
+# names, how long the job is owned, in seconds, and whether it lapses then.
+# Its grants are from three of five former homes, which include entry-5.
+CHANGES: tuple[tuple[str, tuple[str, ...], int, float, bool], ...] = (
+    ('home replaced', (*ENTRIES[:4], JOINED), 1, 0.05, False),
+    ('home replaced, no answer', (*ENTRIES[:4], JOINED), 1, 1.05, True),
+    ('home replaced, lease ended', (*ENTRIES[:4], JOINED), 2, 0.05, True),
+    ('home replaced, earlier release', (*ENTRIES[:4], JOINED), 0, 0.05, True),
+    ('home added', (*ENTRIES, JOINED), 1, 0.05, False),
+    ('home added, lease ended', (*ENTRIES, JOINED), 2, 0.05, True),
+)
+
 
 class ReturnWorld(virtual.World):
     """A world in which rosters to one entry can be lost."""
@@ -258,6 +270,40 @@
             [ownership.JobGranted('job/1-1')],
         )
 
+    # Guards against the end of a young job when a live home gives its place
+    # to another one, before all homes have its renewals.
+    @ddt.data(*CHANGES)
+    @ddt.unpack
+    def test_grants_of_former_homes_count_while_a_lease_names_them(
+        self,
+        _: str,
+        changed: tuple[str, ...],
+        oldest: int,
+        elapsed_s: float,
+        lapses: bool,
+    ) -> None:
+        now_s = test_homes.READY_S
+        core = ownership.Ownership('entry-7', 1)
+        core.begin(0.0)
+        core.apply_homes(contracts.HomeSet(1, (ENTRIES,)), 0.0)
+        core.set_authority(True, 1)
+        for name in ENTRIES[:2]:
+            core.choice.contacts[name].unanswered_s = 0.0
+        requests = test_homes.claim_job(core)
+        self.assertEqual(set(requests), set(ENTRIES[2:]))
+        outcomes = [
+            outcome
+            for peer, request in requests.items()
+            for outcome in core.handle_response(
+                peer, messages.OwnershipResponse(request), now_s
+            )
+        ]
+        self.assertEqual(outcomes, [ownership.JobGranted('job/1-1')])
+        core.apply_homes(contracts.HomeSet(2, (changed,), JOINED), now_s)
+        core.set_authority(True, oldest)
+        lapsed = [ownership.OwnershipLapsed('job/1-1')] if lapses else []
+        self.assertEqual(core.tick(now_s + elapsed_s), lapsed)
+
 
 if __name__ == '__main__':
     unittest.main()
