Shares: the decision about failure domains that nothing calls is removed

Cause: list_beyond and DomainLoad in contracts/shares.py were called by tests alone, so that a reader took shares of failure domains to be in force.

Measured: tests.test_shares passes.

--- a/eelgrassworks/contracts/shares.py
+++ b/eelgrassworks/contracts/shares.py
@@ -10,11 +10,8 @@
 the others while it has started more than its share.  Nothing is reserved, so
 an unused share is lent at once.  Its owner gets it back as running tasks end,
 since from then on the borrower goes last.
-
-``list_beyond`` divides room among the callers of failure domains.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -48,38 +45,6 @@
     return shares
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DomainLoad:
-    """The load that the callers of one failure domain cause, in room.
-
-    Both amounts are in thousandths of a core: of the tasks that run, and of
-    the tasks that wait at the entries of the domain.
-    """
-
-    failure_domain: str
-    running_millis: int
-    waiting_millis: int
-
-
-def list_beyond(
-    loads: Iterable[DomainLoad],
-    capacity_millis: int,
-    weights: Mapping[str, float],
-) -> frozenset[str]:
-    """Return the failure domains whose callers use more than their share."""
-    running = {each.failure_domain: each.running_millis for each in loads}
-    demands = {
-        each.failure_domain: float(each.running_millis + each.waiting_millis)
-        for each in loads
-    }
-    shares = divide(capacity_millis, demands, weights)
-    return frozenset(
-        name
-        for name, share in shares.items()
-        if share < demands[name] and running[name] > share
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class DecayingRate:
     """Rate of work that weighs the past exponentially."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -57,15 +57,6 @@
     (20.0, 0.0, 4.0),
 )
 
-# Running and waiting room of the callers of three failure domains at a target
-# of 64 cores, and those beyond their share: none without a shortage, the one
-# with a burst, and none while the others leave their share.
-DOMAINS: tuple[tuple[tuple[tuple[int, int], ...], frozenset[str]], ...] = (
-    (((20, 0), (20, 0), (20, 0)), frozenset()),
-    (((40, 100), (12, 10), (12, 10)), frozenset('a')),
-    (((64, 100), (0, 0), (0, 0)), frozenset()),
-)
-
 
 def make_shares(urgent: float, other: float) -> shares.KindShares:
     """Return the shares of two kinds of a capacity of 10."""
@@ -142,24 +133,6 @@
         self.assertAlmostEqual(wait_s, expected)
         self.assertAlmostEqual(kinds.predict_free('b', wait_s), 2 * wait_s)
 
-    @ddt.data(*DOMAINS)
-    @ddt.unpack
-    def test_callers_of_a_failure_domain_with_a_burst_go_last(
-        self,
-        loads: tuple[tuple[int, int], ...],
-        expected: frozenset[str],
-    ) -> None:
-        """A burst in one failure domain takes no room from the others."""
-        found = shares.list_beyond(
-            [
-                shares.DomainLoad(name, 1000 * running, 1000 * waiting)
-                for name, (running, waiting) in zip('abc', loads, strict=True)
-            ],
-            64_000,
-            {},
-        )
-        self.assertEqual(found, expected)
-
     def test_accounts_are_bounded(self) -> None:
         """Names of kinds without end must not fill the memory."""
         kinds = shares.KindShares({})
