Interference: measuring, beliefs and the decision are modules of their own

Change: no change of behaviour. interference.py has the figures that both sides use, agedregression.py the regression, interferencemeter.py the agent's side, interferencebeliefs.py what an entry knows and believes (SeparationView without the choice), separation.py which targets a task avoids. The tests follow the names and check the same.

--- a/eelgrassworks/agent.py
+++ b/eelgrassworks/agent.py
@@ -28,7 +28,7 @@
 from eelgrassworks import zones
 from eelgrassworks.links import messages
 from eelgrassworks.machines import entryview
-from eelgrassworks.machines import interference
+from eelgrassworks.machines import interferencemeter
 from eelgrassworks.machines import roomrequests
 from eelgrassworks.machines import startqueue
 
@@ -144,7 +144,7 @@
     def __init__(self, options: AgentOptions) -> None:
         self.options = options
         self.slots = machines.Slots(options.target.slots, options.target.room)
-        self.interference = interference.InterferenceMeter(
+        self.interference = interferencemeter.InterferenceMeter(
             options.optional.separation, options.target.capacity
         )
         self.live_entries = options.entries
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -27,9 +27,10 @@
 from eelgrassworks.contracts import queues
 from eelgrassworks.links import messages
 from eelgrassworks.machines import health
-from eelgrassworks.machines import interference
+from eelgrassworks.machines import interferencebeliefs
 from eelgrassworks.machines import placement
 from eelgrassworks.machines import roomrequests
+from eelgrassworks.machines import separation
 from eelgrassworks.machines import serviceview
 
 SUSPECT_TIMEOUT_S: Final = 2.0
@@ -117,9 +118,10 @@
         self._lost: dict[tuple[str, int], machines.LostTarget] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.run_s: dict[str, float] = {}
-        self.separation = interference.SeparationView(
+        self.beliefs = interferencebeliefs.InterferenceBeliefs(
             optional.separation, self.counters
         )
+        self._separation = separation.Separation(self.beliefs, self.counters)
         self._table = table
         self._configuration: contracts.Configuration | None = None
         # Of the current configuration, by failure domain and target.
@@ -310,7 +312,7 @@
             usable = placement.list_fast_enough(
                 serving[kind], queued.due_s - now_s, queued.estimate_s
             )
-            view = self.separation.choose(
+            view = self._separation.choose(
                 self.policy, usable, kind, key, queued.demand
             )
             if view is None:
@@ -522,7 +524,7 @@
             view.record_shown(key, each.attempt)
         self._settle_unlisted(view, renewal)
         result = neighbourreports.apply_report(
-            self.separation, peer, renewal.neighbours, now_s
+            self.beliefs, peer, renewal.neighbours, now_s
         )
         if view.suspect:
             view.suspect = False
@@ -1038,7 +1040,7 @@
             },
             'service': self.service.describe(now_s),
             'counters': dict(self.counters),
-            **self.separation.describe(),
+            **self.beliefs.describe(),
         }
 
 
--- a/eelgrassworks/neighbourreports.py
+++ b/eelgrassworks/neighbourreports.py
@@ -5,10 +5,14 @@
 from eelgrassworks import effects
 from eelgrassworks.links import messages
 from eelgrassworks.machines import interference
+from eelgrassworks.machines import interferencebeliefs
+from eelgrassworks.machines import interferencemeter
 
 
 def make_report(
-    meter: interference.InterferenceMeter, confirmed_s: float, now_s: float
+    meter: interferencemeter.InterferenceMeter,
+    confirmed_s: float,
+    now_s: float,
 ) -> messages.KindsReport | msgspec.UnsetType:
     """Return the report for an entry; unset if the decision is off."""
     found = meter.report(confirmed_s, now_s)
@@ -26,13 +30,13 @@
 
 
 def apply_report(
-    view: interference.SeparationView,
+    beliefs: interferencebeliefs.InterferenceBeliefs,
     peer: str,
     report: messages.KindsReport | msgspec.UnsetType,
     now_s: float,
 ) -> effects.Effects:
     """Apply the report of an agent; return the log lines."""
-    changes = view.apply(peer, _read(report), now_s)
+    changes = beliefs.apply(peer, _read(report), now_s)
     return [
         effects.Log(
             'kinds_kept_apart' if change.is_believed else 'kinds_mixed',
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -18,7 +18,10 @@
 from eelgrassworks import neighbourreports
 from eelgrassworks.links import messages
 from eelgrassworks.machines import interference
+from eelgrassworks.machines import interferencebeliefs
+from eelgrassworks.machines import interferencemeter
 from eelgrassworks.machines import placement
+from eelgrassworks.machines import separation
 from tests import worlds
 
 ON = features.Separation()
@@ -90,9 +93,11 @@
     def __init__(self, seed: int = 1) -> None:
         self.random = random.Random(seed)
         self.now_s = 1000.0
-        self.entry = interference.SeparationView(ON, collections.Counter())
+        self.entry = interferencebeliefs.InterferenceBeliefs(
+            ON, collections.Counter()
+        )
         self.meters = [
-            interference.InterferenceMeter(ON, 4) for _ in range(AGENTS)
+            interferencemeter.InterferenceMeter(ON, 4) for _ in range(AGENTS)
         ]
         self.running: list[dict[contracts.TaskKey, str]] = [
             {} for _ in range(AGENTS)
@@ -154,9 +159,9 @@
                 )
 
 
-def make_believing() -> interference.SeparationView:
+def make_believing() -> interferencebeliefs.InterferenceBeliefs:
     """Return an entry that believes in one pair of kinds."""
-    view = interference.SeparationView(ON, collections.Counter())
+    view = interferencebeliefs.InterferenceBeliefs(ON, collections.Counter())
     pair = interference.PairFigure('short', 'long', 1.6, 100.0)
     view.apply('agent', interference.Neighbourhood((), (pair,)), 1000.0)
     return view
@@ -207,7 +212,8 @@
             running = interference.Neighbourhood((kind,) if kind else (), None)
             entry.apply(view.target.name, running, 1000.1)
             views.append(view)
-        chosen = entry.choose(
+        chooser = separation.Separation(entry, collections.Counter())
+        chosen = chooser.choose(
             placement.LateBinding(prefetch=0),
             views,
             'short',
@@ -225,10 +231,12 @@
         self.assert_pairs(load.run(MUTUAL, 2.0), MUTUAL)
         # The agents have restarted, and their figures are lost.
         load.meters = [
-            interference.InterferenceMeter(ON, 4) for _ in load.meters
+            interferencemeter.InterferenceMeter(ON, 4) for _ in load.meters
         ]
         load.running = [{} for _ in load.meters]
-        self.assertEqual(load.run({}, interference.REPORT_TTL_S + 2.0), {})
+        self.assertEqual(
+            load.run({}, interferencebeliefs.REPORT_TTL_S + 2.0), {}
+        )
 
     def test_pairs_are_sent_until_confirmed(self) -> None:
         """A lost renewal must not leave an entry without the figures."""
@@ -254,7 +262,9 @@
         self, kind: str, beside: str, slowdown: float, samples: float
     ) -> None:
         """A report of another release must not end an entry."""
-        entry = interference.SeparationView(ON, collections.Counter())
+        entry = interferencebeliefs.InterferenceBeliefs(
+            ON, collections.Counter()
+        )
         odd = messages.PairReport(kind, beside, slowdown, samples)
         report = messages.KindsReport((), (odd,) * 1000)
         for now_s in (1000.0, 1002.0, 1100.0):
@@ -263,7 +273,7 @@
 
     def test_off_adds_nothing_to_a_renewal(self) -> None:
         """Releases without the decision must see the same bytes."""
-        meter = interference.InterferenceMeter(features.Off(), 4)
+        meter = interferencemeter.InterferenceMeter(features.Off(), 4)
         report = neighbourreports.make_report(meter, 0.0, 1000.0)
         self.assertIs(report, msgspec.UNSET)
 
