Room: a job is refused as overloaded only if no room is known for it

Cause: with SharedRoom an entry may start tasks only in room that was granted to it, so work waits for a round trip or more while targets have room. Three paths took this wait for an overload: the predicted wait of an arriving job (queued work over the entry's own rate, by priority and by shares), the end of overdue jobs, and work of a second service, for which no room was asked while more urgent work waited for another one. The view of the service (machines/serviceview.py) was read by no decision, only by dumps: neither its age nor its backlogs, which contain the entry's own work, led to a refusal.

Change: room that agents report as free to all entries shortens the predicted wait, and never makes it longer. It counts until it is 2 s old, the entry's starts have used it, its target has declined a start as busy, or work has waited for that service for 30 ms since the report. An overdue job is ended only if no such room is left. The counter admitted_by_free_room has the jobs that are no longer refused.

test_sharedroom passes a view to ServiceView.record, which needs the number of starts seen; it checks the same.

--- a/eelgrassworks/contracts/queues.py
+++ b/eelgrassworks/contracts/queues.py
@@ -151,6 +151,21 @@
             and (job.priority, job.due_s) < (priority, due_s)
         )
 
+    def measure_cpu_ahead(
+        self, team_name: str, arriving: QueuedJob, now_s: float
+    ) -> int:
+        """Return the processor that a team's tasks ahead of a job ask for.
+
+        The result is in thousandths of a core.
+        """
+        team = self.teams.get(team_name)
+        rank = self._rank(arriving, now_s)
+        return sum(
+            len(job.indices) * job.demand.cpu_millis
+            for job in (() if team is None else team.jobs.values())
+            if self._rank(job, now_s) < rank
+        )
+
     def measure_share_ahead(
         self, team_name: str, arriving: QueuedJob, now_s: float
     ) -> shares.Ahead:
@@ -172,10 +187,10 @@
                 urgent += job.work
         return shares.Ahead(urgent, own)
 
-    def list_overdue(self, now_s: float) -> list[str]:
+    def list_overdue(self, now_s: float) -> list[QueuedJob]:
         """Return the jobs that have passed their due time unstarted."""
         return [
-            job.submission
+            job
             for name in self._active
             for job in self.teams[name].jobs.values()
             if job.is_demoted(now_s)
--- a/eelgrassworks/dispatcher.py
+++ b/eelgrassworks/dispatcher.py
@@ -12,11 +12,10 @@
 import dataclasses
 from typing import Final
 
-import msgspec
-
 from eelgrassworks import contracts
 from eelgrassworks import dispatchreports
 from eelgrassworks import effects
+from eelgrassworks import entryroom
 from eelgrassworks import features
 from eelgrassworks import machines
 from eelgrassworks import neighbourreports
@@ -29,9 +28,7 @@
 from eelgrassworks.machines import health
 from eelgrassworks.machines import interferencebeliefs
 from eelgrassworks.machines import placement
-from eelgrassworks.machines import roomrequests
 from eelgrassworks.machines import separation
-from eelgrassworks.machines import serviceview
 
 SUSPECT_TIMEOUT_S: Final = 2.0
 LOST_TIMEOUT_S: Final = 5.0
@@ -129,9 +126,9 @@
         self._breakers: dict[tuple[str, str], health.Breaker] = {}
         self._pending_cancels: dict[str, list[str]] = {}
         self._slot_requests = 0
-        self._requests = roomrequests.RoomRequests()
-        # Empty unless the agents share room.
-        self.service = serviceview.ServiceView()
+        self.room = entryroom.EntryRoom(
+            optional.room, self.queue, self.counters
+        )
         self.waits = waits.Waits(
             self.queue, self.views, shedding_policy, self.counters
         )
@@ -218,6 +215,7 @@
         submission = job.submission
         queued = _make_queued(job, range(len(submission.payloads)))
         self.waits.record_admitted(queued, job.arrived_s)
+        self.room.record_arrival()
         self.queue.add(submission.team, queued)
 
     def predict_wait(
@@ -229,12 +227,25 @@
         )
         return self.waits.predict(team, arriving, now_s)
 
+    def count_startable(self, job: queues.QueuedJob, now_s: float) -> int:
+        """Return for how many tasks of a job targets are known to have room.
+
+        Without waiting work the result is not needed, and is 0.
+        """
+        if not self.queue.length:
+            return 0
+        usable = self._list_usable(job.kind, now_s)
+        return self.room.count_startable(usable, job, now_s)
+
     def list_overdue(self, now_s: float) -> list[str]:
         """Return the jobs that would take the place of jobs in time."""
-        return self.waits.list_overdue(now_s)
+        return self.room.list_without_room(
+            self.waits.list_overdue(now_s), self.list_serving, now_s
+        )
 
     def requeue(self, job: jobs.Job, index: int) -> None:
         """Queue a task of a job again, after its attempt has ended."""
+        self.room.record_arrival()
         self.queue.requeue(job.submission.team, _make_queued(job, (index,)))
 
     def remove(self, job: jobs.Job, now_s: float) -> None:
@@ -298,6 +309,7 @@
         result: effects.Effects = []
         blocked: set[str] = set()
         requests: effects.Effects = []
+        asked: set[str] = set()
         self.waits.refresh_shares(now_s)
         serving: dict[str, list[machines.TargetView]] = {}
         while self.queue.length:
@@ -316,8 +328,10 @@
                 self.policy, usable, kind, key, queued.demand
             )
             if view is None:
-                if not blocked:
-                    requests = self._request_room(usable, queued, now_s)
+                share = self._compute_waiting_share()
+                requests += self.room.request(
+                    usable, queued, share, asked, now_s
+                )
                 blocked.add(kind)
                 continue
             self.queue.pop(team, queued)
@@ -325,65 +339,9 @@
             result += self._start(view, team, kind, key, now_s)
             if not self._find_breaker(view, kind).allows(now_s):
                 serving[kind].remove(view)
+        self.room.record_placed(asked)
         return result + requests
 
-    def _request_room(
-        self,
-        usable: list[machines.TargetView],
-        queued: queues.QueuedJob,
-        now_s: float,
-    ) -> effects.Effects:
-        """Ask targets for room for the first waiting work."""
-        match self.features.room:
-            case features.Off():
-                return []
-            case features.SharedRoom():
-                chosen = self._requests.choose(
-                    usable,
-                    self.queue.length,
-                    now_s,
-                )
-        self._requests.waiting = self.queue.length
-        self.counters['room_requests'] += len(chosen)
-        share = self._compute_waiting_share()
-        return [
-            effects.Send(
-                view.target.name,
-                messages.SlotsRequest(
-                    share,
-                    self._make_demand(
-                        queued.kind,
-                        queued.priority,
-                        queued.due_s,
-                        queued.demand,
-                        now_s,
-                    ),
-                ),
-            )
-            for view in chosen
-        ]
-
-    def _make_demand(
-        self,
-        kind: str,
-        priority: int,
-        due_s: float,
-        room: contracts.Room,
-        now_s: float,
-    ) -> contracts.Demand | msgspec.UnsetType:
-        match self.features.room:
-            case features.Off():
-                return msgspec.UNSET
-            case features.SharedRoom():
-                return self._requests.make_demand(
-                    kind,
-                    priority,
-                    due_s,
-                    room,
-                    self.queue.length,
-                    now_s,
-                )
-
     def _list_usable(
         self, kind: str, now_s: float
     ) -> list[machines.TargetView]:
@@ -448,11 +406,11 @@
             patient,
             submission.demand,
             round(submission.estimate_s * 1000),
-            self._make_demand(
+            self.room.make_demand(
                 kind, job.priority, job.due_s, submission.demand, now_s
             ),
         )
-        self._requests.record_start()
+        self.room.record_start()
         previous = job.previous.get(key.index, jobs.EndedAttempt())
         log_entry = effects.Log(
             'start_sent',
@@ -515,8 +473,7 @@
         view.accepting = renewal.accepting
         view.report(renewal.free, renewal.starts_seen, renewal.free_room)
         view.reported_speed = renewal.speed
-        if renewal.shared is not msgspec.UNSET:
-            self.service.record(view.target, renewal.shared, now_s)
+        self.room.record_report(view, renewal.shared, now_s)
         outcomes += self._settle_lost(peer, view)
         # Follows _settle_lost, which may take back the starts that are named.
         for each in renewal.shown:
@@ -662,7 +619,7 @@
                 return DispatchResult([], [TaskLost(key, view.target.name)])
             case messages.SlotsOffered(free, starts_seen, free_room):
                 self.counters['offers_received'] += 1
-                self._requests.record_answer(peer)
+                self.room.record_offer(peer)
                 view.report(free, starts_seen, free_room)
                 return DispatchResult([], [])
             case _:
@@ -718,6 +675,7 @@
         self.counters['starts_declined'] += 1
         view.report(declined.free, declined.starts_seen, declined.free_room)
         if declined.reason == messages.REASON_BUSY:
+            self.room.record_busy(view.target.name)
             if not view.target.has_room:
                 view.block()
         elif declined.reason not in messages.ATTEMPT_REASONS:
@@ -936,7 +894,7 @@
     def _drop_target(self, peer: str, reason: str) -> list[Outcome]:
         """Remove a target; tasks that were sent to it may have run."""
         view = self.views.pop(peer)
-        self.service.forget(view.target.name)
+        self.room.service.forget(view.target.name)
         self.counters['targets_lost'] += 1
         for breaker_key in [key for key in self._breakers if key[0] == peer]:
             del self._breakers[breaker_key]
@@ -1038,7 +996,7 @@
                 )
                 for name, view in sorted(self.views.items())
             },
-            'service': self.service.describe(now_s),
+            'service': self.room.service.describe(now_s),
             'counters': dict(self.counters),
             **self.beliefs.describe(),
         }
--- a/eelgrassworks/machines/serviceview.py
+++ b/eelgrassworks/machines/serviceview.py
@@ -4,14 +4,17 @@
 entries last reported to them.  The state is one record for each target, and
 one for each of at most ``MAX_ENTRIES`` entries.  A lost report leaves an older
 one in place until it expires; of two reports on an entry the newer one counts.
+What the entry itself observes bounds the room that it takes to be free.
 """
 
 import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 from typing import Final
 
 from eelgrassworks import contracts
-from eelgrassworks.machines import target as targets
+from eelgrassworks.machines import view as views
 
 # Two renewals of an agent to an idle entry, and their delay.
 REPORT_TTL_S: Final = 2.0
@@ -20,12 +23,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoomReport:
-    """What an agent reported of its target."""
+    """What an agent reported of its target.
+
+    ``starts_seen`` is the number of starts of this entry that it had received.
+    ``is_refuted`` is set once the target has declined a start as busy.
+    """
 
     failure_domain: str
     room: contracts.Room
     free_room: contracts.Room
+    starts_seen: int
     received_s: float
+    is_refuted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,13 +61,18 @@
 
     def record(
         self,
-        target: targets.Target,
+        view: views.TargetView,
         state: contracts.SharedState,
         now_s: float,
     ) -> None:
         """Take note of a report."""
+        target = view.target
         self._rooms[target.name] = RoomReport(
-            target.failure_domain, target.room, state.free_room, now_s
+            target.failure_domain,
+            target.room,
+            state.free_room,
+            view.starts_seen,
+            now_s,
         )
         for backlog in state.backlogs:
             reported_s = now_s - max(0, backlog.age_ms) / 1000
@@ -74,6 +88,49 @@
         """Drop the report of a target that has left."""
         self._rooms.pop(target, None)
 
+    def record_full(self, target: str) -> None:
+        """Take note that a target has declined a start for lack of room."""
+        report = self._rooms.get(target)
+        if report is not None:
+            self._rooms[target] = dataclasses.replace(report, is_refuted=True)
+
+    def count_startable(
+        self,
+        candidates: Iterable[views.TargetView],
+        demand: contracts.Room,
+        waiting_since_s: Mapping[str, float],
+        now_s: float,
+    ) -> int:
+        """Return for how many tasks targets have room, whoever holds it.
+
+        The room of a report counts until the entry has used it or the target
+        has declined a start for lack of it.  Work that waits longer than a
+        request holds after the report has asked for that room in vain; work
+        waits for each service since ``waiting_since_s``.
+        """
+        count = 0
+        for view in candidates:
+            target = view.target
+            report = self._rooms.get(target.name)
+            if report is None or report.is_refuted:
+                continue
+            if now_s - report.received_s >= REPORT_TTL_S:
+                continue
+            waiting_s = waiting_since_s.get(target.service, now_s)
+            known_s = max(report.received_s, waiting_s)
+            if now_s - known_s >= contracts.DIGEST_TTL_S:
+                continue
+            if not report.free_room.covers(demand):
+                continue
+            free = report.free_room
+            if view.starts_sent > report.starts_seen:
+                free = free.subtract(
+                    view.measure_sent_since(report.starts_seen)
+                )
+            allowed = max(0, view.allowance - len(view.outstanding))
+            count += min(allowed, free.count(demand))
+        return count
+
     def measure_room(self, now_s: float) -> dict[str, DomainRoom]:
         """Return the room of the service by failure domain."""
         result: dict[str, DomainRoom] = collections.defaultdict(DomainRoom)
--- a/eelgrassworks/machines/view.py
+++ b/eelgrassworks/machines/view.py
@@ -254,15 +254,27 @@
         self._estimate_free()
         return start
 
+    def measure_sent_since(self, starts_seen: int) -> contracts.Room:
+        """Return the room of the starts that a report did not include.
+
+        ``starts_seen`` is the number of starts that the agent had received.
+        """
+        sent = contracts.NO_ROOM
+        in_flight = self._count_in_flight(starts_seen)
+        for position in range(min(in_flight, len(self._demands))):
+            sent = sent.add(self._demands[-1 - position])
+        return sent
+
+    def _count_in_flight(self, starts_seen: int) -> int:
+        in_flight = self.starts_sent - starts_seen
+        return min(max(0, in_flight), len(self.outstanding))
+
     def _estimate_free(self) -> None:
-        in_flight = self.starts_sent - self.starts_seen
-        in_flight = min(max(0, in_flight), len(self.outstanding))
         if not self.target.has_room:
+            in_flight = self._count_in_flight(self.starts_seen)
             self.free = self.reported_free - in_flight
             return
         self.free = self.reported_free
-        self.free_room = self.reported_room
-        for position in range(min(in_flight, len(self._demands))):
-            self.free_room = self.free_room.subtract(
-                self._demands[-1 - position]
-            )
+        self.free_room = self.reported_room.subtract(
+            self.measure_sent_since(self.starts_seen)
+        )
--- a/eelgrassworks/waits.py
+++ b/eelgrassworks/waits.py
@@ -1,6 +1,7 @@
 """Predicted waits of jobs at one entry, and the jobs that wait in vain."""
 
 import collections
+import dataclasses
 from typing import Final
 
 from eelgrassworks import effects
@@ -23,6 +24,19 @@
             return queues.ByShare(shares.KindShares(kind_weights))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Filled:
+    """What is left to wait once waiting tasks have filled some room.
+
+    ``ahead`` and ``own`` are the fractions of the tasks ahead of a job, and of
+    its own, that still wait; ``cores`` is the processor of those that start.
+    """
+
+    ahead: float
+    own: float
+    cores: float
+
+
 class Waits:
     """Rates of one entry, and the waits that follow from its queue."""
 
@@ -78,22 +92,52 @@
             case _:
                 pass
 
-    def predict(self, team: str, job: queues.QueuedJob, now_s: float) -> float:
-        """Predict how long an arriving job would wait, in seconds."""
+    def predict(
+        self,
+        team: str,
+        job: queues.QueuedJob,
+        now_s: float,
+        startable: int = 0,
+    ) -> float:
+        """Predict how long an arriving job would wait, in seconds.
+
+        Targets are known to have room for ``startable`` tasks of its size.
+        This room only makes the prediction shorter.
+        """
         match self._queue.order:
             case queues.ByShare(kinds):
-                ahead = self._queue.measure_share_ahead(team, job, now_s)
-                if not ahead.urgent and not ahead.own:
-                    return 0.0
-                self.refresh_shares(now_s)
-                # The last task has to start in time, too.
-                spread_s = kinds.measure_spread(job.kind, job.work)
-                return kinds.predict_wait(job.kind, ahead) + spread_s
+                return self._predict_by_share(
+                    kinds, team, job, now_s, startable
+                )
             case queues.ByPriority():
-                return self._predict_by_priority(team, job, now_s)
+                return self._predict_by_priority(team, job, now_s, startable)
+
+    def _predict_by_share(
+        self,
+        kinds: shares.KindShares,
+        team: str,
+        job: queues.QueuedJob,
+        now_s: float,
+        startable: int,
+    ) -> float:
+        ahead = self._queue.measure_share_ahead(team, job, now_s)
+        if not ahead.urgent and not ahead.own:
+            return 0.0
+        self.refresh_shares(now_s)
+        # The last task has to start in time, too.
+        spread_s = kinds.measure_spread(job.kind, job.work)
+        if not startable:
+            return kinds.predict_wait(job.kind, ahead) + spread_s
+        filled = self._fill(team, job, now_s, startable)
+        left = shares.Ahead(
+            ahead.urgent * filled.ahead, ahead.own * filled.ahead
+        )
+        wait_s = kinds.predict_wait(job.kind, left) + spread_s * filled.own
+        rate = self._measure_rate(now_s)
+        return wait_s * rate / (rate + filled.cores) if rate else 0.0
 
     def _predict_by_priority(
-        self, team: str, job: queues.QueuedJob, now_s: float
+        self, team: str, job: queues.QueuedJob, now_s: float, startable: int
     ) -> float:
         ahead = self._queue.measure_work_ahead(
             team, job.due_s, now_s, job.priority
@@ -108,7 +152,27 @@
             case shedding.AtLatestUse():
                 urgent_rate = 0.0
         rate = self._measure_rate(now_s)
-        return shedding.predict_wait(ahead, rate, urgent_rate)
+        if not startable or not rate:
+            return shedding.predict_wait(ahead, rate, urgent_rate)
+        filled = self._fill(team, job, now_s, startable)
+        return shedding.predict_wait(
+            ahead * filled.ahead, rate + filled.cores, urgent_rate
+        )
+
+    def _fill(
+        self, team: str, job: queues.QueuedJob, now_s: float, startable: int
+    ) -> Filled:
+        """Fill room for some tasks of a job's size, those ahead first."""
+        cpu_millis = startable * job.demand.cpu_millis
+        ahead = self._queue.measure_cpu_ahead(team, job, now_s)
+        own = len(job.indices) * job.demand.cpu_millis
+        used = min(cpu_millis, ahead)
+        used_by_job = min(cpu_millis - used, own)
+        return Filled(
+            1 - used / ahead if ahead else 1.0,
+            1 - used_by_job / own if own else 1.0,
+            used / 1000,
+        )
 
     def advise_retry(
         self, job: queues.QueuedJob, wait_s: float, now_s: float
@@ -124,7 +188,7 @@
             case queues.ByPriority():
                 return shedding.advise_retry(wait_s, job.submission)
 
-    def list_overdue(self, now_s: float) -> list[str]:
+    def list_overdue(self, now_s: float) -> list[queues.QueuedJob]:
         """Return the jobs that would take the place of jobs in time.
 
         These have missed their latest start, since all room was in use.
