--- a/tests/test_sharedroom.py
+++ b/tests/test_sharedroom.py
@@ -17,7 +17,7 @@
 from eelgrassworks import machines
 from eelgrassworks.links import messages
 from eelgrassworks.machines import placement
-from eelgrassworks.machines import roomrequests
+from eelgrassworks.machines import roomgrants
 from eelgrassworks.machines import serviceview
 from eelgrassworks.machines import startqueue
 from eelgrassworks.trials import objectives
@@ -131,7 +131,7 @@
         steps: tuple[tuple[str, str, int, int, int, int], ...],
         expected: str,
     ) -> None:
-        grants = roomrequests.RoomGrants()
+        grants = roomgrants.RoomGrants()
         free = TASK.scale(2)
         now_s = 1000.0
         for step, entry, number, priority, due_ms, count in steps:
@@ -168,7 +168,7 @@
         self, _: str, tasks: int, age_ms: int, expected: int
     ) -> None:
         """Entries must not use slow targets while fast ones are idle."""
-        grants = roomrequests.RoomGrants()
+        grants = roomgrants.RoomGrants()
         free = TASK.scale(tasks)
         grants.record_demand('a', make_demand(1, 0, 50, tasks), 1.0)
         grants.grant_requested('a', free, 1.0)
@@ -255,7 +255,7 @@
             queued = 5 + number
             backlog = contracts.Backlog('entry-1', 'hint', queued, age_ms)
             state = contracts.SharedState(TASK, (backlog,))
-            view.record(target, state, 10.0)
+            view.record(machines.TargetView(target, 1), state, 10.0)
         self.assertEqual(view.count_backlog(10.0), {'hint': 5})
         self.assertEqual(view.measure_room(10.0)['d'].free_room, TASK.scale(2))
         self.assertEqual(view.measure_room(13.0), {})
