A busy entry has load balancers send callers to other entries

Change: an entry whose event loop is late by 25 ms (smoothed) reports that it is not ready, for 8 s at most and a tenth of the time in the long run, and closes connections after every second response once load balancers have noticed. It refuses nothing for this. Optional (features.rebalancing); the platform's adapter asks for it where two machines or more may be lost at a time. Settings that ask for it without a time of notice are refused.

--- a/eelgrassworks/entryprocess.py
+++ b/eelgrassworks/entryprocess.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 from typing import Any
 
 from eelgrassworks import admission
@@ -12,8 +13,10 @@
 from eelgrassworks import effects
 from eelgrassworks import entry
 from eelgrassworks import links
+from eelgrassworks import logs
 from eelgrassworks import metrics
 from eelgrassworks import process
+from eelgrassworks import rebalancing
 from eelgrassworks import settings
 from eelgrassworks.links import session
 from eelgrassworks.links import transport
@@ -37,6 +40,10 @@
         )
         super().__init__('entry', settings.make_vm(model.vm), link, exporter)
         self.model = model
+        optional = settings.make_features(model.features)
+        self.rebalancing = rebalancing.Rebalancing(
+            optional.rebalancing, model.stop_linger_s
+        )
         self.entry = entry.Entry(
             entry.EntryOptions(
                 session.SessionOptions(
@@ -50,7 +57,7 @@
                 model.max_wait_s,
                 model.stop_linger_s,
                 claims_transient=claims_transient,
-                optional=settings.make_features(model.features),
+                optional=optional,
             )
         )
 
@@ -115,17 +122,51 @@
 
     def is_ready(self) -> bool:
         """Tell whether load balancers may send new jobs."""
-        return self.entry.is_ready(clock.read_now())
+        return self.rebalancing.is_ready() and self.entry.is_ready(
+            clock.read_now()
+        )
+
+    def closes_connection(self) -> bool:
+        """Tell whether a response is the last one of its connection.
+
+        A new connection of the caller leads to another entry.
+        """
+        return self.rebalancing.closes_connection(clock.read_now())
+
+    def record_delay(self, delay_s: float, now_s: float) -> None:
+        """Learn how late the event loop is, and log a change of the load."""
+        if not self.rebalancing.record_delay(delay_s, now_s):
+            return
+        fields = {'delay_s': round(self.rebalancing.delay_s, 3)}
+        match self.rebalancing.state:
+            case rebalancing.Calm():
+                logs.log('entry_calm', **fields)
+            case rebalancing.Away():
+                logs.log('entry_busy', away=True, **fields)
+            case rebalancing.Overdrawn():
+                logs.log('entry_busy', away=False, **fields)
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
-        return self.entry.describe(clock.read_now())
+        return {
+            **self.entry.describe(clock.read_now()),
+            'ready': self.is_ready(),
+            'rebalancing': dataclasses.asdict(self.rebalancing.state)
+            | {
+                'state': type(self.rebalancing.state).__name__,
+                'delay_s': round(self.rebalancing.delay_s, 4),
+                'budget_s': round(self.rebalancing.budget_s, 3),
+            },
+        }
 
     def count(self) -> dict[str, int]:
         """Return the counters."""
         counters = dict(self.entry.counters)
         counters.update(self.entry.dispatcher.counters)
         counters.update(self.entry.ownership.counters)
+        counters['connections_rebalanced'] = (
+            self.rebalancing.connections_closed
+        )
         return counters
 
     def gauge(self) -> dict[str, float]:
--- a/eelgrassworks/features.py
+++ b/eelgrassworks/features.py
@@ -39,6 +39,11 @@
     """Kinds that slow each other down are kept apart while there is room."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rebalancing:
+    """A busy entry has callers connect to other entries."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Features:
     """The optional decisions of one process."""
@@ -47,6 +52,7 @@
     shares: Off | WeightedShares = Off()
     claims: Off | LearntHomes = Off()
     separation: Off | Separation = Off()
+    rebalancing: Off | Rebalancing = Off()
 
 
 NO_FEATURES: Final = Features()
--- a/eelgrassworks/fronts/callers.py
+++ b/eelgrassworks/fronts/callers.py
@@ -159,13 +159,15 @@
         try:
             response: web.Response = await handler
         except RequestRefusedError as error:
-            return problems.respond_problem(error.refusal)
+            response = problems.respond_problem(error.refusal)
         except process.RequestDropped as dropped:
             # Only a process that halts leaves requests open.
             refuse = errors.refuse
             if dropped.was_open:
                 refuse = errors.refuse_started
-            return problems.respond_problem(refuse(errors.Code.STOPPING))
+            response = problems.respond_problem(refuse(errors.Code.STOPPING))
+        if self._process.closes_connection():
+            response.force_close()
         return response
 
     async def _submit(
--- a/eelgrassworks/platform/ingress.py
+++ b/eelgrassworks/platform/ingress.py
@@ -65,7 +65,7 @@
                 response = await self._route(request)
             except process.RequestDropped as dropped:
                 response = respond_dropped(dropped.was_open)
-        if self._process.entry.stopping:
+        if self._process.entry.stopping or self._process.closes_connection():
             # A new connection of the caller leads to another node.
             response.force_close()
         return response
--- a/eelgrassworks/platform/nodefile.py
+++ b/eelgrassworks/platform/nodefile.py
@@ -27,8 +27,8 @@
 # The platform stops sending requests to a node after two failed readiness
 # checks, one second apart.
 STOP_LINGER_S: Final = 2.2
-# Losses of machines that a deployment bears, from which on homes are learnt.
-MIN_LEARNT_LOSSES: Final = 2
+# Losses of machines at a time, from which on entries adapt to those left.
+MIN_SEVERAL_LOSSES: Final = 2
 
 _DECODER: Final = msgspec.json.Decoder(wire.NodeFile)
 
@@ -107,10 +107,15 @@
     """Return the optional decisions that suit a deployment.
 
     A deployment that bears the loss of several machines at a time has homes
-    that are away or slow more often, so its entries learn which respond.
+    that are away or slow more often, so its entries learn which respond.  The
+    entries that are left in a failure domain may get more callers than they
+    can serve, so busy ones have them connect elsewhere.
     """
     losses = node.fault_tolerance.get('machines', 1)
-    return settings.FeaturesModel(learnt_homes=losses >= MIN_LEARNT_LOSSES)
+    bears_several = losses >= MIN_SEVERAL_LOSSES
+    return settings.FeaturesModel(
+        learnt_homes=bears_several, rebalancing=bears_several
+    )
 
 
 def make_worker(node: wire.NodeFile) -> settings.WorkerModel:
--- a/eelgrassworks/process.py
+++ b/eelgrassworks/process.py
@@ -85,6 +85,7 @@
         self.link = link
         self.metrics_client = metrics_client
         self.tick_interval_s = TICK_INTERVAL_S
+        self._tick_due_s = float('inf')
         self.ended = asyncio.Event()
         self.fault: errors.Refusal | None = None
         self._tick_handle: asyncio.TimerHandle | None = None
@@ -149,6 +150,9 @@
     async def close(self) -> None:
         """Close the resources that the role opened."""
 
+    def record_delay(self, delay_s: float, now_s: float) -> None:
+        """Learn by how much the event loop was late for a tick."""
+
     def add_replicas(self, replicas: dict[str, str]) -> None:
         """Connect to control replicas that changed settings name."""
         for name, address in replicas.items():
@@ -276,6 +280,8 @@
         loop = asyncio.get_running_loop()
         self._tick_handle = loop.call_later(self.tick_interval_s, self._tick)
         now_s = clock.read_now()
+        self.record_delay(max(0.0, now_s - self._tick_due_s), now_s)
+        self._tick_due_s = now_s + self.tick_interval_s
         self.dispatch_safely(self.make_tick())
         self.link.tick(now_s)
         self.gates.tick(now_s)
--- a/eelgrassworks/settings.py
+++ b/eelgrassworks/settings.py
@@ -96,6 +96,7 @@
     kind_weights: dict[Name, Weight] = {}
     learnt_homes: bool = False
     separation: bool = False
+    rebalancing: bool = False
 
 
 class ControlSettings(
@@ -220,6 +221,14 @@
                 return expression.Error(_refuse('lease_ttl_s', reason))
         case EntrySettings(replicas=replicas) if not replicas:
             return expression.Error(_refuse('replicas', 'none is named'))
+        case EntrySettings(
+            features=FeaturesModel(rebalancing=True), stop_linger_s=linger_s
+        ) if not linger_s:
+            reason = (
+                'must be the time in which load balancers notice that an '
+                'entry is not ready, if features.rebalancing is set'
+            )
+            return expression.Error(_refuse('stop_linger_s', reason))
         case AgentSettings(entries=entries) if not entries:
             return expression.Error(_refuse('entries', 'none is named'))
         case _:
@@ -250,6 +259,7 @@
         ),
         claims=features.LearntHomes() if model.learnt_homes else off,
         separation=features.Separation() if model.separation else off,
+        rebalancing=features.Rebalancing() if model.rebalancing else off,
     )
 
 
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -129,6 +129,15 @@
     'data_folder': 'x',
     'replicas': {'c': 'tcp://127.0.0.1:1'},
 }
+VALID_ENTRY = {
+    'role': 'entry',
+    'name': 'e',
+    'vm': VM,
+    'listen': 'tcp://127.0.0.1:1',
+    'http': {'host': 'a', 'port': 0},
+    'key': 'a key of sixteen',
+    'replicas': {'c': 'tcp://127.0.0.1:2'},
+}
 
 # Name, settings, then key and a part of the reason of the refusal.
 INVALID_SETTINGS: tuple[tuple[str, object, str, str], ...] = (
@@ -158,6 +167,12 @@
         'lease_ttl_s',
         'at most 5 s',
     ),
+    (
+        'busy entries leave before load balancers notice',
+        VALID_ENTRY | {'features': {'rebalancing': True}},
+        'stop_linger_s',
+        'load balancers notice',
+    ),
     (
         'itself missing',
         VALID_CONTROL | {'replicas': {'d': 'tcp://1:2'}},
@@ -227,6 +242,9 @@
         VALID_CONTROL,
         VALID_CONTROL | {'open_members': True, 'lease_ttl_s': 5.0},
         VALID_CONTROL | {'lease_ttl_s': 8.0},
+        VALID_ENTRY,
+        VALID_ENTRY
+        | {'features': {'rebalancing': True}, 'stop_linger_s': 2.0},
     )
     def test_valid_settings(self, model: object) -> None:
         result = settings.parse_settings(json.dumps(model).encode())
